--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,92 @@
+//! The `sniperelay` command: the daemon and the operators' command line.
+//!
+//! Exit codes: 0 done, 1 failed, 2 wrong usage or invalid input, 3 refused or conflict, 4 open (the
+//! platform did not answer and the result is not known). Errors go to stderr and say what, where
+//! and what to do.
+//!
+//! | module | job |
+//! |---|---|
+//! | [`args`] | the command line |
+//! | [`client`] | requests to an entry VM |
+//! | [`config`] | `config` commands |
+//! | [`status`] | `status` and `lookup` |
+
+mod args;
+mod client;
+mod config;
+mod status;
+
+use anyhow::{Context, Result};
+use args::{Command, ConfigCommand, SniperelayArgs};
+use std::process::ExitCode;
+
+/// How a command ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CommandEnd {
+    /// Done.
+    Done,
+    /// Failed.
+    Failed,
+    /// Wrong usage or invalid input.
+    Invalid,
+    /// Refused, or another edit came first.
+    Refused,
+    /// The result is not known.
+    Open,
+}
+
+impl CommandEnd {
+    fn code(self) -> u8 {
+        match self {
+            Self::Done => 0,
+            Self::Failed => 1,
+            Self::Invalid => 2,
+            Self::Refused => 3,
+            Self::Open => 4,
+        }
+    }
+}
+
+fn main() -> ExitCode {
+    let args: SniperelayArgs = argh::from_env();
+    let end = run_command(args.command).unwrap_or_else(|error| {
+        eprintln!("sniperelay: {error:#}");
+        CommandEnd::Failed
+    });
+    ExitCode::from(end.code())
+}
+
+fn run_command(command: Command) -> Result<CommandEnd> {
+    match command {
+        Command::Serve(serve) => run_serve(&serve),
+        Command::Config(config) => match config.command {
+            ConfigCommand::Check(check) => config::check_files(&check),
+            ConfigCommand::Get(get) => block_on(config::get_document(&get)),
+            ConfigCommand::Put(put) => block_on(config::put_document(&put)),
+            ConfigCommand::Diff(diff) => block_on(config::diff_document(&diff)),
+        },
+        Command::Status(args) => block_on(status::show_status(&args)),
+        Command::Lookup(args) => block_on(status::show_lookup(&args)),
+        Command::Drain(args) => block_on(status::drain(&args)),
+    }
+}
+
+fn run_serve(serve: &args::ServeArgs) -> Result<CommandEnd> {
+    let path = serve.settings.display();
+    let text =
+        std::fs::read_to_string(&serve.settings).with_context(|| format!("cannot read settings {path}"))?;
+    let settings = match sniperelay_config::parse_settings(&path.to_string(), &text) {
+        Ok(settings) => settings,
+        Err(findings) => {
+            eprint!("{findings}");
+            return Ok(CommandEnd::Invalid);
+        }
+    };
+    let is_clean = sniperelay_node::run_until_signal(settings)?;
+    Ok(if is_clean { CommandEnd::Done } else { CommandEnd::Failed })
+}
+
+fn block_on(command: impl Future<Output = Result<CommandEnd>>) -> Result<CommandEnd> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    runtime.block_on(command)
+}
--- /dev/null
+++ b/crates/config/src/reader.rs
@@ -0,0 +1,273 @@
+//! Typed access to INI sections that collects findings instead of stopping at the first.
+
+use ini::{Ini, ParseOption, Properties};
+use sniperelay_core::finding::{FindingList, FindingPlace};
+use std::cell::RefCell;
+use std::collections::{HashMap, HashSet};
+use std::str::FromStr;
+use std::time::Duration;
+
+/// Result of reading a source.
+pub type Result<T> = std::result::Result<T, FindingList>;
+
+/// Largest INI text, in bytes.
+pub const MAX_TEXT_BYTES: usize = 256 * 1024;
+/// Distance up to which an unknown key is taken for a misspelt one.
+const MAX_TYPO_DISTANCE: usize = 3;
+
+/// A parsed INI text with the lines of its keys.
+#[derive(Debug)]
+pub struct IniSource {
+    file: String,
+    ini: Ini,
+    lines: HashMap<(String, String), usize>,
+    findings: RefCell<FindingList>,
+}
+
+impl IniSource {
+    /// Parses `text`; `file` names it in findings.
+    ///
+    /// # Errors
+    ///
+    /// A finding with the line of a syntax error, or one for a text that is too large.
+    pub fn parse(file: &str, text: &str) -> Result<Self> {
+        let mut findings = FindingList::default();
+        if text.len() > MAX_TEXT_BYTES {
+            let place = FindingPlace { file: file.to_owned(), ..FindingPlace::default() };
+            findings.push(place, format!("text is larger than {MAX_TEXT_BYTES} bytes"));
+            return Err(findings);
+        }
+        let options = ParseOption { enabled_quote: false, enabled_escape: false, ..ParseOption::default() };
+        match Ini::load_from_str_opt(text, options) {
+            Ok(ini) => {
+                let source = Self {
+                    file: file.to_owned(),
+                    ini,
+                    lines: scan_lines(text),
+                    findings: RefCell::default(),
+                };
+                source.check_layout();
+                Ok(source)
+            }
+            Err(error) => {
+                let place =
+                    FindingPlace { file: file.to_owned(), line: error.line, ..FindingPlace::default() };
+                findings.push(place, error.msg.to_string());
+                Err(findings)
+            }
+        }
+    }
+
+    /// Names of the sections in order.
+    pub fn section_names(&self) -> Vec<String> {
+        self.ini.iter().filter_map(|(name, _)| name.map(str::to_owned)).collect()
+    }
+
+    /// A reader of one section; a missing one reads as empty.
+    pub fn section(&self, name: &str) -> SectionReader<'_> {
+        let properties = self.ini.section(Some(name));
+        SectionReader { source: self, name: name.to_owned(), properties, used: RefCell::default() }
+    }
+
+    /// Place of a key, or of the section when `key` is empty.
+    pub fn place(&self, section: &str, key: &str) -> FindingPlace {
+        let line = |key: &str| self.lines.get(&(section.to_owned(), key.to_owned())).copied();
+        let line = line(key).or_else(|| line("")).unwrap_or(0);
+        FindingPlace { file: self.file.clone(), line, section: section.to_owned(), key: key.to_owned() }
+    }
+
+    /// Adds a finding.
+    pub fn report(&self, section: &str, key: &str, message: impl Into<String>) {
+        self.findings.borrow_mut().push(self.place(section, key), message);
+    }
+
+    /// Reports sections that are not among `known` and do not begin with a known prefix.
+    pub fn check_sections(&self, known: &[&str], prefix: Option<&str>) {
+        for name in self.section_names() {
+            let has_prefix = prefix.is_some_and(|prefix| name.starts_with(prefix));
+            if !known.contains(&name.as_str()) && !has_prefix {
+                self.report(
+                    &name,
+                    "",
+                    format!("unknown section{}", suggestion(&name, known.iter().copied())),
+                );
+            }
+        }
+    }
+
+    /// All findings so far.
+    pub fn into_findings(self) -> FindingList {
+        self.findings.into_inner()
+    }
+
+    fn check_layout(&self) {
+        if self.ini.iter().any(|(name, properties)| name.is_none() && !properties.is_empty()) {
+            self.report("", "", "keys must stand in a [section]");
+        }
+        let mut seen = HashSet::new();
+        for name in self.section_names() {
+            if !seen.insert(name.clone()) {
+                self.report(&name, "", "section is defined twice");
+            }
+        }
+        for (name, properties) in self.ini.iter() {
+            let mut keys = HashSet::new();
+            for (key, _) in properties.iter().filter(|(key, _)| !keys.insert(*key)) {
+                self.report(name.unwrap_or(""), key, "key is defined twice");
+            }
+        }
+    }
+}
+
+/// Reads the keys of one section; [`SectionReader::finish`] reports those never asked for.
+#[derive(Debug)]
+pub struct SectionReader<'a> {
+    source: &'a IniSource,
+    name: String,
+    properties: Option<&'a Properties>,
+    used: RefCell<Vec<&'static str>>,
+}
+
+impl SectionReader<'_> {
+    /// Whether the section is present.
+    pub fn exists(&self) -> bool {
+        self.properties.is_some()
+    }
+
+    /// All keys and values, for sections whose keys are free.
+    pub fn entries(&self) -> Vec<(String, String)> {
+        let properties = self.properties.into_iter().flat_map(Properties::iter);
+        properties.map(|(key, value)| (key.to_owned(), value.to_owned())).collect()
+    }
+
+    /// Value of an optional key.
+    pub fn optional(&self, key: &'static str) -> Option<String> {
+        self.used.borrow_mut().push(key);
+        self.properties.and_then(|properties| properties.get(key)).map(|value| value.trim().to_owned())
+    }
+
+    /// Value of a required key; a missing one is reported and reads as empty.
+    pub fn required(&self, key: &'static str) -> String {
+        self.optional(key).unwrap_or_else(|| {
+            self.report(key, "is required");
+            String::new()
+        })
+    }
+
+    /// Parsed value of an optional key; `expected` describes valid values.
+    pub fn parsed<T: FromStr>(&self, key: &'static str, expected: &str) -> Option<T> {
+        let text = self.optional(key)?;
+        let parsed = text.parse().ok();
+        if parsed.is_none() {
+            self.report(key, format!("'{text}' is not {expected}"));
+        }
+        parsed
+    }
+
+    /// Parsed value or a default.
+    pub fn parsed_or<T: FromStr>(&self, key: &'static str, expected: &str, default: T) -> T {
+        self.parsed(key, expected).unwrap_or(default)
+    }
+
+    /// Parsed value of a required key; a missing or malformed one is reported and reads as `substitute`.
+    pub fn parsed_required<T: FromStr>(&self, key: &'static str, expected: &str, substitute: T) -> T {
+        let text = self.required(key);
+        if text.is_empty() {
+            return substitute;
+        }
+        text.parse().unwrap_or_else(|_| {
+            self.report(key, format!("'{text}' is not {expected}"));
+            substitute
+        })
+    }
+
+    /// A share given in percent, as a fraction.
+    pub fn percent_or(&self, key: &'static str, default: f64) -> f64 {
+        self.parsed(key, "a percentage").map_or(default, |percent: f64| percent / 100.0)
+    }
+
+    /// A time in milliseconds.
+    pub fn millis_or(&self, key: &'static str, default: Duration) -> Duration {
+        self.parsed(key, "a whole number of milliseconds").map_or(default, Duration::from_millis)
+    }
+
+    /// `yes` or `no`.
+    pub fn flag_or(&self, key: &'static str, default: bool) -> bool {
+        match self.optional(key).as_deref() {
+            None => default,
+            Some("yes") => true,
+            Some("no") => false,
+            Some(other) => {
+                self.report(key, format!("'{other}' is not 'yes' or 'no'"));
+                default
+            }
+        }
+    }
+
+    /// Values separated by commas.
+    pub fn list<T: FromStr>(&self, key: &'static str, expected: &str) -> Vec<T> {
+        let text = self.optional(key).unwrap_or_default();
+        let items = text.split(',').map(str::trim).filter(|item| !item.is_empty());
+        let parsed = items.filter_map(|item| {
+            let value = item.parse().ok();
+            if value.is_none() {
+                self.report(key, format!("'{item}' is not {expected}"));
+            }
+            value
+        });
+        parsed.collect()
+    }
+
+    /// Adds a finding at a key.
+    pub fn report(&self, key: &str, message: impl Into<String>) {
+        self.source.report(&self.name, key, message);
+    }
+
+    /// Reports keys that were never asked for.
+    pub fn finish(self) {
+        let known = self.used.borrow();
+        for (key, _) in self.entries() {
+            if !known.contains(&key.as_str()) {
+                self.report(&key, format!("unknown key{}", suggestion(&key, known.iter().copied())));
+            }
+        }
+    }
+}
+
+fn suggestion<'a>(text: &str, known: impl Iterator<Item = &'a str>) -> String {
+    let nearest = known.map(|name| (edit_distance(text, name), name)).min();
+    match nearest {
+        Some((distance, name)) if distance <= MAX_TYPO_DISTANCE => format!("; did you mean '{name}'?"),
+        _ => String::new(),
+    }
+}
+
+fn edit_distance(left: &str, right: &str) -> usize {
+    let right: Vec<char> = right.chars().collect();
+    let mut row: Vec<usize> = (0..=right.len()).collect();
+    for (index, from) in left.chars().take(128).enumerate() {
+        let mut diagonal = row[0];
+        row[0] = index + 1;
+        for (column, to) in right.iter().enumerate() {
+            let substitution = diagonal + usize::from(from != *to);
+            diagonal = row[column + 1];
+            row[column + 1] = substitution.min(row[column] + 1).min(diagonal + 1);
+        }
+    }
+    row[right.len()]
+}
+
+fn scan_lines(text: &str) -> HashMap<(String, String), usize> {
+    let mut lines = HashMap::new();
+    let mut section = String::new();
+    for (index, line) in text.lines().enumerate() {
+        let line = line.trim();
+        if let Some(name) = line.strip_prefix('[').and_then(|rest| rest.split(']').next()) {
+            section = name.trim().to_owned();
+            lines.entry((section.clone(), String::new())).or_insert(index + 1);
+        } else if let Some((key, _)) = line.split_once(['=', ':']) {
+            lines.entry((section.clone(), key.trim().to_owned())).or_insert(index + 1);
+        }
+    }
+    lines
+}
--- /dev/null
+++ b/crates/config/src/settings.rs
@@ -0,0 +1,245 @@
+//! Settings of an entry VM: read once at start, checked whole, then frozen.
+
+use crate::reader::{IniSource, Result, SectionReader};
+use sniperelay_core::document::is_name;
+use sniperelay_core::ids::TeamName;
+use sniperelay_core::pick::PickPolicy;
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::PathBuf;
+use std::time::Duration;
+
+const KNOWN_SECTIONS: &[&str] = &["entry-vm", "platform", "peers", "limits", "routing", "operators", "log"];
+const UNSET_ADDRESS: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0);
+/// Name of the operator team that may perform operations on an entry VM and edit any document.
+pub const ADMIN_TEAM: &str = "admin";
+
+/// Addresses, place and threads of the process.
+#[derive(Debug, Clone)]
+pub struct EntrySettings {
+    /// Failure domain.
+    pub failure_domain: String,
+    /// Address for callers.
+    pub caller_address: SocketAddr,
+    /// UDP address for messages between entry VMs.
+    pub peer_address: SocketAddr,
+    /// Address for operators and metrics.
+    pub operator_address: SocketAddr,
+    /// Threads that carry requests.
+    pub traffic_threads: usize,
+    /// Time for which callers keep a lookup answer.
+    pub lookup_keep: Duration,
+    /// Longest time to finish requests in a planned stop, after the lookup time.
+    pub drain_limit: Duration,
+}
+
+/// The platform's object API.
+#[derive(Debug, Clone)]
+pub struct PlatformSettings {
+    /// Its address.
+    pub address: SocketAddr,
+    /// This entry VM's share of the platform's call rate, per second.
+    pub calls_per_second: u32,
+    /// Time between two reads of the VM list.
+    pub list_interval: Duration,
+    /// Time between two writes of the status object.
+    pub status_interval: Duration,
+}
+
+/// Messages between entry VMs.
+#[derive(Debug, Clone)]
+pub struct PeerSettings {
+    /// Addresses to join through.
+    pub seeds: Vec<SocketAddr>,
+    /// Time between two heartbeats to the same neighbour.
+    pub heartbeat: Duration,
+    /// PEM file with the deployment's certificate authorities.
+    pub ca_file: PathBuf,
+    /// PEM file with this entry VM's certificate chain.
+    pub certificate_file: PathBuf,
+    /// PEM file with the private key.
+    pub key_file: PathBuf,
+}
+
+/// Limits against overload of the process itself.
+#[derive(Debug, Clone)]
+pub struct LimitSettings {
+    /// Caller connections.
+    pub caller_connections: usize,
+    /// Bytes of a request's headers.
+    pub header_bytes: usize,
+    /// Bytes of a request's body.
+    pub body_bytes: u64,
+    /// Time within which a caller must send its headers, and again its body.
+    pub caller_patience: Duration,
+    /// Idempotency keys remembered.
+    pub claim_keys: usize,
+    /// Length of one ticket epoch.
+    pub claim_epoch: Duration,
+    /// Ticket epochs remembered.
+    pub claim_epochs: u32,
+}
+
+/// Logging.
+#[derive(Debug, Clone)]
+pub struct LogSettings {
+    /// Level name of the `log` crate.
+    pub level: log_level::LevelName,
+    /// Whether lines are JSON objects.
+    pub is_json: bool,
+}
+
+/// Level names, kept as text so that this crate needs no logging library.
+pub mod log_level {
+    /// One of `off`, `error`, `warn`, `info`, `debug`, `trace`.
+    pub type LevelName = String;
+    /// Valid level names.
+    pub const NAMES: &[&str] = &["off", "error", "warn", "info", "debug", "trace"];
+}
+
+/// All settings of an entry VM.
+#[derive(Debug, Clone)]
+pub struct NodeSettings {
+    /// Addresses, place and threads.
+    pub entry: EntrySettings,
+    /// The platform.
+    pub platform: PlatformSettings,
+    /// Other entry VMs.
+    pub peers: PeerSettings,
+    /// Limits.
+    pub limits: LimitSettings,
+    /// How targets are chosen.
+    pub policy: PickPolicy,
+    /// Bearer token of each team's operators.
+    pub operators: BTreeMap<TeamName, String>,
+    /// Logging.
+    pub log: LogSettings,
+}
+
+/// Parses and checks settings; `file` names them in findings.
+///
+/// # Errors
+///
+/// All findings when there are any.
+pub fn parse_settings(file: &str, text: &str) -> Result<NodeSettings> {
+    let source = IniSource::parse(file, text)?;
+    source.check_sections(KNOWN_SECTIONS, None);
+    let settings = NodeSettings {
+        entry: read_entry(source.section("entry-vm")),
+        platform: read_platform(source.section("platform")),
+        peers: read_peers(source.section("peers")),
+        limits: read_limits(source.section("limits")),
+        policy: read_policy(source.section("routing")),
+        operators: read_operators(&source.section("operators")),
+        log: read_log(source.section("log")),
+    };
+    source.into_findings().into_result(settings)
+}
+
+fn read_entry(section: SectionReader<'_>) -> EntrySettings {
+    let address = |key| section.parsed_required(key, "an address like 10.0.0.1:8080", UNSET_ADDRESS);
+    let settings = EntrySettings {
+        failure_domain: section.required("failure-domain"),
+        caller_address: address("caller-address"),
+        peer_address: address("peer-address"),
+        operator_address: address("operator-address"),
+        traffic_threads: section.parsed_or("traffic-threads", "a whole number", 2),
+        lookup_keep: section.millis_or("lookup-keep-ms", Duration::from_secs(5)),
+        drain_limit: section.millis_or("drain-limit-ms", Duration::from_secs(60)),
+    };
+    if !settings.failure_domain.is_empty() && !is_name(&settings.failure_domain) {
+        section.report("failure-domain", "must be 1 to 63 of a-z, 0-9 and '-'");
+    }
+    if !(1..=64).contains(&settings.traffic_threads) {
+        section.report("traffic-threads", "must be 1 to 64");
+    }
+    section.finish();
+    settings
+}
+
+fn read_platform(section: SectionReader<'_>) -> PlatformSettings {
+    let settings = PlatformSettings {
+        address: section.parsed_required("address", "an address like 10.0.0.1:9000", UNSET_ADDRESS),
+        calls_per_second: section.parsed_or("calls-per-second", "a whole number", 20),
+        list_interval: section.millis_or("list-interval-ms", Duration::from_secs(1)),
+        status_interval: section.millis_or("status-interval-ms", Duration::from_secs(5)),
+    };
+    if settings.calls_per_second == 0 {
+        section.report("calls-per-second", "must be at least 1");
+    }
+    section.finish();
+    settings
+}
+
+fn read_peers(section: SectionReader<'_>) -> PeerSettings {
+    let settings = PeerSettings {
+        seeds: section.list("seeds", "an address like 10.0.0.1:8081"),
+        heartbeat: section.millis_or("heartbeat-ms", Duration::from_secs(1)),
+        ca_file: section.required("ca-file").into(),
+        certificate_file: section.required("certificate-file").into(),
+        key_file: section.required("key-file").into(),
+    };
+    if settings.heartbeat < Duration::from_millis(20) {
+        section.report("heartbeat-ms", "must be at least 20");
+    }
+    section.finish();
+    settings
+}
+
+fn read_limits(section: SectionReader<'_>) -> LimitSettings {
+    let settings = LimitSettings {
+        caller_connections: section.parsed_or("caller-connections", "a whole number", 10_000),
+        header_bytes: section.parsed_or("header-bytes", "a whole number", 32 * 1024),
+        body_bytes: section.parsed_or("body-bytes", "a whole number", 16 * 1024 * 1024),
+        caller_patience: section.millis_or("caller-patience-ms", Duration::from_secs(10)),
+        claim_keys: section.parsed_or("claim-keys", "a whole number", 200_000),
+        claim_epoch: section.millis_or("claim-epoch-ms", Duration::from_secs(30)),
+        claim_epochs: section.parsed_or("claim-epochs", "a whole number", 10),
+    };
+    if settings.header_bytes < 8192 {
+        section.report("header-bytes", "must be at least 8192");
+    }
+    if settings.claim_epoch < Duration::from_millis(100) {
+        section.report("claim-epoch-ms", "must be at least 100");
+    }
+    if settings.claim_epochs < 2 {
+        section.report("claim-epochs", "must be at least 2");
+    }
+    section.finish();
+    settings
+}
+
+fn read_policy(section: SectionReader<'_>) -> PickPolicy {
+    let text = section.optional("policy").unwrap_or_else(|| "slot-credit".to_owned());
+    let policy = text.parse().unwrap_or_else(|message: String| {
+        section.report("policy", message);
+        PickPolicy::SlotCredit
+    });
+    section.finish();
+    policy
+}
+
+fn read_operators(section: &SectionReader<'_>) -> BTreeMap<TeamName, String> {
+    let entries = section.entries();
+    for (team, token) in &entries {
+        if !is_name(team) {
+            section.report(team, "team must be 1 to 63 of a-z, 0-9 and '-'");
+        }
+        if token.len() < 8 {
+            section.report(team, "token must have at least 8 characters");
+        }
+    }
+    entries.into_iter().collect()
+}
+
+fn read_log(section: SectionReader<'_>) -> LogSettings {
+    let settings = LogSettings {
+        level: section.optional("level").unwrap_or_else(|| "info".to_owned()),
+        is_json: section.flag_or("json", false),
+    };
+    if !log_level::NAMES.contains(&settings.level.as_str()) {
+        section.report("level", format!("must be one of {}", log_level::NAMES.join(", ")));
+    }
+    section.finish();
+    settings
+}
--- /dev/null
+++ b/crates/core/src/borrow.rs
@@ -0,0 +1,82 @@
+//! Short loans of slots between the entry VMs of one service.
+//!
+//! Each target's slots belong to one entry VM. One that has waiting requests and no free slot asks
+//! the others in turn; one that has a free slot and nothing waiting lends it until an expiry. A
+//! loan that is neither used nor returned lapses at both ends by itself, so that a lost message
+//! costs one slot for the length of a loan. Asks are limited in rate, and a peer that had nothing
+//! to lend is left alone for a while.
+
+use crate::ids::IncarnationId;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+/// Length of a loan.
+pub const LOAN_TIME: Duration = Duration::from_millis(100);
+/// Most slots asked for or lent with one message.
+pub const MAX_LOAN: u32 = 4;
+/// Shortest time between two asks of one service.
+const ASK_INTERVAL: Duration = Duration::from_millis(2);
+/// Time for which a peer that had nothing to lend is not asked.
+const EMPTY_TIME: Duration = Duration::from_millis(10);
+/// Time after which an unanswered ask counts as refused.
+const ANSWER_TIME: Duration = Duration::from_millis(50);
+
+#[derive(Debug)]
+struct LenderState {
+    peer: IncarnationId,
+    ask_after: Option<Instant>,
+}
+
+/// Whom to ask for slots, and when.
+#[derive(Debug, Default)]
+pub struct BorrowPlan {
+    lenders: Vec<LenderState>,
+    next: usize,
+    last_ask: Option<Instant>,
+    owners: HashMap<SocketAddr, IncarnationId>,
+}
+
+impl BorrowPlan {
+    /// Replaces the entry VMs that may lend; known ones keep their state.
+    pub fn replace_lenders(&mut self, peers: &[IncarnationId]) {
+        self.lenders.retain(|lender| peers.contains(&lender.peer));
+        for peer in peers {
+            if !self.lenders.iter().any(|lender| lender.peer == *peer) {
+                self.lenders.push(LenderState { peer: *peer, ask_after: None });
+            }
+        }
+    }
+
+    /// The peer to ask now, if any.
+    pub fn next_ask(&mut self, now: Instant) -> Option<IncarnationId> {
+        let is_early = self.last_ask.is_some_and(|at| now.saturating_duration_since(at) < ASK_INTERVAL);
+        if is_early || self.lenders.is_empty() {
+            return None;
+        }
+        let count = self.lenders.len();
+        let start = self.next;
+        let ready = |lender: &LenderState| lender.ask_after.is_none_or(|after| after <= now);
+        let found =
+            (0..count).map(|step| (start + step) % count).find(|index| ready(&self.lenders[*index]))?;
+        self.next = found + 1;
+        self.last_ask = Some(now);
+        self.lenders[found].ask_after = Some(now + ANSWER_TIME);
+        Some(self.lenders[found].peer)
+    }
+
+    /// Accounts for an answer to an ask.
+    pub fn record_answer(&mut self, peer: IncarnationId, loans: &[SocketAddr], now: Instant) {
+        if let Some(lender) = self.lenders.iter_mut().find(|lender| lender.peer == peer) {
+            lender.ask_after = loans.is_empty().then(|| now + EMPTY_TIME);
+        }
+        for address in loans {
+            self.owners.insert(*address, peer);
+        }
+    }
+
+    /// Who lent a slot of this target.
+    pub fn owner_of(&self, address: SocketAddr) -> Option<IncarnationId> {
+        self.owners.get(&address).copied()
+    }
+}
--- /dev/null
+++ b/crates/core/src/budget.rs
@@ -0,0 +1,32 @@
+//! Budgets of extra attempts as a share of first attempts.
+
+/// Largest number of saved extra attempts.
+const MAX_SAVED: f64 = 10.0;
+
+/// Token bucket filled by first attempts; each extra attempt takes one token.
+#[derive(Debug)]
+pub struct AttemptBudget {
+    share: f64,
+    saved: f64,
+}
+
+impl AttemptBudget {
+    /// A budget that allows `share` extra attempts per first attempt, and none before the first.
+    pub fn new(share: f64) -> Self {
+        Self { share, saved: 0.0 }
+    }
+
+    /// Accounts for a first attempt.
+    pub fn record_first(&mut self) {
+        self.saved = (self.saved + self.share).min(MAX_SAVED.max(self.share));
+    }
+
+    /// Takes one extra attempt if the budget allows it.
+    pub fn try_take(&mut self) -> bool {
+        let is_allowed = self.saved >= 1.0;
+        if is_allowed {
+            self.saved -= 1.0;
+        }
+        is_allowed
+    }
+}
--- /dev/null
+++ b/crates/core/src/claim.rs
@@ -0,0 +1,271 @@
+//! Idempotency keys bound to one process incarnation.
+//!
+//! A lookup answer carries a [`ClaimTicket`]; callers make keys under it. Only the incarnation
+//! named by the ticket may send a request with such a key to a target, and only once. The table is
+//! bounded: keys are forgotten by ticket epoch as a whole, and keys of a forgotten epoch are
+//! refused, never run. A full table refuses new keys. Nothing here needs the platform or a peer,
+//! so the promise holds in partitions and outages.
+
+use crate::ids::IncarnationId;
+use std::collections::{HashMap, VecDeque};
+use std::fmt;
+use std::str::FromStr;
+use std::time::{Duration, Instant};
+use thiserror::Error;
+
+/// Result of parsing a key.
+pub type Result<T> = std::result::Result<T, KeyError>;
+
+/// Longest caller part of a key, in bytes.
+pub const MAX_SUFFIX_BYTES: usize = 64;
+
+/// Reason why a key could not be parsed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+#[error("idempotency key must be INCARNATION-EPOCH-SUFFIX from the lookup answer's ticket")]
+pub struct KeyError;
+
+/// Permission to make keys for one incarnation during one epoch.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct ClaimTicket {
+    /// Incarnation that alone may run keys made under the ticket.
+    pub incarnation: IncarnationId,
+    /// Period of issue, counted from the start of the incarnation.
+    pub epoch: u32,
+}
+
+impl fmt::Display for ClaimTicket {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}-{:x}", self.incarnation, self.epoch)
+    }
+}
+
+/// Idempotency key of one non-idempotent request.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct ClaimKey {
+    /// Ticket under which it was made.
+    pub ticket: ClaimTicket,
+    /// Part chosen by the caller, unique under the ticket.
+    pub suffix: String,
+}
+
+impl FromStr for ClaimKey {
+    type Err = KeyError;
+
+    fn from_str(text: &str) -> Result<Self> {
+        let mut parts = text.trim_matches('"').splitn(3, '-');
+        let incarnation = parse_hex(parts.next(), 16)?;
+        let epoch = parse_hex(parts.next(), 8)?;
+        let suffix = parts.next().ok_or(KeyError)?;
+        let is_suffix =
+            (1..=MAX_SUFFIX_BYTES).contains(&suffix.len()) && suffix.bytes().all(|b| b.is_ascii_graphic());
+        if !is_suffix {
+            return Err(KeyError);
+        }
+        let epoch = u32::try_from(epoch).map_err(|_| KeyError)?;
+        Ok(Self { ticket: ClaimTicket { incarnation, epoch }, suffix: suffix.to_owned() })
+    }
+}
+
+impl fmt::Display for ClaimKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}-{}", self.ticket, self.suffix)
+    }
+}
+
+fn parse_hex(part: Option<&str>, max_digits: usize) -> Result<u64> {
+    let digits = part.ok_or(KeyError)?;
+    let is_hex = (1..=max_digits).contains(&digits.len()) && digits.bytes().all(|b| b.is_ascii_hexdigit());
+    if !is_hex {
+        return Err(KeyError);
+    }
+    u64::from_str_radix(digits, 16).map_err(|_| KeyError)
+}
+
+/// Epoch of a ticket that is issued `age` after the start of its incarnation.
+pub fn epoch_at(age: Duration, length: Duration) -> u32 {
+    (age.as_nanos() / length.as_nanos().max(1)) as u32
+}
+
+/// State of one key.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ClaimState {
+    /// Accepted, not handed to a target connection yet.
+    Held,
+    /// Handed to a target connection; the outcome is open.
+    Sent,
+    /// A target answered with this HTTP status.
+    Ran(u16),
+    /// The outcome can no longer be learned.
+    Lost,
+}
+
+/// Answer to a new request with a key.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ClaimVerdict {
+    /// The key is new: the request may be sent once.
+    Accepted,
+    /// The key is known; its state says what is known of it.
+    Duplicate(ClaimState),
+    /// The key belongs to another incarnation.
+    Elsewhere,
+    /// The key's epoch is forgotten.
+    Expired,
+    /// The key's epoch was never issued.
+    NeverIssued,
+    /// The table is full; the key was not run here.
+    Full,
+}
+
+/// Bounds of a claim table.
+#[derive(Debug, Clone, Copy)]
+pub struct ClaimLimits {
+    /// Length of one ticket epoch.
+    pub epoch: Duration,
+    /// Epochs remembered, the current one included.
+    pub kept_epochs: u32,
+    /// Keys remembered.
+    pub max_keys: usize,
+}
+
+/// Keys seen by this incarnation.
+#[derive(Debug)]
+pub struct ClaimTable {
+    incarnation: IncarnationId,
+    started: Instant,
+    limits: ClaimLimits,
+    /// Oldest remembered epoch first. The back is one ahead of the current epoch: tickets are also
+    /// issued by peers, whose clocks may be ahead.
+    epochs: VecDeque<HashMap<String, ClaimState>>,
+    front_epoch: u32,
+    key_count: usize,
+}
+
+impl ClaimTable {
+    /// An empty table of a new incarnation.
+    pub fn new(incarnation: IncarnationId, started: Instant, limits: ClaimLimits) -> Self {
+        let epochs = VecDeque::from([HashMap::new(), HashMap::new()]);
+        Self { incarnation, started, limits, epochs, front_epoch: 0, key_count: 0 }
+    }
+
+    /// The ticket to hand out now.
+    pub fn issue_ticket(&mut self, now: Instant) -> ClaimTicket {
+        self.advance(now);
+        ClaimTicket { incarnation: self.incarnation, epoch: self.last_epoch() - 1 }
+    }
+
+    /// Decides on a request with `key`; an accepted key is held until settled or released.
+    pub fn claim(&mut self, key: &ClaimKey, now: Instant) -> ClaimVerdict {
+        self.advance(now);
+        if key.ticket.incarnation != self.incarnation {
+            return ClaimVerdict::Elsewhere;
+        }
+        if key.ticket.epoch > self.last_epoch() {
+            return ClaimVerdict::NeverIssued;
+        }
+        let is_full = self.key_count >= self.limits.max_keys;
+        let Some(states) = self.epoch_mut(key.ticket.epoch) else {
+            return ClaimVerdict::Expired;
+        };
+        if let Some(state) = states.get(&key.suffix) {
+            return ClaimVerdict::Duplicate(*state);
+        }
+        if is_full {
+            return ClaimVerdict::Full;
+        }
+        states.insert(key.suffix.clone(), ClaimState::Held);
+        self.key_count += 1;
+        ClaimVerdict::Accepted
+    }
+
+    /// Marks a held key as sent. Returns whether the caller may send now: false when the key is
+    /// not held any more, for example because its epoch was forgotten during a pause.
+    pub fn mark_sent(&mut self, key: &ClaimKey, now: Instant) -> bool {
+        self.advance(now);
+        match self.state_mut(key) {
+            Some(state) if *state == ClaimState::Held => {
+                *state = ClaimState::Sent;
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// Records that the target itself refused a sent request, so that it may be sent again.
+    pub fn mark_refused(&mut self, key: &ClaimKey) {
+        if let Some(state) = self.state_mut(key)
+            && *state == ClaimState::Sent
+        {
+            *state = ClaimState::Held;
+        }
+    }
+
+    /// Records that a target ran a sent request and answered with `status`.
+    pub fn mark_ran(&mut self, key: &ClaimKey, status: u16) {
+        self.settle_sent(key, ClaimState::Ran(status));
+    }
+
+    /// Records that the outcome of a sent request can no longer be learned.
+    pub fn mark_lost(&mut self, key: &ClaimKey) {
+        self.settle_sent(key, ClaimState::Lost);
+    }
+
+    fn settle_sent(&mut self, key: &ClaimKey, outcome: ClaimState) {
+        if let Some(state) = self.state_mut(key)
+            && *state == ClaimState::Sent
+        {
+            *state = outcome;
+        }
+    }
+
+    /// Forgets a key that was held and never sent; the same key may be claimed again.
+    pub fn release(&mut self, key: &ClaimKey) {
+        let Some(states) = self.epoch_mut(key.ticket.epoch) else { return };
+        if states.get(&key.suffix) == Some(&ClaimState::Held) {
+            states.remove(&key.suffix);
+            self.key_count -= 1;
+        }
+    }
+
+    /// Keys remembered now.
+    pub fn key_count(&self) -> usize {
+        self.key_count
+    }
+
+    fn last_epoch(&self) -> u32 {
+        self.front_epoch + self.epochs.len() as u32 - 1
+    }
+
+    fn advance(&mut self, now: Instant) {
+        let wanted = epoch_at(now.saturating_duration_since(self.started), self.limits.epoch) + 1;
+        if wanted.saturating_sub(self.last_epoch()) > self.limits.kept_epochs {
+            self.epochs = VecDeque::from([HashMap::new(), HashMap::new()]);
+            self.key_count = 0;
+            self.front_epoch = wanted - 1;
+            return;
+        }
+        while self.last_epoch() < wanted {
+            self.epochs.push_back(HashMap::new());
+            self.forget_old_epochs();
+        }
+    }
+
+    fn forget_old_epochs(&mut self) {
+        while self.epochs.len() as u32 > self.limits.kept_epochs.max(1) + 1 {
+            let forgotten = self.epochs.pop_front().unwrap_or_default();
+            self.key_count -= forgotten.len();
+            self.front_epoch += 1;
+        }
+    }
+
+    fn epoch_mut(&mut self, epoch: u32) -> Option<&mut HashMap<String, ClaimState>> {
+        let index = epoch.checked_sub(self.front_epoch)?;
+        self.epochs.get_mut(index as usize)
+    }
+
+    fn state_mut(&mut self, key: &ClaimKey) -> Option<&mut ClaimState> {
+        if key.ticket.incarnation != self.incarnation {
+            return None;
+        }
+        self.epoch_mut(key.ticket.epoch)?.get_mut(&key.suffix)
+    }
+}
--- /dev/null
+++ b/crates/core/src/dispatch.rs
@@ -0,0 +1,334 @@
+//! Admission, late binding, retries and hedges of one service in one entry VM.
+//!
+//! [`ServiceDispatcher`] holds the tables; the passes over them live in the submodules, one job
+//! each. Every pass takes the time and appends [`DispatchAction`]s for the caller to carry out.
+//!
+//! Invariants:
+//! - a request is in exactly one place: waiting in a queue, in flight, or gone;
+//! - every request that is given up yields its refusal in the same call, never later;
+//! - a non-idempotent request gets a further attempt only after a failure which proves that the
+//!   earlier attempt did not run.
+
+mod admit;
+mod attempt;
+mod bind;
+mod loan;
+mod upkeep;
+
+use crate::borrow::BorrowPlan;
+use crate::budget::AttemptBudget;
+use crate::document::ServiceDocument;
+use crate::ids::{IncarnationId, QueuedKey, RankId, RequestId, TargetKey};
+use crate::pick::PickPolicy;
+use crate::queue::RankQueue;
+use crate::reason::{RefusalReason, RetryReason};
+use crate::share::ShareLedger;
+use crate::target::{TargetSettings, TargetSpec, TargetTable};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+pub use attempt::{AnswerNote, AnswerVerdict, AttemptFailure, FailureVerdict};
+
+/// Weight of a new sample in a cost estimate.
+const COST_WEIGHT: f64 = 0.05;
+/// Length of one bucket of the drain rate.
+const RATE_BUCKET: Duration = Duration::from_millis(100);
+
+/// A request that asks to be admitted.
+#[derive(Debug, Clone, Copy)]
+pub struct NewRequest {
+    /// Its number.
+    pub request: RequestId,
+    /// Its rank.
+    pub rank: RankId,
+    /// Time by which its answer must begin.
+    pub deadline: Instant,
+    /// Whether running it twice is harmless.
+    pub is_idempotent: bool,
+    /// Whether another layer may retry it, which forbids retries here.
+    pub is_retried: bool,
+}
+
+/// What the caller of a pass has to do.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum DispatchAction {
+    /// Send the request to a target now.
+    Start {
+        /// The request.
+        request: RequestId,
+        /// The chosen target.
+        target: TargetKey,
+        /// Its address.
+        address: SocketAddr,
+        /// Why this is not the first attempt.
+        retry: Option<RetryReason>,
+    },
+    /// Answer the caller with a refusal; the request was not sent.
+    Refuse {
+        /// The request.
+        request: RequestId,
+        /// Why.
+        reason: RefusalReason,
+        /// When the caller may come back.
+        retry_after: Duration,
+    },
+    /// Cancel one attempt; another one has answered.
+    Abandon {
+        /// The request.
+        request: RequestId,
+        /// Target of the cancelled attempt.
+        target: TargetKey,
+    },
+    /// Ask a peer to lend slots.
+    AskSlots {
+        /// The peer.
+        peer: IncarnationId,
+        /// Slots wanted.
+        count: u32,
+    },
+    /// Tell a peer that a slot it lent is free again.
+    ReturnSlot {
+        /// The peer that owns the slot.
+        peer: IncarnationId,
+        /// The target.
+        address: SocketAddr,
+    },
+}
+
+/// Settings of a dispatcher.
+#[derive(Debug, Clone)]
+pub struct DispatchSettings {
+    /// Failure domain of this entry VM.
+    pub local_domain: String,
+    /// How targets are chosen.
+    pub policy: PickPolicy,
+    /// Seed of all random choices.
+    pub seed: u64,
+}
+
+/// Exponentially weighted mean and mean deviation of a duration, in seconds.
+#[derive(Debug, Clone, Copy)]
+struct CostEstimate {
+    mean: f64,
+    deviation: f64,
+}
+
+impl CostEstimate {
+    fn new(guess: Duration) -> Self {
+        let mean = guess.as_secs_f64();
+        Self { mean, deviation: mean / 2.0 }
+    }
+
+    fn record(&mut self, sample: Duration) {
+        let error = sample.as_secs_f64() - self.mean;
+        self.mean += COST_WEIGHT * error;
+        self.deviation += COST_WEIGHT * (error.abs() - self.deviation);
+    }
+
+    fn mean(self) -> Duration {
+        Duration::from_secs_f64(self.mean.max(1e-6))
+    }
+
+    fn beyond(self, deviations: f64) -> Duration {
+        Duration::from_secs_f64((self.mean + deviations * self.deviation).max(1e-6))
+    }
+}
+
+/// Starts per second, over the current and the previous bucket.
+#[derive(Debug, Default)]
+struct DrainRate {
+    bucket_start: Option<Instant>,
+    previous: u32,
+    current: u32,
+}
+
+impl DrainRate {
+    fn record(&mut self, now: Instant) {
+        self.advance(now);
+        self.current += 1;
+    }
+
+    fn per_second(&mut self, now: Instant) -> f64 {
+        self.advance(now);
+        let elapsed = self.bucket_start.map_or(Duration::ZERO, |start| now.saturating_duration_since(start));
+        f64::from(self.previous + self.current) / (RATE_BUCKET + elapsed).as_secs_f64()
+    }
+
+    fn advance(&mut self, now: Instant) {
+        let start = *self.bucket_start.get_or_insert(now);
+        let buckets = now.saturating_duration_since(start).as_nanos() / RATE_BUCKET.as_nanos();
+        if buckets > 0 {
+            self.previous = if buckets == 1 { self.current } else { 0 };
+            self.current = 0;
+            self.bucket_start = Some(start + RATE_BUCKET * u32::try_from(buckets).unwrap_or(u32::MAX));
+        }
+    }
+}
+
+/// State of one rank.
+#[derive(Debug)]
+struct RankState {
+    queue: RankQueue,
+    /// Time until the answer begins.
+    head_cost: CostEstimate,
+    /// Time for which a slot is held.
+    hold_cost: CostEstimate,
+    drain_rate: DrainRate,
+}
+
+/// One attempt in flight.
+#[derive(Debug, Clone, Copy)]
+struct AttemptState {
+    target: TargetKey,
+    started: Instant,
+}
+
+/// One request with attempts in flight or being retried.
+#[derive(Debug)]
+struct FlightState {
+    rank: RankId,
+    deadline: Instant,
+    is_idempotent: bool,
+    is_retried: bool,
+    attempts: Vec<AttemptState>,
+    attempt_count: u32,
+    is_answered: bool,
+    retry: Option<RetryReason>,
+}
+
+/// Dispatcher of one service.
+#[derive(Debug)]
+pub struct ServiceDispatcher {
+    document: Arc<ServiceDocument>,
+    settings: DispatchSettings,
+    targets: TargetTable,
+    ranks: Vec<RankState>,
+    shares: ShareLedger,
+    retry_budget: AttemptBudget,
+    hedge_budget: AttemptBudget,
+    waiting: HashMap<RequestId, (RankId, QueuedKey)>,
+    flights: HashMap<RequestId, FlightState>,
+    borrow_plan: BorrowPlan,
+    turn: usize,
+    rng: SmallRng,
+}
+
+impl ServiceDispatcher {
+    /// A dispatcher without targets.
+    pub fn new(document: Arc<ServiceDocument>, settings: DispatchSettings) -> Self {
+        let target_settings = TargetSettings {
+            local_domain: settings.local_domain.clone(),
+            slots: document.slots_per_target,
+            is_unlimited: settings.policy.is_baseline(),
+        };
+        let rng = SmallRng::seed_from_u64(settings.seed);
+        Self {
+            targets: TargetTable::new(target_settings),
+            ranks: document.ranks.iter().map(|rank| RankState::new(rank.latency)).collect(),
+            shares: ShareLedger::new(document.ranks.iter().map(|rank| rank.kept_share).collect()),
+            retry_budget: AttemptBudget::new(document.retry.retry_share),
+            hedge_budget: AttemptBudget::new(document.retry.hedge_share),
+            waiting: HashMap::new(),
+            flights: HashMap::new(),
+            borrow_plan: BorrowPlan::default(),
+            turn: 0,
+            rng,
+            document,
+            settings,
+        }
+    }
+
+    /// The document by which the dispatcher works.
+    pub fn document(&self) -> &Arc<ServiceDocument> {
+        &self.document
+    }
+
+    /// The targets, for status and tests.
+    pub fn targets(&self) -> &TargetTable {
+        &self.targets
+    }
+
+    /// Waiting requests of a rank.
+    pub fn queue_length(&self, rank: RankId) -> usize {
+        self.ranks[rank].queue.len()
+    }
+
+    /// Whether no request waits or is in flight.
+    pub fn is_idle(&self) -> bool {
+        self.flights.is_empty() && self.waiting.is_empty()
+    }
+
+    /// Ends the ejection of a target that answered a probe, and starts what can be started.
+    pub fn readmit(&mut self, address: SocketAddr, now: Instant, actions: &mut Vec<DispatchAction>) {
+        if let Some(key) = self.targets.find(address) {
+            self.targets.readmit(key, now);
+        }
+        self.bind_waiting(now, actions);
+    }
+
+    /// Requests in flight.
+    pub fn flight_count(&self) -> usize {
+        self.flights.len()
+    }
+
+    /// Replaces the targets and starts what can be started.
+    pub fn replace_targets(&mut self, specs: &[TargetSpec], now: Instant, actions: &mut Vec<DispatchAction>) {
+        self.targets.replace_targets(specs);
+        self.bind_waiting(now, actions);
+    }
+
+    /// Puts another document in force. Ranks keep their state by name; requests of a rank that is
+    /// gone go on in the least urgent one.
+    pub fn replace_document(&mut self, document: Arc<ServiceDocument>, now: Instant) {
+        let old_ranks = std::mem::take(&mut self.ranks);
+        let old_names: Vec<String> = self.document.ranks.iter().map(|rank| rank.name.clone()).collect();
+        self.ranks = document.ranks.iter().map(|rank| RankState::new(rank.latency)).collect();
+        let last = self.ranks.len() - 1;
+        let find = |name: &String| document.ranks.iter().position(|rank| rank.name == *name);
+        let mapping: Vec<RankId> = old_names.iter().map(|name| find(name).unwrap_or(last)).collect();
+        self.waiting.clear();
+        for (old_rank, mut state) in old_ranks.into_iter().enumerate() {
+            self.adopt_rank(mapping[old_rank], &mut state);
+        }
+        self.flights.values_mut().for_each(|flight| flight.rank = mapping[flight.rank]);
+        self.shares = ShareLedger::new(document.ranks.iter().map(|rank| rank.kept_share).collect());
+        self.retry_budget = AttemptBudget::new(document.retry.retry_share);
+        self.hedge_budget = AttemptBudget::new(document.retry.hedge_share);
+        self.targets.set_slots(document.slots_per_target);
+        self.document = document;
+        self.targets.tick(now);
+    }
+
+    fn adopt_rank(&mut self, rank: RankId, old: &mut RankState) {
+        self.ranks[rank].head_cost = old.head_cost;
+        self.ranks[rank].hold_cost = old.hold_cost;
+        while let Some(queued) = old.queue.pop_front() {
+            let request = queued.request;
+            let key = self.ranks[rank].queue.push_back(queued);
+            self.waiting.insert(request, (rank, key));
+        }
+    }
+
+    /// Marks a target as leaving at once.
+    pub fn mark_leaving(&mut self, address: SocketAddr) {
+        if let Some(key) = self.targets.find(address) {
+            self.targets.mark_leaving(key);
+        }
+    }
+}
+
+impl RankState {
+    fn new(latency: Duration) -> Self {
+        let guess = latency / 8;
+        Self {
+            queue: RankQueue::default(),
+            head_cost: CostEstimate::new(guess),
+            hold_cost: CostEstimate::new(guess),
+            drain_rate: DrainRate::default(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/dispatch/admit.rs
@@ -0,0 +1,101 @@
+//! Admission: starts, queues or refuses a new request.
+
+use super::{DispatchAction, NewRequest, ServiceDispatcher};
+use crate::ids::{RankId, RequestId};
+use crate::queue::QueuedRequest;
+use crate::reason::RefusalReason;
+use std::time::{Duration, Instant};
+
+/// Deviations of the time to an answer that admission leaves before the deadline.
+const ADMIT_DEVIATIONS: f64 = 1.0;
+/// Shortest time after which a refused caller is told to come back.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
+
+impl ServiceDispatcher {
+    /// Admits a request: it is started, queued or refused by the returned actions.
+    ///
+    /// A rank that the document in force does not have counts as the least urgent one.
+    pub fn submit(&mut self, mut request: NewRequest, now: Instant, actions: &mut Vec<DispatchAction>) {
+        request.rank = request.rank.min(self.ranks.len() - 1);
+        if let Err(reason) = self.check_admission(&request, now) {
+            let retry_after = self.retry_after(request.rank, now);
+            actions.push(DispatchAction::Refuse { request: request.request, reason, retry_after });
+            return;
+        }
+        self.retry_budget.record_first();
+        self.hedge_budget.record_first();
+        self.enqueue(&request, now);
+        self.bind_waiting(now, actions);
+        self.ask_for_slots(now, actions);
+    }
+
+    /// Forgets a waiting request whose caller is gone. Returns whether it was waiting.
+    pub fn cancel_waiting(&mut self, request: RequestId) -> bool {
+        let Some((rank, key)) = self.waiting.remove(&request) else { return false };
+        self.ranks[rank].queue.remove(key);
+        self.drop_idle_flight(request);
+        true
+    }
+
+    fn check_admission(&mut self, request: &NewRequest, now: Instant) -> Result<(), RefusalReason> {
+        if self.targets.is_empty() {
+            return Err(RefusalReason::NoTarget);
+        }
+        if self.settings.policy.is_baseline() {
+            return Ok(());
+        }
+        if now >= request.deadline {
+            return Err(RefusalReason::DeadlinePassed);
+        }
+        if self.ranks[request.rank].queue.len() >= self.document.ranks[request.rank].queue_limit {
+            return Err(RefusalReason::QueueFull);
+        }
+        let service_time = self.ranks[request.rank].head_cost.beyond(ADMIT_DEVIATIONS);
+        let answer_at = now + self.predicted_wait(request.rank, now) + service_time;
+        if !self.ranks[request.rank].queue.is_empty() && answer_at > request.deadline {
+            return Err(RefusalReason::DeadlineUnreachable);
+        }
+        Ok(())
+    }
+
+    /// Time that a new request of `rank` would wait, from queue length and drain rate.
+    fn predicted_wait(&mut self, rank: RankId, now: Instant) -> Duration {
+        let state = &mut self.ranks[rank];
+        let waiting = state.queue.len();
+        if waiting == 0 {
+            return Duration::ZERO;
+        }
+        let hold = state.hold_cost.mean().as_secs_f64();
+        let measured = state.drain_rate.per_second(now);
+        let owed = self.document.ranks[rank].kept_share * f64::from(self.targets.usable_slots()) / hold;
+        let rate = measured.max(owed).max(1.0);
+        Duration::from_secs_f64(waiting as f64 / rate)
+    }
+
+    /// Time after which a refused caller has a fair chance.
+    pub(super) fn retry_after(&mut self, rank: RankId, now: Instant) -> Duration {
+        self.predicted_wait(rank, now).max(MIN_RETRY_AFTER)
+    }
+
+    fn enqueue(&mut self, request: &NewRequest, now: Instant) {
+        let flight = super::FlightState {
+            rank: request.rank,
+            deadline: request.deadline,
+            is_idempotent: request.is_idempotent,
+            is_retried: request.is_retried,
+            attempts: Vec::new(),
+            attempt_count: 0,
+            is_answered: false,
+            retry: None,
+        };
+        self.flights.insert(request.request, flight);
+        let queued = QueuedRequest {
+            request: request.request,
+            deadline: request.deadline,
+            queued_at: now,
+            avoid: None,
+        };
+        let key = self.ranks[request.rank].queue.push_back(queued);
+        self.waiting.insert(request.request, (request.rank, key));
+    }
+}
--- /dev/null
+++ b/crates/core/src/dispatch/attempt.rs
@@ -0,0 +1,190 @@
+//! Results of attempts: answers, failures, retries and the release of slots.
+
+use super::{DispatchAction, ServiceDispatcher};
+use crate::ids::{RequestId, TargetKey};
+use crate::queue::QueuedRequest;
+use crate::reason::RetryReason;
+use crate::target::LoadReport;
+use std::time::Instant;
+
+/// How an attempt failed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AttemptFailure {
+    /// No connection; no byte was sent.
+    Connect,
+    /// The target said that it refused the request; it did not run.
+    Refused,
+    /// The connection broke after bytes were sent and before an answer began.
+    Lost,
+    /// The target answered with a server error.
+    ServerError,
+}
+
+impl AttemptFailure {
+    /// Whether the failure proves that the request did not run.
+    pub fn proves_not_run(self) -> bool {
+        matches!(self, Self::Connect | Self::Refused)
+    }
+
+    fn retry_reason(self) -> RetryReason {
+        match self {
+            Self::Connect => RetryReason::ConnectFailed,
+            Self::Refused => RetryReason::TargetRefused,
+            Self::Lost => RetryReason::ConnectionLost,
+            Self::ServerError => RetryReason::TargetError,
+        }
+    }
+}
+
+/// What a target's answer says beside its content.
+#[derive(Debug, Clone, Copy)]
+pub struct AnswerNote {
+    /// Load that the target reports.
+    pub report: Option<LoadReport>,
+    /// Whether it is a server error, which must not make the target look fast.
+    pub is_error: bool,
+}
+
+/// What to do with an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AnswerVerdict {
+    /// Pass it on to the caller.
+    Deliver,
+    /// Drop it: another attempt has answered already.
+    Discard,
+}
+
+/// What follows a failed attempt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum FailureVerdict {
+    /// Another attempt is queued or started.
+    Retried,
+    /// Another attempt is in flight and may still answer.
+    OthersPending,
+    /// The caller must be told of the failure.
+    Final,
+}
+
+impl ServiceDispatcher {
+    /// Accounts for the beginning of an answer. The slot stays taken until [`Self::attempt_ended`].
+    pub fn attempt_answered(
+        &mut self,
+        request: RequestId,
+        target: TargetKey,
+        note: AnswerNote,
+        now: Instant,
+        actions: &mut Vec<DispatchAction>,
+    ) -> AnswerVerdict {
+        let Some(flight) = self.flights.get_mut(&request) else { return AnswerVerdict::Discard };
+        let Some(attempt) = flight.attempts.iter().find(|attempt| attempt.target == target) else {
+            return AnswerVerdict::Discard;
+        };
+        let latency = now.saturating_duration_since(attempt.started);
+        let is_first = !std::mem::replace(&mut flight.is_answered, true);
+        let others = flight.attempts.iter().filter(|attempt| attempt.target != target);
+        actions.extend(others.map(|other| DispatchAction::Abandon { request, target: other.target }));
+        let rank = &mut self.ranks[flight.rank];
+        let ratio = latency.as_secs_f64() / rank.head_cost.mean().as_secs_f64();
+        if note.is_error {
+            self.targets.record_failure(target, now);
+        } else {
+            rank.head_cost.record(latency);
+            self.targets.record_answer(target, ratio, note.report, now);
+        }
+        if is_first { AnswerVerdict::Deliver } else { AnswerVerdict::Discard }
+    }
+
+    /// Accounts for a failed attempt and decides on a retry. The slot is released.
+    pub fn attempt_failed(
+        &mut self,
+        request: RequestId,
+        target: TargetKey,
+        failure: AttemptFailure,
+        now: Instant,
+        actions: &mut Vec<DispatchAction>,
+    ) -> FailureVerdict {
+        self.targets.record_failure(target, now);
+        let is_known = self.release_attempt(request, target);
+        let verdict =
+            if is_known { self.decide_retry(request, target, failure, now) } else { FailureVerdict::Final };
+        if verdict == FailureVerdict::Final {
+            self.drop_idle_flight(request);
+        }
+        self.bind_waiting(now, actions);
+        verdict
+    }
+
+    /// Releases the slot of an attempt whose answer has ended or that was cancelled.
+    pub fn attempt_ended(
+        &mut self,
+        request: RequestId,
+        target: TargetKey,
+        now: Instant,
+        actions: &mut Vec<DispatchAction>,
+    ) {
+        self.record_hold(request, target, now);
+        if self.release_attempt(request, target) {
+            self.drop_idle_flight(request);
+        }
+        self.bind_waiting(now, actions);
+        self.return_idle_loan(target, actions);
+    }
+
+    fn record_hold(&mut self, request: RequestId, target: TargetKey, now: Instant) {
+        let Some(flight) = self.flights.get(&request) else { return };
+        let Some(attempt) = flight.attempts.iter().find(|attempt| attempt.target == target) else { return };
+        let hold = now.saturating_duration_since(attempt.started);
+        self.ranks[flight.rank].hold_cost.record(hold);
+    }
+
+    /// Ends one attempt. Returns whether it was known.
+    fn release_attempt(&mut self, request: RequestId, target: TargetKey) -> bool {
+        let Some(flight) = self.flights.get_mut(&request) else { return false };
+        let Some(index) = flight.attempts.iter().position(|attempt| attempt.target == target) else {
+            return false;
+        };
+        flight.attempts.swap_remove(index);
+        self.targets.end(target);
+        true
+    }
+
+    fn decide_retry(
+        &mut self,
+        request: RequestId,
+        target: TargetKey,
+        failure: AttemptFailure,
+        now: Instant,
+    ) -> FailureVerdict {
+        let Some(flight) = self.flights.get(&request) else { return FailureVerdict::Final };
+        if flight.is_answered || !flight.attempts.is_empty() {
+            return FailureVerdict::OthersPending;
+        }
+        let rank = flight.rank;
+        let is_safe = flight.is_idempotent || failure.proves_not_run();
+        let has_attempts = flight.attempt_count < self.document.retry.max_attempts && !flight.is_retried;
+        let has_time = now + self.ranks[rank].head_cost.mean() < flight.deadline;
+        if !(is_safe && has_attempts && has_time && self.retry_budget.try_take()) {
+            return FailureVerdict::Final;
+        }
+        self.queue_retry(request, target, failure, now);
+        FailureVerdict::Retried
+    }
+
+    fn queue_retry(&mut self, request: RequestId, target: TargetKey, failure: AttemptFailure, now: Instant) {
+        let Some(flight) = self.flights.get_mut(&request) else { return };
+        flight.retry = Some(failure.retry_reason());
+        let rank = flight.rank;
+        let queued =
+            QueuedRequest { request, deadline: flight.deadline, queued_at: now, avoid: Some(target) };
+        let key = self.ranks[rank].queue.push_front(queued);
+        self.waiting.insert(request, (rank, key));
+    }
+
+    /// Forgets a request that neither waits nor has attempts in flight.
+    pub(super) fn drop_idle_flight(&mut self, request: RequestId) {
+        let is_idle = self.flights.get(&request).is_some_and(|flight| flight.attempts.is_empty());
+        if is_idle && !self.waiting.contains_key(&request) {
+            self.flights.remove(&request);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/dispatch/bind.rs
@@ -0,0 +1,105 @@
+//! Late binding: waiting requests meet free slots, by owed share and urgency.
+
+use super::{AttemptState, DispatchAction, ServiceDispatcher};
+use crate::ids::{RankId, TargetKey};
+use crate::pick::pick_target;
+use crate::queue::QueuedRequest;
+use crate::reason::RefusalReason;
+use std::time::Instant;
+
+impl ServiceDispatcher {
+    /// Starts waiting requests while there are free slots.
+    pub(super) fn bind_waiting(&mut self, now: Instant, actions: &mut Vec<DispatchAction>) {
+        while self.has_free_target() {
+            let Some(rank) = self.next_rank() else { return };
+            let Some(queued) = self.ranks[rank].queue.pop_front() else { return };
+            self.waiting.remove(&queued.request);
+            if self.is_hopeless(rank, &queued, now) {
+                self.give_up(rank, &queued, now, actions);
+                continue;
+            }
+            self.turn = self.turn.wrapping_add(1);
+            let policy = self.settings.policy;
+            match pick_target(&self.targets, policy, queued.avoid, self.turn, &mut self.rng) {
+                Some(target) => self.start_queued(rank, &queued, target, now, actions),
+                None => {
+                    self.put_back(rank, queued);
+                    return;
+                }
+            }
+        }
+    }
+
+    /// Refuses waiting requests that can no longer be on time.
+    pub(super) fn expire_waiting(&mut self, now: Instant, actions: &mut Vec<DispatchAction>) {
+        if self.settings.policy.is_baseline() {
+            return;
+        }
+        for rank in 0..self.ranks.len() {
+            let service_time = self.ranks[rank].head_cost.mean();
+            let is_expired = |queued: &QueuedRequest| now + service_time > queued.deadline;
+            while let Some(queued) = self.ranks[rank].queue.pop_front_if(is_expired) {
+                self.waiting.remove(&queued.request);
+                self.give_up(rank, &queued, now, actions);
+            }
+        }
+    }
+
+    pub(super) fn has_free_target(&self) -> bool {
+        self.targets.free_lists().iter().any(|list| !list.is_empty())
+    }
+
+    pub(super) fn next_rank(&self) -> Option<RankId> {
+        self.shares.next_rank(|rank| !self.ranks[rank].queue.is_empty())
+    }
+
+    /// Whether the deadline leaves no time for the expected answer. A request that has waited for
+    /// nothing is given its chance: the estimate may be wrong for it.
+    fn is_hopeless(&self, rank: RankId, queued: &QueuedRequest, now: Instant) -> bool {
+        if self.settings.policy.is_baseline() || queued.queued_at == now {
+            return false;
+        }
+        now + self.ranks[rank].head_cost.mean() > queued.deadline
+    }
+
+    fn give_up(
+        &mut self,
+        rank: RankId,
+        queued: &QueuedRequest,
+        now: Instant,
+        actions: &mut Vec<DispatchAction>,
+    ) {
+        let is_past = now >= queued.deadline;
+        let reason = if is_past { RefusalReason::DeadlinePassed } else { RefusalReason::DeadlineUnreachable };
+        let retry_after = self.retry_after(rank, now);
+        self.drop_idle_flight(queued.request);
+        actions.push(DispatchAction::Refuse { request: queued.request, reason, retry_after });
+    }
+
+    fn put_back(&mut self, rank: RankId, queued: QueuedRequest) {
+        let request = queued.request;
+        let key = self.ranks[rank].queue.push_front(queued);
+        self.waiting.insert(request, (rank, key));
+    }
+
+    pub(super) fn start_queued(
+        &mut self,
+        rank: RankId,
+        queued: &QueuedRequest,
+        target: TargetKey,
+        now: Instant,
+        actions: &mut Vec<DispatchAction>,
+    ) {
+        let Some(address) = self.targets.get(target).map(|state| state.address) else { return };
+        let Some(flight) = self.flights.get_mut(&queued.request) else { return };
+        flight.attempts.push(AttemptState { target, started: now });
+        flight.attempt_count += 1;
+        let retry = flight.retry.take();
+        self.targets.start(target);
+        self.ranks[rank].drain_rate.record(now);
+        let cost = self.ranks[rank].hold_cost.mean();
+        let ranks = &self.ranks;
+        self.shares.charge(rank, cost, |other| !ranks[other].queue.is_empty());
+        actions.push(DispatchAction::Start { request: queued.request, target, address, retry });
+    }
+}
--- /dev/null
+++ b/crates/core/src/dispatch/loan.rs
@@ -0,0 +1,76 @@
+//! Slots lent to and borrowed from the other entry VMs of the service.
+
+use super::{DispatchAction, ServiceDispatcher};
+use crate::borrow::{LOAN_TIME, MAX_LOAN};
+use crate::ids::{IncarnationId, TargetKey};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+/// Part of a loan that the borrower leaves unused, so that it ends first.
+const LOAN_MARGIN: Duration = Duration::from_millis(20);
+
+impl ServiceDispatcher {
+    /// Replaces the peers that may lend slots.
+    pub fn replace_lenders(&mut self, peers: &[IncarnationId]) {
+        self.borrow_plan.replace_lenders(peers);
+    }
+
+    /// Lends up to `count` free slots; none while requests wait here.
+    pub fn lend_slots(&mut self, count: u32, now: Instant) -> Vec<SocketAddr> {
+        if !self.waiting.is_empty() || self.settings.policy.is_baseline() {
+            return Vec::new();
+        }
+        let expires = now + LOAN_TIME;
+        (0..count.min(MAX_LOAN)).map_while(|_| self.targets.lend_slot(expires)).collect()
+    }
+
+    /// Takes over slots lent by `peer` and starts what can be started; returns what is not needed.
+    pub fn receive_loans(
+        &mut self,
+        peer: IncarnationId,
+        loans: &[SocketAddr],
+        now: Instant,
+        actions: &mut Vec<DispatchAction>,
+    ) {
+        self.borrow_plan.record_answer(peer, loans, now);
+        let expires = now + LOAN_TIME - LOAN_MARGIN;
+        for address in loans {
+            self.targets.borrow_slot(*address, expires);
+        }
+        self.bind_waiting(now, actions);
+        self.ask_for_slots(now, actions);
+        for address in loans {
+            if let Some(key) = self.targets.find(*address) {
+                self.return_idle_loan(key, actions);
+            }
+        }
+    }
+
+    /// Accounts for a slot that a borrower gave back, and starts what can be started.
+    pub fn loan_returned(&mut self, address: SocketAddr, now: Instant, actions: &mut Vec<DispatchAction>) {
+        self.targets.take_back(address);
+        self.bind_waiting(now, actions);
+    }
+
+    /// Asks a peer for slots when requests wait and none is free.
+    pub(super) fn ask_for_slots(&mut self, now: Instant, actions: &mut Vec<DispatchAction>) {
+        if self.waiting.is_empty() || self.settings.policy.is_baseline() {
+            return;
+        }
+        if let Some(peer) = self.borrow_plan.next_ask(now) {
+            let count = (self.waiting.len() as u32).min(MAX_LOAN);
+            actions.push(DispatchAction::AskSlots { peer, count });
+        }
+    }
+
+    /// Gives back a borrowed slot of `target` that is free while nothing waits.
+    pub(super) fn return_idle_loan(&mut self, target: TargetKey, actions: &mut Vec<DispatchAction>) {
+        if !self.waiting.is_empty() {
+            return;
+        }
+        let Some(address) = self.targets.give_back(target) else { return };
+        if let Some(peer) = self.borrow_plan.owner_of(address) {
+            actions.push(DispatchAction::ReturnSlot { peer, address });
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/document.rs
@@ -0,0 +1,221 @@
+//! Typed configuration document of one service, and the verifier of its whole content.
+//!
+//! A document in force has passed [`verify_document`]; nothing downstream checks it again.
+
+use crate::finding::{FindingList, FindingPlace};
+use crate::ids::{RankId, ServiceName, TeamName};
+use std::time::Duration;
+
+/// Result of verifying a document.
+pub type Result<T> = std::result::Result<T, FindingList>;
+
+/// Largest number of ranks in one document.
+pub const MAX_RANKS: usize = 8;
+/// Largest number of slots that one target may have.
+pub const MAX_SLOTS: u32 = 1024;
+
+/// One way in which requests are classed: an HTTP method and a path pattern.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RouteMatch {
+    /// Upper-case method, or `*` for any.
+    pub method: String,
+    /// Exact path, or a prefix when it ends in `*`.
+    pub path: String,
+}
+
+impl RouteMatch {
+    /// Whether a request falls under this pattern.
+    pub fn matches(&self, method: &str, path: &str) -> bool {
+        let method_fits = self.method == "*" || self.method == method;
+        let path_fits = match self.path.strip_suffix('*') {
+            Some(prefix) => path.starts_with(prefix),
+            None => path == self.path,
+        };
+        method_fits && path_fits
+    }
+}
+
+/// Policy of one rank.
+#[derive(Debug, Clone, PartialEq)]
+pub struct RankPolicy {
+    /// Name, unique within the document.
+    pub name: String,
+    /// Requests of this rank.
+    pub matches: Vec<RouteMatch>,
+    /// Worth of one request served on time, in units chosen by the team.
+    pub worth: f64,
+    /// Time within which an answer must begin to be worth anything.
+    pub latency: Duration,
+    /// Time after which the system no longer waits for an answer that is already late.
+    pub give_up: Duration,
+    /// Share of requests that must meet the latency, 0 to 1.
+    pub on_time_share: f64,
+    /// Share of slot time that the rank keeps in a flood of any rank, 0 to 1.
+    pub kept_share: f64,
+    /// Whether running a request twice is harmless.
+    pub idempotent: bool,
+    /// Largest number of waiting requests per entry VM.
+    pub queue_limit: usize,
+}
+
+/// Retry and hedge policy of a service.
+#[derive(Debug, Clone, PartialEq)]
+pub struct RetryPolicy {
+    /// Attempts per request, the first included.
+    pub max_attempts: u32,
+    /// Retries as a share of first attempts, 0 to 1.
+    pub retry_share: f64,
+    /// Hedges as a share of first attempts, 0 to 1.
+    pub hedge_share: f64,
+}
+
+/// Budget of measuring, over all entry VMs together.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct MeasuringPolicy {
+    /// Probe calls per second to one target.
+    pub calls_per_second: u32,
+    /// Probe bytes per second to one target, both ways.
+    pub bytes_per_second: u32,
+    /// Path of the health and load endpoint.
+    pub path: String,
+}
+
+/// Configuration document of one service.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ServiceDocument {
+    /// Service name; callers send it in `Host` or `Sniperelay-Service`.
+    pub name: ServiceName,
+    /// Team that may edit the document.
+    pub team: TeamName,
+    /// Requests that one target serves at once.
+    pub slots_per_target: u32,
+    /// Connections that one target accepts from all entry VMs together.
+    pub connections_per_target: u32,
+    /// Entry VMs that serve the service in normal operation.
+    pub home_count: usize,
+    /// Time over which a new target is given its full load.
+    pub ramp: Duration,
+    /// Retry and hedge policy.
+    pub retry: RetryPolicy,
+    /// Measuring budget.
+    pub measuring: MeasuringPolicy,
+    /// Ranks, the most urgent first.
+    pub ranks: Vec<RankPolicy>,
+}
+
+impl ServiceDocument {
+    /// Classes a request: the first rank with a matching pattern.
+    pub fn classify(&self, method: &str, path: &str) -> Option<RankId> {
+        self.ranks.iter().position(|rank| rank.matches.iter().any(|route| route.matches(method, path)))
+    }
+}
+
+/// Checks a whole document and collects all findings; `place` finds file and line of a key.
+///
+/// # Errors
+///
+/// All findings when there are any.
+pub fn verify_document(document: &ServiceDocument, place: &dyn Fn(&str, &str) -> FindingPlace) -> Result<()> {
+    let mut findings = FindingList::default();
+    verify_service(document, place, &mut findings);
+    verify_retry(&document.retry, place, &mut findings);
+    document.ranks.iter().for_each(|rank| verify_rank(rank, place, &mut findings));
+    verify_shares(document, place, &mut findings);
+    findings.into_result(())
+}
+
+fn verify_service(
+    document: &ServiceDocument,
+    place: &dyn Fn(&str, &str) -> FindingPlace,
+    findings: &mut FindingList,
+) {
+    if !is_name(&document.name) {
+        findings.push(place("service", "name"), "must be 1 to 63 of a-z, 0-9 and '-'");
+    }
+    if !is_name(&document.team) {
+        findings.push(place("service", "team"), "must be 1 to 63 of a-z, 0-9 and '-'");
+    }
+    if !(1..=MAX_SLOTS).contains(&document.slots_per_target) {
+        findings.push(place("service", "slots-per-target"), format!("must be 1 to {MAX_SLOTS}"));
+    }
+    if document.connections_per_target < document.slots_per_target {
+        findings.push(place("service", "connections-per-target"), "must be at least slots-per-target");
+    }
+    if document.home_count == 0 {
+        findings.push(place("service", "home-count"), "must be at least 1");
+    }
+    if !document.measuring.path.starts_with('/') {
+        findings.push(place("measuring", "path"), "must begin with '/'");
+    }
+    if document.ranks.is_empty() || document.ranks.len() > MAX_RANKS {
+        findings.push(place("service", ""), format!("must have 1 to {MAX_RANKS} [rank NAME] sections"));
+    }
+}
+
+fn verify_retry(retry: &RetryPolicy, place: &dyn Fn(&str, &str) -> FindingPlace, findings: &mut FindingList) {
+    if !(1..=5).contains(&retry.max_attempts) {
+        findings.push(place("retry", "max-attempts"), "must be 1 to 5");
+    }
+    if !(0.0..=0.5).contains(&retry.retry_share) {
+        findings.push(place("retry", "retry-percent"), "must be 0 to 50");
+    }
+    if !(0.0..=0.5).contains(&retry.hedge_share) {
+        findings.push(place("retry", "hedge-percent"), "must be 0 to 50");
+    }
+}
+
+fn verify_rank(rank: &RankPolicy, place: &dyn Fn(&str, &str) -> FindingPlace, findings: &mut FindingList) {
+    let section = format!("rank {}", rank.name);
+    if !is_name(&rank.name) {
+        findings.push(place(&section, ""), "rank name must be 1 to 63 of a-z, 0-9 and '-'");
+    }
+    if rank.matches.is_empty() {
+        findings.push(place(&section, "match"), "must list at least one 'METHOD /path'");
+    }
+    for route in &rank.matches {
+        if !route.path.starts_with('/') {
+            findings.push(place(&section, "match"), format!("path '{}' must begin with '/'", route.path));
+        }
+    }
+    if !(rank.worth.is_finite() && rank.worth > 0.0) {
+        findings.push(place(&section, "worth"), "must be a number above 0");
+    }
+    if rank.latency < Duration::from_millis(1) || rank.latency > Duration::from_secs(3600) {
+        findings.push(place(&section, "latency-ms"), "must be 1 to 3600000");
+    }
+    if rank.give_up < rank.latency {
+        findings.push(place(&section, "give-up-ms"), "must be at least latency-ms");
+    }
+    if !(0.0..=1.0).contains(&rank.on_time_share) {
+        findings.push(place(&section, "on-time-percent"), "must be 0 to 100");
+    }
+    if !(0.0..=1.0).contains(&rank.kept_share) {
+        findings.push(place(&section, "keep-percent"), "must be 0 to 100");
+    }
+    if rank.queue_limit == 0 {
+        findings.push(place(&section, "queue-limit"), "must be at least 1");
+    }
+}
+
+fn verify_shares(
+    document: &ServiceDocument,
+    place: &dyn Fn(&str, &str) -> FindingPlace,
+    findings: &mut FindingList,
+) {
+    let kept: f64 = document.ranks.iter().map(|rank| rank.kept_share).sum();
+    if kept > 1.0 + 1e-9 {
+        let message = format!("keep-percent of all ranks sums to {:.0}, above 100", kept * 100.0);
+        findings.push(place("service", ""), message);
+    }
+    for (index, rank) in document.ranks.iter().enumerate() {
+        if document.ranks[..index].iter().any(|other| other.name == rank.name) {
+            findings.push(place(&format!("rank {}", rank.name), ""), "rank is defined twice");
+        }
+    }
+}
+
+/// Whether `text` is a valid service, team or rank name.
+pub fn is_name(text: &str) -> bool {
+    let length_fits = (1..=63).contains(&text.len());
+    length_fits && text.bytes().all(|byte| byte.is_ascii_lowercase() || byte.is_ascii_digit() || byte == b'-')
+}
--- /dev/null
+++ b/crates/core/src/home.rs
@@ -0,0 +1,101 @@
+//! Entry VMs responsible for a service (its homes), and the home that owns each target.
+//!
+//! Both follow from rendezvous hashing over the live entry VMs, so that all entry VMs with the
+//! same membership agree without messages, and a change of membership moves little.
+
+use crate::ids::{DomainName, IncarnationId};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// An entry VM that can be a home.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HomeCandidate {
+    /// Its incarnation.
+    pub incarnation: IncarnationId,
+    /// Its failure domain.
+    pub domain: DomainName,
+}
+
+/// Chooses up to `count` homes of a service, spread over failure domains in turn.
+pub fn choose_homes(service: &str, candidates: &[HomeCandidate], count: usize) -> Vec<HomeCandidate> {
+    let mut domains: BTreeMap<&str, Vec<&HomeCandidate>> = BTreeMap::new();
+    for candidate in candidates {
+        domains.entry(&candidate.domain).or_default().push(candidate);
+    }
+    let mut columns: Vec<(u64, Vec<&HomeCandidate>)> = domains
+        .into_iter()
+        .map(|(domain, members)| (hash_text(service, hash_text(domain, 0)), sort_members(service, members)))
+        .collect();
+    columns.sort_by_key(|(weight, _)| *weight);
+    let depth = columns.iter().map(|(_, members)| members.len()).max().unwrap_or(0);
+    let rows = (0..depth).flat_map(|row| columns.iter().filter_map(move |(_, members)| members.get(row)));
+    rows.take(count).map(|candidate| (*candidate).clone()).collect()
+}
+
+fn sort_members<'a>(service: &str, mut members: Vec<&'a HomeCandidate>) -> Vec<&'a HomeCandidate> {
+    members.sort_by_key(|member| hash_text(service, member.incarnation));
+    members
+}
+
+/// The home that owns the slots of each target: one of the target's failure domain if there is
+/// one, and the least loaded among equals.
+pub fn assign_owners(
+    homes: &[HomeCandidate],
+    targets: &[(SocketAddr, DomainName)],
+) -> BTreeMap<SocketAddr, IncarnationId> {
+    let mut sorted: Vec<&(SocketAddr, DomainName)> = targets.iter().collect();
+    sorted.sort();
+    let mut loads: BTreeMap<IncarnationId, usize> = homes.iter().map(|home| (home.incarnation, 0)).collect();
+    let fair_share = targets.len().div_ceil(homes.len().max(1));
+    let mut owners = BTreeMap::new();
+    let mut strays = Vec::new();
+    for (address, domain) in sorted {
+        let local =
+            homes.iter().filter(|home| home.domain == *domain && loads[&home.incarnation] < fair_share);
+        match least_loaded(local, &loads) {
+            Some(owner) => record_owner(*address, owner, &mut loads, &mut owners),
+            None => strays.push(*address),
+        }
+    }
+    for address in strays {
+        if let Some(owner) = least_loaded(homes.iter(), &loads) {
+            record_owner(address, owner, &mut loads, &mut owners);
+        }
+    }
+    owners
+}
+
+fn least_loaded<'a>(
+    homes: impl Iterator<Item = &'a HomeCandidate>,
+    loads: &BTreeMap<IncarnationId, usize>,
+) -> Option<IncarnationId> {
+    homes.map(|home| home.incarnation).min_by_key(|incarnation| (loads[incarnation], *incarnation))
+}
+
+fn record_owner(
+    address: SocketAddr,
+    owner: IncarnationId,
+    loads: &mut BTreeMap<IncarnationId, usize>,
+    owners: &mut BTreeMap<SocketAddr, IncarnationId>,
+) {
+    *loads.entry(owner).or_default() += 1;
+    owners.insert(address, owner);
+}
+
+/// Orders homes for one caller: its own failure domain first, then by a hash that spreads callers.
+pub fn order_for_caller(
+    mut homes: Vec<HomeCandidate>,
+    caller: &str,
+    caller_domain: Option<&str>,
+) -> Vec<HomeCandidate> {
+    homes.sort_by_key(|home| {
+        let is_remote = caller_domain.is_none_or(|domain| home.domain != domain);
+        (is_remote, hash_text(caller, home.incarnation))
+    });
+    homes
+}
+
+fn hash_text(text: &str, seed: u64) -> u64 {
+    xxh3_64_with_seed(text.as_bytes(), seed)
+}
--- /dev/null
+++ b/crates/core/src/ids.rs
@@ -0,0 +1,25 @@
+//! Identifier aliases shared by all tables.
+
+use slotmap::new_key_type;
+
+/// Random number that names one run of one entry VM process; never reused.
+pub type IncarnationId = u64;
+/// Number of a request, unique within one process.
+pub type RequestId = u64;
+/// Position of a rank in its service document; 0 is the most urgent.
+pub type RankId = usize;
+/// Name of a service, as in its document.
+pub type ServiceName = String;
+/// Name of a failure domain.
+pub type DomainName = String;
+/// Name of a team that owns documents.
+pub type TeamName = String;
+/// Configuration version of one service; only rises.
+pub type Generation = u64;
+
+new_key_type! {
+    /// Key of a target in a [`crate::target::TargetTable`].
+    pub struct TargetKey;
+    /// Key of a waiting request in a [`crate::queue::RankQueue`].
+    pub struct QueuedKey;
+}
--- /dev/null
+++ b/crates/core/src/pick.rs
@@ -0,0 +1,128 @@
+//! Choice of a target among those with a free slot.
+//!
+//! The cost of a choice does not depend on the number of targets: a bounded sample of the free
+//! list is compared. The baseline policies are kept for comparison in benches.
+
+use crate::ids::TargetKey;
+use crate::target::{TargetState, TargetTable};
+use rand::Rng;
+use rand::rngs::SmallRng;
+use std::str::FromStr;
+
+/// Targets compared for one choice.
+const SAMPLE_SIZE: usize = 4;
+
+/// How a target is chosen.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PickPolicy {
+    /// Late binding to owned slots: the product's own policy.
+    SlotCredit,
+    /// Any target, uniformly.
+    Random,
+    /// Targets in turn.
+    RoundRobin,
+    /// The target with the fewest requests in flight from this entry VM.
+    LeastOutstanding,
+    /// The better of two random targets.
+    TwoChoices,
+}
+
+impl PickPolicy {
+    /// Every policy with its name.
+    pub const ALL: &'static [(&'static str, Self)] = &[
+        ("slot-credit", Self::SlotCredit),
+        ("random", Self::Random),
+        ("round-robin", Self::RoundRobin),
+        ("least-outstanding", Self::LeastOutstanding),
+        ("two-choices", Self::TwoChoices),
+    ];
+
+    /// Whether requests go out at once, without ranks, queues or limits.
+    pub fn is_baseline(self) -> bool {
+        self != Self::SlotCredit
+    }
+}
+
+impl FromStr for PickPolicy {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        let found = Self::ALL.iter().find(|(name, _)| *name == text);
+        found.map(|(_, policy)| *policy).ok_or_else(|| {
+            let names: Vec<&str> = Self::ALL.iter().map(|(name, _)| *name).collect();
+            format!("unknown policy '{text}', must be one of {}", names.join(", "))
+        })
+    }
+}
+
+/// Chooses a target with a free slot, other than `avoid` where there is a choice.
+pub fn pick_target(
+    table: &TargetTable,
+    policy: PickPolicy,
+    avoid: Option<TargetKey>,
+    turn: usize,
+    rng: &mut SmallRng,
+) -> Option<TargetKey> {
+    match policy {
+        PickPolicy::SlotCredit => pick_free(table, avoid, rng),
+        PickPolicy::Random => pick_random(table, rng),
+        PickPolicy::RoundRobin => pick_in_turn(table, turn),
+        PickPolicy::LeastOutstanding => pick_least(table),
+        PickPolicy::TwoChoices => pick_two(table, rng),
+    }
+}
+
+fn pick_free(table: &TargetTable, avoid: Option<TargetKey>, rng: &mut SmallRng) -> Option<TargetKey> {
+    let lists = table.free_lists();
+    let chosen = lists.iter().find_map(|list| best_of_sample(table, list, avoid, rng));
+    chosen.or_else(|| avoid.filter(|key| lists.iter().any(|list| list.contains(key))))
+}
+
+fn best_of_sample(
+    table: &TargetTable,
+    list: &[TargetKey],
+    avoid: Option<TargetKey>,
+    rng: &mut SmallRng,
+) -> Option<TargetKey> {
+    let offset = if list.len() > SAMPLE_SIZE { rng.random_range(0..list.len()) } else { 0 };
+    let sample = (0..list.len().min(SAMPLE_SIZE + 1)).map(|step| list[(offset + step) % list.len()]);
+    let candidates = sample.filter(|key| Some(*key) != avoid);
+    let scored = candidates.filter_map(|key| table.get(key).map(|target| (key, occupancy_score(target))));
+    scored.min_by(|left, right| left.1.total_cmp(&right.1)).map(|(key, _)| key)
+}
+
+/// Expected wait at the target relative to its peers; lower is better.
+fn occupancy_score(target: &TargetState) -> f64 {
+    let limit = f64::from(target.limit().max(1));
+    f64::from(target.in_flight) / limit + target.slowness * 0.5
+}
+
+fn pick_random(table: &TargetTable, rng: &mut SmallRng) -> Option<TargetKey> {
+    let total: usize = table.free_lists().iter().map(Vec::len).sum();
+    if total == 0 {
+        return None;
+    }
+    nth_free(table, rng.random_range(0..total))
+}
+
+fn nth_free(table: &TargetTable, index: usize) -> Option<TargetKey> {
+    let [local, remote] = table.free_lists();
+    local.get(index).or_else(|| remote.get(index - local.len())).copied()
+}
+
+fn pick_in_turn(table: &TargetTable, turn: usize) -> Option<TargetKey> {
+    let total: usize = table.free_lists().iter().map(Vec::len).sum();
+    (total > 0).then(|| nth_free(table, turn % total)).flatten()
+}
+
+fn pick_least(table: &TargetTable) -> Option<TargetKey> {
+    let keys = table.free_lists().iter().flatten();
+    keys.copied().min_by_key(|key| table.get(*key).map_or(u32::MAX, |target| target.in_flight))
+}
+
+fn pick_two(table: &TargetTable, rng: &mut SmallRng) -> Option<TargetKey> {
+    let first = pick_random(table, rng)?;
+    let second = pick_random(table, rng)?;
+    let in_flight = |key: TargetKey| table.get(key).map_or(u32::MAX, |target| target.in_flight);
+    Some(if in_flight(second) < in_flight(first) { second } else { first })
+}
--- /dev/null
+++ b/crates/core/src/target.rs
@@ -0,0 +1,454 @@
+//! Targets of one service, as one entry VM sees them.
+//!
+//! A target's *limit* is the number of requests that this entry VM may have in flight there: the
+//! slots that it owns or has borrowed, less those lent out and those that others are seen to use.
+//! Targets with free slots stand in two index lists (own failure domain, others), kept up to date
+//! on every change, so that picking one does not depend on the number of targets.
+
+use crate::ids::{DomainName, TargetKey};
+use slotmap::SlotMap;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+/// Age beyond which a load report says nothing any more.
+const REPORT_LIFETIME: Duration = Duration::from_millis(100);
+/// Successive failures after which a target is ejected.
+const EJECT_FAILURES: u32 = 3;
+/// First ejection time; doubles with each further ejection.
+const FIRST_EJECTION: Duration = Duration::from_millis(200);
+/// Longest ejection time.
+const MAX_EJECTION: Duration = Duration::from_secs(5);
+/// Time for which a straggler gets no work.
+const SHUN_TIME: Duration = Duration::from_millis(100);
+/// Latency relative to peers above which a target is a straggler.
+const STRAGGLER_RATIO: f64 = 3.0;
+/// Weight of a new latency sample.
+const SLOWNESS_WEIGHT: f64 = 0.25;
+
+/// Life cycle of a target as reported by the platform, the target or a peer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum TargetLife {
+    /// Takes new work.
+    Live,
+    /// Finishes what it has and takes no new work.
+    Leaving,
+}
+
+/// A target as the control thread describes it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TargetSpec {
+    /// Address to connect to.
+    pub address: SocketAddr,
+    /// Its failure domain.
+    pub domain: DomainName,
+    /// Whether it takes new work.
+    pub life: TargetLife,
+    /// Slots that this entry VM owns there.
+    pub owned_slots: u32,
+}
+
+/// Load that a target reported with an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LoadReport {
+    /// Requests being served.
+    pub busy: u32,
+    /// Requests waiting at the target.
+    pub queued: u32,
+}
+
+/// A loan of one slot, given or taken.
+#[derive(Debug, Clone, Copy)]
+pub struct SlotLoan {
+    /// End of the loan.
+    pub expires: Instant,
+}
+
+/// One target.
+#[derive(Debug)]
+pub struct TargetState {
+    /// Address to connect to.
+    pub address: SocketAddr,
+    /// Whether it takes new work.
+    pub life: TargetLife,
+    /// Whether it is in this entry VM's failure domain.
+    pub is_local: bool,
+    /// Requests in flight from this entry VM.
+    pub in_flight: u32,
+    /// Latency relative to all targets of the service; 1 is average.
+    pub slowness: f64,
+    owned_slots: u32,
+    ramp_limit: f64,
+    ramp_step: f64,
+    foreign: u32,
+    foreign_at: Option<Instant>,
+    lent: Vec<SlotLoan>,
+    borrowed: Vec<SlotLoan>,
+    failures: u32,
+    ejections: u32,
+    ejected_until: Option<Instant>,
+    shunned_until: Option<Instant>,
+    list_position: Option<usize>,
+}
+
+impl TargetState {
+    /// Requests that this entry VM may have in flight here.
+    pub fn limit(&self) -> u32 {
+        let granted = self.owned_slots + self.borrowed.len() as u32;
+        let used = self.foreign + self.lent.len() as u32;
+        granted.saturating_sub(used).min(self.ramp_limit as u32)
+    }
+
+    /// Whether neither ejected, shunned nor leaving.
+    pub fn is_usable(&self) -> bool {
+        self.life == TargetLife::Live && self.ejected_until.is_none() && self.shunned_until.is_none()
+    }
+
+    /// Whether answers of this target keep failing.
+    pub fn is_ejected(&self) -> bool {
+        self.ejected_until.is_some()
+    }
+
+    /// Slots that this entry VM owns here.
+    pub fn owned_slots(&self) -> u32 {
+        self.owned_slots
+    }
+
+    /// Slots borrowed from the owner.
+    pub fn borrowed_count(&self) -> usize {
+        self.borrowed.len()
+    }
+
+    fn has_free_slot(&self) -> bool {
+        self.is_usable() && self.in_flight < self.limit()
+    }
+}
+
+/// Settings of a target table.
+#[derive(Debug, Clone)]
+pub struct TargetSettings {
+    /// Failure domain of this entry VM.
+    pub local_domain: DomainName,
+    /// Slots per target.
+    pub slots: u32,
+    /// Whether limits are ignored, as the baseline policies do.
+    pub is_unlimited: bool,
+}
+
+/// All targets of one service.
+#[derive(Debug)]
+pub struct TargetTable {
+    settings: TargetSettings,
+    targets: SlotMap<TargetKey, TargetState>,
+    by_address: HashMap<SocketAddr, TargetKey>,
+    /// Targets with a free slot: index 0 for the own failure domain, 1 for the others.
+    free_lists: [Vec<TargetKey>; 2],
+    suspended: usize,
+}
+
+impl TargetTable {
+    /// An empty table.
+    pub fn new(settings: TargetSettings) -> Self {
+        let free_lists = [Vec::new(), Vec::new()];
+        Self { settings, targets: SlotMap::with_key(), by_address: HashMap::new(), free_lists, suspended: 0 }
+    }
+
+    /// Replaces the set of targets; known ones keep their state, and those that are gone are kept
+    /// as leaving until their last request ends.
+    pub fn replace_targets(&mut self, specs: &[TargetSpec]) {
+        let is_first_fill = self.targets.is_empty();
+        let wanted: HashMap<SocketAddr, &TargetSpec> =
+            specs.iter().map(|spec| (spec.address, spec)).collect();
+        let known: Vec<TargetKey> = self.targets.keys().collect();
+        for key in known {
+            match wanted.get(&self.targets[key].address) {
+                Some(spec) => self.update_target(key, spec),
+                None => self.retire_target(key),
+            }
+        }
+        for spec in specs {
+            if !self.by_address.contains_key(&spec.address) {
+                self.add_target(spec, is_first_fill);
+            }
+        }
+    }
+
+    fn add_target(&mut self, spec: &TargetSpec, is_warm: bool) {
+        let ramp_limit = if is_warm { f64::from(self.settings.slots) } else { 1.0 };
+        let state = TargetState {
+            address: spec.address,
+            life: spec.life,
+            is_local: spec.domain == self.settings.local_domain,
+            in_flight: 0,
+            slowness: 1.0,
+            owned_slots: spec.owned_slots,
+            ramp_limit,
+            ramp_step: 0.25,
+            foreign: 0,
+            foreign_at: None,
+            lent: Vec::new(),
+            borrowed: Vec::new(),
+            failures: 0,
+            ejections: 0,
+            ejected_until: None,
+            shunned_until: None,
+            list_position: None,
+        };
+        let key = self.targets.insert(state);
+        self.by_address.insert(spec.address, key);
+        self.refresh(key);
+    }
+
+    fn update_target(&mut self, key: TargetKey, spec: &TargetSpec) {
+        let target = &mut self.targets[key];
+        let has_returned = target.life == TargetLife::Leaving && spec.life == TargetLife::Live;
+        target.life = spec.life;
+        target.owned_slots = spec.owned_slots;
+        if has_returned {
+            target.ramp_limit = 1.0;
+        }
+        self.refresh(key);
+    }
+
+    fn retire_target(&mut self, key: TargetKey) {
+        self.targets[key].life = TargetLife::Leaving;
+        self.refresh(key);
+        if self.targets[key].in_flight == 0 {
+            self.by_address.remove(&self.targets[key].address);
+            self.targets.remove(key);
+        }
+    }
+
+    /// Sets the number of slots per target; owned slots follow with the next target list.
+    pub fn set_slots(&mut self, slots: u32) {
+        let is_grown = slots > self.settings.slots;
+        self.settings.slots = slots;
+        if is_grown {
+            let full = f64::from(slots);
+            self.targets.values_mut().for_each(|target| target.ramp_limit = full);
+        }
+    }
+
+    /// Marks a target as leaving at once, on its own word or a peer's.
+    pub fn mark_leaving(&mut self, key: TargetKey) {
+        if let Some(target) = self.targets.get_mut(key) {
+            target.life = TargetLife::Leaving;
+            self.refresh(key);
+        }
+    }
+
+    /// The target with this key, unless it is gone.
+    pub fn get(&self, key: TargetKey) -> Option<&TargetState> {
+        self.targets.get(key)
+    }
+
+    /// Key of the target at an address.
+    pub fn find(&self, address: SocketAddr) -> Option<TargetKey> {
+        self.by_address.get(&address).copied()
+    }
+
+    /// All targets.
+    pub fn iter(&self) -> impl Iterator<Item = (TargetKey, &TargetState)> {
+        self.targets.iter()
+    }
+
+    /// Number of targets.
+    pub fn len(&self) -> usize {
+        self.targets.len()
+    }
+
+    /// Whether there are no targets.
+    pub fn is_empty(&self) -> bool {
+        self.targets.is_empty()
+    }
+
+    /// Targets with a free slot, those of the own failure domain first.
+    pub fn free_lists(&self) -> &[Vec<TargetKey>; 2] {
+        &self.free_lists
+    }
+
+    /// Slots over all usable targets that this entry VM may use.
+    pub fn usable_slots(&self) -> u32 {
+        self.targets.values().filter(|target| target.is_usable()).map(TargetState::limit).sum()
+    }
+
+    /// Accounts for a request sent to a target.
+    pub fn start(&mut self, key: TargetKey) {
+        if let Some(target) = self.targets.get_mut(key) {
+            target.in_flight += 1;
+            self.refresh(key);
+        }
+    }
+
+    /// Accounts for the end of a request at a target.
+    pub fn end(&mut self, key: TargetKey) {
+        if let Some(target) = self.targets.get_mut(key) {
+            target.in_flight = target.in_flight.saturating_sub(1);
+            self.refresh(key);
+        }
+    }
+
+    /// Accounts for an answer: latency relative to the service's average, and a load report.
+    pub fn record_answer(&mut self, key: TargetKey, ratio: f64, report: Option<LoadReport>, now: Instant) {
+        let Some(target) = self.targets.get_mut(key) else { return };
+        target.failures = 0;
+        target.ejections = 0;
+        target.slowness += SLOWNESS_WEIGHT * (ratio - target.slowness);
+        if ratio < STRAGGLER_RATIO {
+            let full = f64::from(self.settings.slots);
+            target.ramp_limit = (target.ramp_limit + target.ramp_step).min(full);
+        }
+        if let Some(report) = report {
+            let known = target.in_flight + target.lent.len() as u32;
+            target.foreign = (report.busy + report.queued).saturating_sub(known);
+            target.foreign_at = Some(now);
+        }
+        self.refresh(key);
+    }
+
+    /// Accounts for a failed attempt; ejects the target when failures repeat.
+    pub fn record_failure(&mut self, key: TargetKey, now: Instant) {
+        let may_suspend = self.may_suspend();
+        let Some(target) = self.targets.get_mut(key) else { return };
+        target.failures += 1;
+        if target.failures >= EJECT_FAILURES && target.ejected_until.is_none() && may_suspend {
+            let pause = FIRST_EJECTION * 2u32.pow(target.ejections.min(8));
+            target.ejected_until = Some(now + pause.min(MAX_EJECTION));
+            target.ejections += 1;
+            self.suspended += 1;
+        }
+        self.refresh(key);
+    }
+
+    /// Ends the ejection of a target; it gets little work until answers succeed.
+    pub fn readmit(&mut self, key: TargetKey, now: Instant) {
+        if let Some(target) = self.targets.get_mut(key) {
+            target.ejected_until = target.ejected_until.map(|_| now);
+        }
+        self.tick_target(key, now);
+    }
+
+    /// Gives a target no work for a short time because it is slower than its peers.
+    pub fn shun(&mut self, key: TargetKey, now: Instant) {
+        let may_suspend = self.may_suspend();
+        let Some(target) = self.targets.get_mut(key) else { return };
+        if target.shunned_until.is_none() {
+            if !may_suspend {
+                return;
+            }
+            self.suspended += 1;
+        }
+        target.shunned_until = Some(now + SHUN_TIME);
+        self.refresh(key);
+    }
+
+    /// Lends one free slot until `expires`; only slots that are owned here are lent.
+    pub fn lend_slot(&mut self, expires: Instant) -> Option<SocketAddr> {
+        let lists = self.free_lists.iter().rev().flatten();
+        let key = lists.copied().find(|key| self.targets[*key].owned_slots > 0)?;
+        let target = &mut self.targets[key];
+        target.lent.push(SlotLoan { expires });
+        let address = target.address;
+        self.refresh(key);
+        Some(address)
+    }
+
+    /// Takes back one lent slot before its expiry.
+    pub fn take_back(&mut self, address: SocketAddr) {
+        let Some(key) = self.find(address) else { return };
+        self.targets[key].lent.pop();
+        self.refresh(key);
+    }
+
+    /// Adds one borrowed slot; ignored for unknown targets.
+    pub fn borrow_slot(&mut self, address: SocketAddr, expires: Instant) {
+        let Some(key) = self.find(address) else { return };
+        self.targets[key].borrowed.push(SlotLoan { expires });
+        self.refresh(key);
+    }
+
+    /// Gives up one borrowed slot that is not in use. Returns the target's address if there was one.
+    pub fn give_back(&mut self, key: TargetKey) -> Option<SocketAddr> {
+        let target = self.targets.get_mut(key)?;
+        if target.in_flight >= target.limit() {
+            return None;
+        }
+        target.borrowed.pop()?;
+        let address = target.address;
+        self.refresh(key);
+        Some(address)
+    }
+
+    /// Ends what has expired by `now`: reports, loans, ejections and shuns; drops gone targets.
+    pub fn tick(&mut self, now: Instant) {
+        let keys: Vec<TargetKey> = self.targets.keys().collect();
+        for key in keys {
+            self.tick_target(key, now);
+        }
+    }
+
+    fn tick_target(&mut self, key: TargetKey, now: Instant) {
+        let Some(target) = self.targets.get_mut(key) else { return };
+        if target.foreign_at.is_some_and(|at| now.saturating_duration_since(at) > REPORT_LIFETIME) {
+            target.foreign = 0;
+            target.foreign_at = None;
+        }
+        target.lent.retain(|loan| loan.expires > now);
+        target.borrowed.retain(|loan| loan.expires > now);
+        if target.ejected_until.is_some_and(|until| until <= now) {
+            target.ejected_until = None;
+            target.failures = EJECT_FAILURES - 1;
+            target.ramp_limit = 1.0;
+            self.suspended -= 1;
+        }
+        if target.shunned_until.is_some_and(|until| until <= now) {
+            target.shunned_until = None;
+            target.slowness = 1.0;
+            target.ramp_limit = 1.0;
+            target.ramp_step = 1.0;
+            self.suspended -= 1;
+        }
+        let is_slow = target.slowness > STRAGGLER_RATIO && target.shunned_until.is_none();
+        self.refresh(key);
+        if is_slow {
+            self.shun(key, now);
+        }
+    }
+
+    /// At most a third of the targets are ejected or shunned at once.
+    fn may_suspend(&self) -> bool {
+        (self.suspended + 1) * 3 <= self.targets.len()
+    }
+
+    fn refresh(&mut self, key: TargetKey) {
+        let target = &self.targets[key];
+        let is_free = self.is_free(target);
+        match (is_free, target.list_position) {
+            (true, None) => self.list_target(key),
+            (false, Some(position)) => self.unlist_target(key, position),
+            _ => {}
+        }
+    }
+
+    fn is_free(&self, target: &TargetState) -> bool {
+        if self.settings.is_unlimited {
+            return target.life == TargetLife::Live;
+        }
+        target.has_free_slot()
+    }
+
+    fn list_target(&mut self, key: TargetKey) {
+        let list = &mut self.free_lists[usize::from(!self.targets[key].is_local)];
+        self.targets[key].list_position = Some(list.len());
+        list.push(key);
+    }
+
+    fn unlist_target(&mut self, key: TargetKey, position: usize) {
+        let list = &mut self.free_lists[usize::from(!self.targets[key].is_local)];
+        list.swap_remove(position);
+        if let Some(moved) = list.get(position) {
+            self.targets[*moved].list_position = Some(position);
+        }
+        self.targets[key].list_position = None;
+    }
+}
--- /dev/null
+++ b/crates/node/src/control/editing.rs
@@ -0,0 +1,63 @@
+//! Performs edits of documents against the platform.
+
+use crate::wall_clock;
+use sniperelay_core::edit::{EditRequest, EditResult, EditSession, EditStep, StoredEdition, WriteAnswer};
+use sniperelay_core::edition::ConfigEdition;
+use sniperelay_platform::{PlatformApi, PlatformError};
+use std::time::Duration;
+
+/// Prefix of documents in the platform.
+pub const CONFIG_PREFIX: &str = "config/";
+/// Tries of a read before it counts as unanswered.
+const READ_TRIES: u32 = 5;
+/// Pause between two tries of a read.
+const READ_PAUSE: Duration = Duration::from_millis(150);
+
+/// Runs an edit to its result.
+pub async fn run_edit(platform: &impl PlatformApi, mut request: EditRequest) -> EditResult {
+    request.unix_millis = wall_clock::unix_millis();
+    let key = format!("{CONFIG_PREFIX}{}", request.service);
+    let mut session = EditSession::new(request);
+    let mut step = EditStep::Read;
+    loop {
+        step = match step {
+            EditStep::Read => session.on_read(read_edition(platform, &key).await),
+            EditStep::Write { expected, edition } => {
+                session.on_written(write_edition(platform, &key, expected, &edition).await)
+            }
+            EditStep::Finished(result) => return result,
+        };
+    }
+}
+
+async fn read_edition(platform: &impl PlatformApi, key: &str) -> Result<Option<StoredEdition>, ()> {
+    for _ in 0..READ_TRIES {
+        match platform.get(key).await {
+            Ok(None) => return Ok(None),
+            Ok(Some(object)) => {
+                let edition: ConfigEdition = serde_json::from_str(&object.value).map_err(|_| ())?;
+                return Ok(Some(StoredEdition { version: object.version, edition }));
+            }
+            Err(error) => log::warn!("cannot read {key}: {error}"),
+        }
+        tokio::time::sleep(READ_PAUSE).await;
+    }
+    Err(())
+}
+
+async fn write_edition(
+    platform: &impl PlatformApi,
+    key: &str,
+    expected: u64,
+    edition: &ConfigEdition,
+) -> WriteAnswer {
+    let Ok(value) = serde_json::to_string(edition) else { return WriteAnswer::Conflict };
+    match platform.put(key, expected, &value).await {
+        Ok(_) => WriteAnswer::Done,
+        Err(PlatformError::Conflict { .. }) => WriteAnswer::Conflict,
+        Err(error) => {
+            log::warn!("write of {key} not answered: {error}");
+            WriteAnswer::Unanswered
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/control/messages.rs
@@ -0,0 +1,154 @@
+//! Messages of other entry VMs and of traffic threads.
+
+use crate::control::state::{ControlState, ForcedDocument};
+use crate::shared::TrafficNews;
+use crate::wall_clock;
+use sniperelay_config::parse_document;
+use sniperelay_core::edition::{ConfigEdition, EditionNote, EditionVerdict, note_of};
+use sniperelay_core::ids::{IncarnationId, ServiceName};
+use sniperelay_core::member::{MemberMessage, MemberMessageKind};
+use sniperelay_core::vm::{VmList, VmRole};
+use sniperelay_wire::PeerMessage;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Instant;
+
+/// Editions that one message may ask for.
+const MAX_FETCH: usize = 64;
+
+/// Handles one message of another entry VM.
+pub fn handle_message(state: &mut ControlState, message: PeerMessage, now: Instant) {
+    match message {
+        PeerMessage::Member(message) => handle_member(state, message, now),
+        PeerMessage::EditionNotes { sender, notes } => fetch_newer(state, sender, &notes),
+        PeerMessage::EditionCompare { sender, mask } => {
+            let notes = state.editions.notes(mask);
+            let own = state.shared.incarnation;
+            state.send_member(sender, &PeerMessage::EditionNotes { sender: own, notes });
+        }
+        PeerMessage::EditionFetch { sender, services } => {
+            for service in services.iter().take(MAX_FETCH) {
+                if let Some(edition) = state.editions.get(service) {
+                    state.send_member(sender, &PeerMessage::Edition(Box::new(edition.clone())));
+                }
+            }
+        }
+        PeerMessage::Edition(edition) => offer_edition(state, *edition),
+        PeerMessage::VmListFetch { sender, revision } => {
+            if state.vm_list.revision > revision {
+                state.send_member(sender, &PeerMessage::VmList(state.vm_list.clone()));
+            }
+        }
+        PeerMessage::VmList(list) => adopt_vm_list(state, list),
+        PeerMessage::SlotAsk { sender, service, count } => lend_slots(state, sender, service, count),
+        PeerMessage::SlotLoan { sender, service, targets } => {
+            if let Some(entry) = state.shared.services.load().get(&service) {
+                entry
+                    .gate
+                    .run(|dispatcher, now, actions| dispatcher.receive_loans(sender, &targets, now, actions));
+            }
+        }
+        PeerMessage::SlotReturn { service, target } => {
+            if let Some(entry) = state.shared.services.load().get(&service) {
+                entry.gate.run(|dispatcher, now, actions| dispatcher.loan_returned(target, now, actions));
+            }
+        }
+        PeerMessage::TargetLeaving { service, target } => note_leaving(state, service, target, now),
+    }
+}
+
+/// Handles news of traffic threads.
+pub fn handle_news(state: &mut ControlState, news: TrafficNews, now: Instant) {
+    match news {
+        TrafficNews::TargetLeaving { service, target } => note_leaving(state, service, target, now),
+    }
+}
+
+fn handle_member(state: &mut ControlState, message: MemberMessage, now: Instant) {
+    let sender = message.sender.clone();
+    let is_comparable = matches!(message.kind, MemberMessageKind::Heartbeat | MemberMessageKind::Answer);
+    let editions = state.edition_digest();
+    let mask = editions.difference(&message.editions);
+    let sends = state.members.receive(message, now, editions);
+    state.send_all(sends);
+    if is_comparable && mask != 0 {
+        let own = state.shared.incarnation;
+        state.link.send(sender.peer_address, &PeerMessage::EditionCompare { sender: own, mask });
+    }
+    if is_comparable && state.vm_list.revision == 0 {
+        let message = PeerMessage::VmListFetch { sender: state.shared.incarnation, revision: 0 };
+        state.link.send(sender.peer_address, &message);
+    }
+}
+
+fn fetch_newer(state: &ControlState, sender: IncarnationId, notes: &[EditionNote]) {
+    let newer = notes.iter().filter(|note| state.editions.is_newer(note));
+    let services: Vec<ServiceName> = newer.map(|note| note.service.clone()).take(MAX_FETCH).collect();
+    if !services.is_empty() {
+        let message = PeerMessage::EditionFetch { sender: state.shared.incarnation, services };
+        state.send_member(sender, &message);
+    }
+}
+
+/// Offers an edition from any source. One that does not pass the verifier is refused, and the one
+/// in force stays; a newer one is put in force and announced to the neighbours.
+pub fn offer_edition(state: &mut ControlState, edition: ConfigEdition) {
+    let document = match parse_document(&format!("config/{}", edition.service), &edition.text) {
+        Ok(document) if document.name == edition.service => document,
+        Ok(document) => {
+            log::error!("refused the document of {}: it names service {}", edition.service, document.name);
+            state.shared.metrics.process().documents_refused.fetch_add(1, Ordering::Relaxed);
+            return;
+        }
+        Err(findings) => {
+            log::error!("refused a document, the one in force stays:\n{findings}");
+            state.shared.metrics.process().documents_refused.fetch_add(1, Ordering::Relaxed);
+            return;
+        }
+    };
+    let note = note_of(&edition);
+    let service = edition.service.clone();
+    let generation = edition.mark.generation;
+    if state.editions.offer(edition) != EditionVerdict::Adopted {
+        return;
+    }
+    log::info!("service {service}: version {generation} is in force");
+    let since_millis = wall_clock::unix_millis();
+    let forced = ForcedDocument { generation, document: Arc::new(document), since_millis };
+    state.documents.insert(service, forced);
+    state.is_plan_stale = true;
+    let own = state.shared.incarnation;
+    state.send_neighbours(&PeerMessage::EditionNotes { sender: own, notes: vec![note] });
+}
+
+/// Takes over a list of VMs that is newer than the known one.
+pub fn adopt_vm_list(state: &mut ControlState, list: VmList) {
+    if list.revision < state.vm_list.revision || list == state.vm_list {
+        return;
+    }
+    for record in list.records.iter().filter(|record| record.role == VmRole::EntryVm) {
+        state.members.add_seed(record.address);
+    }
+    state.is_plan_stale |= list.records != state.vm_list.records;
+    state.vm_list = list;
+}
+
+fn lend_slots(state: &ControlState, borrower: IncarnationId, service: ServiceName, count: u32) {
+    let services = state.shared.services.load();
+    let Some(entry) = services.get(&service) else { return };
+    let targets = entry.gate.run(|dispatcher, now, _| dispatcher.lend_slots(count, now));
+    let sender = state.shared.incarnation;
+    state.send_member(borrower, &PeerMessage::SlotLoan { sender, service, targets });
+}
+
+fn note_leaving(state: &mut ControlState, service: ServiceName, target: SocketAddr, now: Instant) {
+    if let Some(entry) = state.shared.services.load().get(&service) {
+        entry.gate.run(|dispatcher, _, _| dispatcher.mark_leaving(target));
+    }
+    let is_news = state.leaving_words.insert((service.clone(), target), now).is_none();
+    if is_news {
+        state.is_plan_stale = true;
+        state.send_neighbours(&PeerMessage::TargetLeaving { service, target });
+    }
+}
--- /dev/null
+++ b/crates/node/src/control/plan.rs
@@ -0,0 +1,155 @@
+//! Builds and publishes the plan: services, homes and owners from documents, members and VM list.
+
+use crate::control::state::ControlState;
+use crate::gate::{ServiceEntry, ServiceGate};
+use crate::shared::{MemberSnapshot, ServiceMap};
+use sniperelay_core::dispatch::DispatchSettings;
+use sniperelay_core::document::ServiceDocument;
+use sniperelay_core::home::{HomeCandidate, assign_owners, choose_homes};
+use sniperelay_core::ids::{IncarnationId, ServiceName};
+use sniperelay_core::member::MemberHealth;
+use sniperelay_core::target::{TargetLife, TargetSpec};
+use sniperelay_core::vm::{VmRecord, VmRole};
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+/// Entry VMs that watch the documents in the platform.
+const WATCHER_COUNT: usize = 3;
+/// Time for which a word that a target is leaving outweighs the platform's list.
+const WORD_LIFETIME: Duration = Duration::from_secs(30);
+
+/// Publishes a new plan if anything that it depends on has changed.
+pub fn publish_plan(state: &mut ControlState, now: Instant) {
+    forget_old_words(state, now);
+    let is_connected = state.members.is_connected(now);
+    let is_reconnected = state.flags.is_connected.swap(is_connected, Ordering::Relaxed) != is_connected;
+    let is_current = state.planned_revision == Some(state.members.revision());
+    if is_current && !state.is_plan_stale && !is_reconnected {
+        return;
+    }
+    state.planned_revision = Some(state.members.revision());
+    state.is_plan_stale = false;
+    let snapshot = make_members(state, is_connected);
+    publish_services(state, &snapshot);
+    let watchers = choose_homes("platform-watch", &snapshot.candidates, WATCHER_COUNT);
+    let is_watcher = watchers.iter().any(|home| home.incarnation == state.shared.incarnation);
+    state.flags.is_watcher.store(is_watcher, Ordering::Relaxed);
+    state.flags.has_editions.store(!state.documents.is_empty(), Ordering::Relaxed);
+    state.shared.members.store(Arc::new(snapshot));
+}
+
+fn forget_old_words(state: &mut ControlState, now: Instant) {
+    let count = state.leaving_words.len();
+    state.leaving_words.retain(|_, since| now.saturating_duration_since(*since) < WORD_LIFETIME);
+    state.is_plan_stale |= state.leaving_words.len() != count;
+}
+
+fn make_members(state: &ControlState, is_connected: bool) -> MemberSnapshot {
+    let own = state.members.own();
+    let living = state.members.others().filter(|record| record.health != MemberHealth::Dead);
+    let members =
+        std::iter::once(own).chain(living).map(|record| (record.incarnation, record.clone())).collect();
+    let candidates: Vec<HomeCandidate> = state
+        .members
+        .available()
+        .map(|record| HomeCandidate { incarnation: record.incarnation, domain: record.domain.clone() })
+        .collect();
+    let homes = state
+        .documents
+        .values()
+        .map(|forced| &forced.document)
+        .map(|document| {
+            (document.name.clone(), choose_homes(&document.name, &candidates, document.home_count))
+        })
+        .collect();
+    MemberSnapshot { members, candidates, homes, is_connected }
+}
+
+fn publish_services(state: &mut ControlState, snapshot: &MemberSnapshot) {
+    let current = state.shared.services.load_full();
+    let mut targets = group_targets(&state.vm_list.records);
+    let mut services = ServiceMap::new();
+    for forced in state.documents.values() {
+        let document = &forced.document;
+        let entry = find_entry(state, &current, document);
+        let homes = snapshot.homes.get(&document.name).map_or(&[][..], Vec::as_slice);
+        let records = targets.remove(document.name.as_str()).unwrap_or_default();
+        let specs = make_specs(state, document, homes, &records);
+        let is_other = |home: &&HomeCandidate| home.incarnation != state.shared.incarnation;
+        let lenders: Vec<IncarnationId> =
+            homes.iter().filter(is_other).map(|home| home.incarnation).collect();
+        entry.gate.replace_targets(&specs, &lenders);
+        services.insert(document.name.clone(), entry);
+    }
+    state.shared.services.store(Arc::new(services));
+}
+
+fn group_targets(records: &[VmRecord]) -> HashMap<&str, Vec<&VmRecord>> {
+    let mut groups: HashMap<&str, Vec<&VmRecord>> = HashMap::new();
+    for record in records {
+        if let VmRole::Target(service) = &record.role {
+            groups.entry(service).or_default().push(record);
+        }
+    }
+    groups
+}
+
+fn find_entry(
+    state: &ControlState,
+    current: &ServiceMap,
+    document: &Arc<ServiceDocument>,
+) -> Arc<ServiceEntry> {
+    let Some(entry) = current.get(&document.name) else {
+        let gate = ServiceGate::new(
+            document.clone(),
+            make_dispatch_settings(state),
+            state.shared.incarnation,
+            state.shared.peers.clone(),
+        );
+        return Arc::new(ServiceEntry::new(document.clone(), gate, &state.shared.metrics));
+    };
+    if Arc::ptr_eq(&entry.document, document) {
+        return entry.clone();
+    }
+    entry.gate.run(|dispatcher, now, _| dispatcher.replace_document(document.clone(), now));
+    Arc::new(ServiceEntry::new(document.clone(), entry.gate.clone(), &state.shared.metrics))
+}
+
+fn make_dispatch_settings(state: &ControlState) -> DispatchSettings {
+    DispatchSettings {
+        local_domain: state.shared.settings.entry.failure_domain.clone(),
+        policy: state.shared.settings.policy,
+        seed: state.shared.incarnation,
+    }
+}
+
+fn make_specs(
+    state: &ControlState,
+    document: &ServiceDocument,
+    homes: &[HomeCandidate],
+    records: &[&VmRecord],
+) -> Vec<TargetSpec> {
+    let life = |record: &VmRecord| match is_said_to_leave(state, &document.name, record) {
+        true => TargetLife::Leaving,
+        false => record.life(),
+    };
+    let live = records.iter().filter(|record| life(record) == TargetLife::Live);
+    let places: Vec<_> = live.map(|record| (record.address, record.failure_domain.clone())).collect();
+    let owners = assign_owners(homes, &places);
+    let make = |record: &&VmRecord| TargetSpec {
+        address: record.address,
+        domain: record.failure_domain.clone(),
+        life: life(record),
+        owned_slots: match owners.get(&record.address) == Some(&state.shared.incarnation) {
+            true => document.slots_per_target,
+            false => 0,
+        },
+    };
+    records.iter().map(make).collect()
+}
+
+fn is_said_to_leave(state: &ControlState, service: &ServiceName, record: &VmRecord) -> bool {
+    !state.leaving_words.is_empty() && state.leaving_words.contains_key(&(service.clone(), record.address))
+}
--- /dev/null
+++ b/crates/node/src/control/platform_sync.rs
@@ -0,0 +1,126 @@
+//! Tasks that read the platform and report to the control loop.
+
+use crate::control::ControlEvent;
+use crate::control::editing::CONFIG_PREFIX;
+use crate::control::state::SyncFlags;
+use rand::Rng;
+use sniperelay_core::edition::ConfigEdition;
+use sniperelay_core::vm::{VmList, VmRecord};
+use sniperelay_platform::api::{EventList, ObjectList};
+use sniperelay_platform::{PlatformApi, PlatformError};
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use tokio::sync::mpsc::UnboundedSender;
+
+/// Prefix of VMs in the platform.
+pub const VM_PREFIX: &str = "vms/";
+/// Time for which a watch waits.
+const WATCH_WAIT: Duration = Duration::from_secs(10);
+/// Time given to peers to deliver the documents before the platform is asked.
+const PEER_GRACE: Duration = Duration::from_millis(1500);
+/// Pause between two looks at whether this entry VM has to watch.
+const IDLE_PAUSE: Duration = Duration::from_millis(500);
+
+/// Reads the list of VMs again and again.
+pub async fn follow_vm_list(
+    platform: Arc<impl PlatformApi>,
+    events: UnboundedSender<ControlEvent>,
+    interval: Duration,
+) {
+    loop {
+        match platform.list(VM_PREFIX).await {
+            Ok(list) => {
+                let records = list.items.iter().filter_map(|item| parse_vm(&item.key, &item.value)).collect();
+                let list = VmList { revision: list.revision, records };
+                if events.send(ControlEvent::VmList(list)).is_err() {
+                    return;
+                }
+            }
+            Err(error) => log::debug!("cannot list VMs: {error}"),
+        }
+        tokio::time::sleep(jittered(interval)).await;
+    }
+}
+
+/// Reads the documents and watches their changes, if this entry VM is chosen to or is alone.
+pub async fn follow_documents(
+    platform: Arc<impl PlatformApi>,
+    events: UnboundedSender<ControlEvent>,
+    flags: Arc<SyncFlags>,
+) {
+    let mut since = None;
+    tokio::time::sleep(jittered(PEER_GRACE / 4)).await;
+    if flags.is_connected.load(Ordering::Relaxed) && !flags.is_watcher.load(Ordering::Relaxed) {
+        tokio::time::sleep(PEER_GRACE).await;
+    }
+    loop {
+        if !has_to_watch(&flags) {
+            since = None;
+            tokio::time::sleep(jittered(IDLE_PAUSE)).await;
+            continue;
+        }
+        let result = match since {
+            None => read_all(&*platform, &events).await,
+            Some(revision) => read_changes(&*platform, &events, revision).await,
+        };
+        match result {
+            Ok(revision) => since = Some(revision),
+            Err(PlatformError::WatchTooOld) => since = None,
+            Err(error) => {
+                log::debug!("cannot follow the documents: {error}");
+                tokio::time::sleep(jittered(IDLE_PAUSE)).await;
+            }
+        }
+    }
+}
+
+fn has_to_watch(flags: &SyncFlags) -> bool {
+    let is_served_by_peers =
+        flags.is_connected.load(Ordering::Relaxed) && flags.has_editions.load(Ordering::Relaxed);
+    flags.is_watcher.load(Ordering::Relaxed) || !is_served_by_peers
+}
+
+async fn read_all(
+    platform: &impl PlatformApi,
+    events: &UnboundedSender<ControlEvent>,
+) -> Result<u64, PlatformError> {
+    let list: ObjectList = platform.list(CONFIG_PREFIX).await?;
+    list.items.iter().for_each(|item| report_edition(events, &item.key, &item.value));
+    Ok(list.revision)
+}
+
+async fn read_changes(
+    platform: &impl PlatformApi,
+    events: &UnboundedSender<ControlEvent>,
+    since: u64,
+) -> Result<u64, PlatformError> {
+    let changes: EventList = platform.watch(CONFIG_PREFIX, since, WATCH_WAIT).await?;
+    for change in &changes.events {
+        match &change.value {
+            Some(value) => report_edition(events, &change.key, value),
+            None => log::warn!("{} was deleted in the platform; the version in force stays", change.key),
+        }
+    }
+    Ok(changes.revision)
+}
+
+fn report_edition(events: &UnboundedSender<ControlEvent>, key: &str, value: &str) {
+    match serde_json::from_str::<ConfigEdition>(value) {
+        Ok(edition) if key.strip_prefix(CONFIG_PREFIX) == Some(edition.service.as_str()) => {
+            let _ = events.send(ControlEvent::Edition(Box::new(edition)));
+        }
+        Ok(edition) => log::error!("object {key} names service {}; it is ignored", edition.service),
+        Err(error) => log::error!("object {key} is malformed and ignored: {error}"),
+    }
+}
+
+fn parse_vm(key: &str, value: &str) -> Option<VmRecord> {
+    let parsed = serde_json::from_str(value);
+    parsed.inspect_err(|error| log::error!("object {key} is malformed and ignored: {error}")).ok()
+}
+
+/// A pause of 80 % to 120 %, so that entry VMs do not call together.
+fn jittered(pause: Duration) -> Duration {
+    pause.mul_f64(rand::rng().random_range(0.8..1.2))
+}
--- /dev/null
+++ b/crates/node/src/gate.rs
@@ -0,0 +1,288 @@
+//! A service's dispatcher behind a lock, and the channels of its requests.
+//!
+//! The lock is held for one pass of the dispatcher, never across an await. Each request has a
+//! [`GatePass`]: dropping it withdraws a waiting request. Each attempt has an [`AttemptSlot`]:
+//! dropping it releases the slot, however the attempt ended.
+
+use crate::metrics::{MetricSet, RankCounters};
+use sniperelay_core::dispatch::{
+    AnswerNote, AnswerVerdict, AttemptFailure, DispatchAction, DispatchSettings, FailureVerdict, NewRequest,
+    ServiceDispatcher,
+};
+use sniperelay_core::document::ServiceDocument;
+use sniperelay_core::ids::{IncarnationId, RankId, RequestId, ServiceName, TargetKey};
+use sniperelay_core::reason::{RefusalReason, RetryReason};
+use sniperelay_core::target::{LoadReport, TargetSpec};
+use sniperelay_wire::PeerMessage;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+
+/// Ticks between two passes over an idle dispatcher.
+const IDLE_TICKS: u64 = 10;
+
+/// A message for another entry VM.
+pub type PeerOutgoing = (IncarnationId, PeerMessage);
+
+/// What the dispatcher tells a request.
+#[derive(Debug)]
+pub enum GateSignal {
+    /// Send an attempt.
+    Start {
+        /// Slot of the attempt.
+        slot: AttemptSlot,
+        /// Where to.
+        address: SocketAddr,
+        /// Why it is not the first.
+        retry: Option<RetryReason>,
+    },
+    /// Answer with a refusal.
+    Refuse {
+        /// Why.
+        reason: RefusalReason,
+        /// When to come back.
+        retry_after: Duration,
+    },
+    /// Cancel the attempt at this target.
+    Abandon {
+        /// The target.
+        target: TargetKey,
+    },
+}
+
+#[derive(Debug)]
+struct GateInner {
+    dispatcher: ServiceDispatcher,
+    signals: HashMap<RequestId, UnboundedSender<GateSignal>>,
+    /// Scratch memory for the actions of one pass.
+    actions: Vec<DispatchAction>,
+}
+
+/// Entrance to the targets of one service.
+#[derive(Debug)]
+pub struct ServiceGate {
+    service: ServiceName,
+    inner: Mutex<GateInner>,
+    next_request: AtomicU64,
+    peers: UnboundedSender<PeerOutgoing>,
+    own_incarnation: IncarnationId,
+}
+
+impl ServiceGate {
+    /// A gate without targets.
+    pub fn new(
+        document: Arc<ServiceDocument>,
+        settings: DispatchSettings,
+        own_incarnation: IncarnationId,
+        peers: UnboundedSender<PeerOutgoing>,
+    ) -> Arc<Self> {
+        let service = document.name.clone();
+        let dispatcher = ServiceDispatcher::new(document, settings);
+        let inner = Mutex::new(GateInner { dispatcher, signals: HashMap::new(), actions: Vec::new() });
+        Arc::new(Self { service, inner, next_request: AtomicU64::new(1), peers, own_incarnation })
+    }
+
+    /// Asks for admission of a request; signals follow through the pass.
+    pub fn admit(
+        self: &Arc<Self>,
+        rank: RankId,
+        deadline: Instant,
+        is_idempotent: bool,
+        is_retried: bool,
+    ) -> GatePass {
+        let request = self.next_request.fetch_add(1, Ordering::Relaxed);
+        let (sender, signals) = unbounded_channel();
+        let new_request = NewRequest { request, rank, deadline, is_idempotent, is_retried };
+        let mut inner = self.lock();
+        inner.signals.insert(request, sender);
+        self.run_locked(inner, |dispatcher, now, actions| dispatcher.submit(new_request, now, actions));
+        GatePass { gate: self.clone(), request, signals }
+    }
+
+    /// Runs one pass of the dispatcher and carries out its actions.
+    pub fn run<R>(
+        self: &Arc<Self>,
+        pass: impl FnOnce(&mut ServiceDispatcher, Instant, &mut Vec<DispatchAction>) -> R,
+    ) -> R {
+        self.run_locked(self.lock(), pass)
+    }
+
+    /// Reads from the dispatcher.
+    pub fn read<R>(&self, view: impl FnOnce(&ServiceDispatcher) -> R) -> R {
+        view(&self.lock().dispatcher)
+    }
+
+    /// Runs the periodic pass; an idle dispatcher is looked at in every tenth tick only.
+    pub fn upkeep(self: &Arc<Self>, tick: u64) {
+        let is_due = tick.is_multiple_of(IDLE_TICKS) || !self.read(ServiceDispatcher::is_idle);
+        if is_due {
+            self.run(|dispatcher, now, actions| dispatcher.tick(now, actions));
+        }
+    }
+
+    /// Replaces targets and lenders.
+    pub fn replace_targets(self: &Arc<Self>, specs: &[TargetSpec], lenders: &[IncarnationId]) {
+        self.run(|dispatcher, now, actions| {
+            dispatcher.replace_lenders(lenders);
+            dispatcher.replace_targets(specs, now, actions);
+        });
+    }
+
+    fn lock(&self) -> MutexGuard<'_, GateInner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn run_locked<R>(
+        self: &Arc<Self>,
+        mut guard: MutexGuard<'_, GateInner>,
+        pass: impl FnOnce(&mut ServiceDispatcher, Instant, &mut Vec<DispatchAction>) -> R,
+    ) -> R {
+        let inner = &mut *guard;
+        let result = pass(&mut inner.dispatcher, Instant::now(), &mut inner.actions);
+        let mut undelivered = Vec::new();
+        for action in inner.actions.drain(..) {
+            self.deliver(&inner.signals, action, &mut undelivered);
+        }
+        // A slot whose request is gone is released on drop, which takes the lock again.
+        drop(guard);
+        drop(undelivered);
+        result
+    }
+
+    fn deliver(
+        self: &Arc<Self>,
+        signals: &HashMap<RequestId, UnboundedSender<GateSignal>>,
+        action: DispatchAction,
+        undelivered: &mut Vec<GateSignal>,
+    ) {
+        let (request, signal) = match action {
+            DispatchAction::Start { request, target, address, retry } => {
+                let slot = AttemptSlot { gate: self.clone(), request, target, address, is_open: true };
+                (request, GateSignal::Start { slot, address, retry })
+            }
+            DispatchAction::Refuse { request, reason, retry_after } => {
+                (request, GateSignal::Refuse { reason, retry_after })
+            }
+            DispatchAction::Abandon { request, target } => (request, GateSignal::Abandon { target }),
+            DispatchAction::AskSlots { peer, count } => {
+                let sender = self.own_incarnation;
+                self.send_peer(peer, PeerMessage::SlotAsk { sender, service: self.service.clone(), count });
+                return;
+            }
+            DispatchAction::ReturnSlot { peer, address } => {
+                self.send_peer(
+                    peer,
+                    PeerMessage::SlotReturn { service: self.service.clone(), target: address },
+                );
+                return;
+            }
+        };
+        match signals.get(&request) {
+            Some(sender) => {
+                if let Err(rejected) = sender.send(signal) {
+                    undelivered.push(rejected.0);
+                }
+            }
+            None => undelivered.push(signal),
+        }
+    }
+
+    fn send_peer(&self, peer: IncarnationId, message: PeerMessage) {
+        // The control thread ends last; a closed channel means that the process stops.
+        let _ = self.peers.send((peer, message));
+    }
+}
+
+/// A request's place in the gate.
+#[derive(Debug)]
+pub struct GatePass {
+    gate: Arc<ServiceGate>,
+    request: RequestId,
+    signals: UnboundedReceiver<GateSignal>,
+}
+
+impl GatePass {
+    /// The next signal.
+    pub async fn next_signal(&mut self) -> Option<GateSignal> {
+        self.signals.recv().await
+    }
+}
+
+impl Drop for GatePass {
+    fn drop(&mut self) {
+        let mut inner = self.gate.lock();
+        inner.signals.remove(&self.request);
+        inner.dispatcher.cancel_waiting(self.request);
+    }
+}
+
+/// The slot of one attempt.
+#[derive(Debug)]
+pub struct AttemptSlot {
+    gate: Arc<ServiceGate>,
+    request: RequestId,
+    target: TargetKey,
+    address: SocketAddr,
+    is_open: bool,
+}
+
+impl AttemptSlot {
+    /// The target.
+    pub fn target(&self) -> TargetKey {
+        self.target
+    }
+
+    /// Address of the target.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Accounts for the beginning of an answer.
+    pub fn record_answer(&self, report: Option<LoadReport>, is_error: bool) -> AnswerVerdict {
+        let note = AnswerNote { report, is_error };
+        self.gate.run(|dispatcher, now, actions| {
+            dispatcher.attempt_answered(self.request, self.target, note, now, actions)
+        })
+    }
+
+    /// Ends the attempt as failed.
+    pub fn fail(mut self, failure: AttemptFailure) -> FailureVerdict {
+        self.is_open = false;
+        self.gate.run(|dispatcher, now, actions| {
+            dispatcher.attempt_failed(self.request, self.target, failure, now, actions)
+        })
+    }
+}
+
+impl Drop for AttemptSlot {
+    fn drop(&mut self) {
+        if self.is_open {
+            self.gate.run(|dispatcher, now, actions| {
+                dispatcher.attempt_ended(self.request, self.target, now, actions);
+            });
+        }
+    }
+}
+
+/// A service as traffic threads see it.
+#[derive(Debug)]
+pub struct ServiceEntry {
+    /// Its document in force.
+    pub document: Arc<ServiceDocument>,
+    /// Entrance to its targets.
+    pub gate: Arc<ServiceGate>,
+    /// Counters by rank.
+    pub counters: Vec<Arc<RankCounters>>,
+}
+
+impl ServiceEntry {
+    /// An entry whose counters belong to `metrics`.
+    pub fn new(document: Arc<ServiceDocument>, gate: Arc<ServiceGate>, metrics: &MetricSet) -> Self {
+        let ranks = document.ranks.iter();
+        let counters = ranks.map(|rank| metrics.rank(&document.name, &rank.name)).collect();
+        Self { document, gate, counters }
+    }
+}
--- /dev/null
+++ b/crates/node/src/metrics.rs
@@ -0,0 +1,242 @@
+//! Counters and histograms, exported by `opentelemetry` in the Prometheus text format.
+//!
+//! Hot-path counters are atomics indexed by reason enums, so that no reason can lack a counter;
+//! observable instruments read them when the metrics are scraped.
+
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Histogram, Meter, MeterProvider};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Encoder, Registry, TextEncoder};
+use sniperelay_core::reason::{RefusalReason, RetryReason};
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, PoisonError, RwLock};
+use std::time::Duration;
+
+/// Bounds of the latency histograms, in seconds.
+const LATENCY_BOUNDS: &[f64] = &[
+    0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.035, 0.05, 0.075, 0.1, 0.15, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0,
+    10.0,
+];
+
+/// Counters of one rank of one service.
+#[derive(Debug)]
+pub struct RankCounters {
+    /// Answers passed on within the latency target.
+    pub on_time: AtomicU64,
+    /// Answers passed on later.
+    pub late: AtomicU64,
+    /// Refusals by reason, indexed by [`RefusalReason::index`].
+    pub refusals: Vec<AtomicU64>,
+    /// Retries by reason, indexed by [`RetryReason::index`].
+    pub retries: Vec<AtomicU64>,
+    latency: Histogram<f64>,
+    labels: Vec<KeyValue>,
+}
+
+impl RankCounters {
+    /// Counts an answer that was passed on.
+    pub fn count_answer(&self, latency: Duration, is_on_time: bool) {
+        let counter = if is_on_time { &self.on_time } else { &self.late };
+        counter.fetch_add(1, Ordering::Relaxed);
+        self.latency.record(latency.as_secs_f64(), &self.labels);
+    }
+
+    /// Counts a refusal.
+    pub fn count_refusal(&self, reason: RefusalReason) {
+        self.refusals[reason.index()].fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Counts a further attempt.
+    pub fn count_retry(&self, reason: RetryReason) {
+        self.retries[reason.index()].fetch_add(1, Ordering::Relaxed);
+    }
+}
+
+/// Counters of the process that belong to no service.
+#[derive(Debug, Default)]
+pub struct ProcessCounters {
+    /// Lookups answered.
+    pub lookups: AtomicU64,
+    /// Probes sent.
+    pub probe_calls: AtomicU64,
+    /// Bytes of probes and their answers.
+    pub probe_bytes: AtomicU64,
+    /// Messages sent to other entry VMs.
+    pub peer_messages_sent: AtomicU64,
+    /// Bytes of these messages before QUIC framing.
+    pub peer_bytes_sent: AtomicU64,
+    /// Messages received from other entry VMs.
+    pub peer_messages_received: AtomicU64,
+    /// Bytes of these messages.
+    pub peer_bytes_received: AtomicU64,
+    /// Messages between entry VMs that could not be sent or decoded.
+    pub peer_messages_lost: AtomicU64,
+    /// Peers refused for their certificate.
+    pub peers_refused: AtomicU64,
+    /// Processor time of the control thread, in microseconds.
+    pub control_cpu_micros: AtomicU64,
+    /// Documents refused because they do not pass the verifier.
+    pub documents_refused: AtomicU64,
+    /// Calls to the platform.
+    pub platform_calls: AtomicU64,
+    /// Calls to the platform that failed.
+    pub platform_failures: AtomicU64,
+}
+
+impl ProcessCounters {
+    fn named(&self) -> [(&'static str, &AtomicU64); 13] {
+        [
+            ("lookups", &self.lookups),
+            ("probe_calls", &self.probe_calls),
+            ("probe_bytes", &self.probe_bytes),
+            ("peer_messages_sent", &self.peer_messages_sent),
+            ("peer_bytes_sent", &self.peer_bytes_sent),
+            ("peer_messages_received", &self.peer_messages_received),
+            ("peer_bytes_received", &self.peer_bytes_received),
+            ("peer_messages_lost", &self.peer_messages_lost),
+            ("peers_refused", &self.peers_refused),
+            ("control_cpu_micros", &self.control_cpu_micros),
+            ("documents_refused", &self.documents_refused),
+            ("platform_calls", &self.platform_calls),
+            ("platform_failures", &self.platform_failures),
+        ]
+    }
+}
+
+type RankTable = BTreeMap<(String, String), Arc<RankCounters>>;
+
+/// All metrics of one entry VM.
+pub struct MetricSet {
+    registry: Registry,
+    _provider: SdkMeterProvider,
+    latency: Histogram<f64>,
+    ranks: Arc<RwLock<RankTable>>,
+    process: Arc<ProcessCounters>,
+}
+
+impl std::fmt::Debug for MetricSet {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("MetricSet").finish_non_exhaustive()
+    }
+}
+
+impl MetricSet {
+    /// Metrics with a registry of their own.
+    ///
+    /// # Errors
+    ///
+    /// When the exporter cannot be registered.
+    pub fn new() -> anyhow::Result<Self> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter().with_registry(registry.clone()).build()?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("sniperelay");
+        let latency = meter
+            .f64_histogram("sniperelay_answer_latency_seconds")
+            .with_description("Time from a request's arrival to the beginning of its answer")
+            .with_boundaries(LATENCY_BOUNDS.to_vec())
+            .build();
+        let ranks = Arc::new(RwLock::new(RankTable::new()));
+        let process = Arc::new(ProcessCounters::default());
+        register_rank_counters(&meter, &ranks);
+        register_process_counters(&meter, &process);
+        Ok(Self { registry, _provider: provider, latency, ranks, process })
+    }
+
+    /// Counters of the process.
+    pub fn process(&self) -> &Arc<ProcessCounters> {
+        &self.process
+    }
+
+    /// Counters of one rank, made on first use.
+    pub fn rank(&self, service: &str, rank: &str) -> Arc<RankCounters> {
+        let key = (service.to_owned(), rank.to_owned());
+        let mut ranks = self.ranks.write().unwrap_or_else(PoisonError::into_inner);
+        ranks.entry(key).or_insert_with(|| Arc::new(self.make_rank(service, rank))).clone()
+    }
+
+    /// Counters of all ranks by service and rank name.
+    pub fn all_ranks(&self) -> Vec<((String, String), Arc<RankCounters>)> {
+        let ranks = self.ranks.read().unwrap_or_else(PoisonError::into_inner);
+        ranks.iter().map(|(key, counters)| (key.clone(), counters.clone())).collect()
+    }
+
+    /// All metrics in the Prometheus text format.
+    ///
+    /// # Errors
+    ///
+    /// When the encoder fails.
+    pub fn render(&self) -> anyhow::Result<String> {
+        let mut buffer = Vec::new();
+        TextEncoder::new().encode(&self.registry.gather(), &mut buffer)?;
+        Ok(String::from_utf8(buffer)?)
+    }
+
+    fn make_rank(&self, service: &str, rank: &str) -> RankCounters {
+        RankCounters {
+            on_time: AtomicU64::new(0),
+            late: AtomicU64::new(0),
+            refusals: RefusalReason::ALL.iter().map(|_| AtomicU64::new(0)).collect(),
+            retries: RetryReason::ALL.iter().map(|_| AtomicU64::new(0)).collect(),
+            latency: self.latency.clone(),
+            labels: rank_labels(service, rank),
+        }
+    }
+}
+
+fn rank_labels(service: &str, rank: &str) -> Vec<KeyValue> {
+    vec![KeyValue::new("service", service.to_owned()), KeyValue::new("rank", rank.to_owned())]
+}
+
+fn register_rank_counters(meter: &Meter, ranks: &Arc<RwLock<RankTable>>) {
+    let table = ranks.clone();
+    let answers = meter.u64_observable_counter("sniperelay_answers").with_callback(move |observer| {
+        for ((service, rank), counters) in table.read().unwrap_or_else(PoisonError::into_inner).iter() {
+            for (outcome, counter) in [("on-time", &counters.on_time), ("late", &counters.late)] {
+                let mut labels = rank_labels(service, rank);
+                labels.push(KeyValue::new("outcome", outcome));
+                observer.observe(counter.load(Ordering::Relaxed), &labels);
+            }
+        }
+    });
+    answers.build();
+    register_reasons(meter, "sniperelay_refusals", ranks, refusal_values);
+    register_reasons(meter, "sniperelay_retries", ranks, retry_values);
+}
+
+type ReasonValues = fn(&RankCounters) -> Vec<(&'static str, u64)>;
+
+fn refusal_values(counters: &RankCounters) -> Vec<(&'static str, u64)> {
+    let reasons = RefusalReason::ALL.iter().zip(&counters.refusals);
+    reasons.map(|(reason, counter)| (reason.as_str(), counter.load(Ordering::Relaxed))).collect()
+}
+
+fn retry_values(counters: &RankCounters) -> Vec<(&'static str, u64)> {
+    let reasons = RetryReason::ALL.iter().zip(&counters.retries);
+    reasons.map(|(reason, counter)| (reason.as_str(), counter.load(Ordering::Relaxed))).collect()
+}
+
+fn register_reasons(meter: &Meter, name: &'static str, ranks: &Arc<RwLock<RankTable>>, values: ReasonValues) {
+    let table = ranks.clone();
+    let counter = meter.u64_observable_counter(name).with_callback(move |observer| {
+        for ((service, rank), counters) in table.read().unwrap_or_else(PoisonError::into_inner).iter() {
+            for (reason, value) in values(counters) {
+                let mut labels = rank_labels(service, rank);
+                labels.push(KeyValue::new("reason", reason));
+                observer.observe(value, &labels);
+            }
+        }
+    });
+    counter.build();
+}
+
+fn register_process_counters(meter: &Meter, process: &Arc<ProcessCounters>) {
+    let counters = process.clone();
+    let counter = meter.u64_observable_counter("sniperelay_process").with_callback(move |observer| {
+        for (name, counter) in counters.named() {
+            observer.observe(counter.load(Ordering::Relaxed), &[KeyValue::new("name", name)]);
+        }
+    });
+    counter.build();
+}
--- /dev/null
+++ b/crates/node/src/operator/config.rs
@@ -0,0 +1,151 @@
+//! Reading and editing documents.
+
+use crate::control::ControlEvent;
+use crate::control::editing::{CONFIG_PREFIX, run_edit};
+use crate::operator::{OperatorDesk, make_error};
+use crate::traffic::answer::make_json;
+use crate::traffic::body::AnswerBody;
+use http::request::Parts;
+use http::{Response, StatusCode};
+use serde::{Deserialize, Serialize};
+use sniperelay_config::parse_document;
+use sniperelay_config::settings::ADMIN_TEAM;
+use sniperelay_core::edit::{EditRequest, EditResult};
+use sniperelay_core::edition::{ConfigEdition, EditMark};
+use sniperelay_platform::{PlatformApi, PlatformError};
+
+/// Answer to a read or an edit of a document.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConfigAnswer {
+    /// `stored`, `accepted`, `superseded`, `conflict` or `open`.
+    pub result: String,
+    /// What it means, and what to do.
+    pub message: String,
+    /// The latest edit known, if there is one.
+    pub latest: Option<EditMark>,
+    /// Its text.
+    pub text: Option<String>,
+}
+
+/// Answers `GET /config/SERVICE` from the platform.
+pub async fn answer_get(desk: &OperatorDesk, service: &str) -> Response<AnswerBody> {
+    match desk.platform.get(&format!("{CONFIG_PREFIX}{service}")).await {
+        Ok(Some(object)) => match serde_json::from_str::<ConfigEdition>(&object.value) {
+            Ok(edition) => {
+                make_json(StatusCode::OK, &describe("stored", "as stored in the platform", Some(edition)))
+            }
+            Err(error) => {
+                make_error(StatusCode::BAD_GATEWAY, &format!("the stored object is malformed: {error}"))
+            }
+        },
+        Ok(None) => make_error(StatusCode::NOT_FOUND, &format!("there is no document for service {service}")),
+        Err(error) => make_error(StatusCode::SERVICE_UNAVAILABLE, &format!("{error}; try again")),
+    }
+}
+
+/// Answers `PUT /config/SERVICE?base=GENERATION` with the INI text as body.
+pub async fn answer_put(
+    desk: &OperatorDesk,
+    team: &str,
+    service: &str,
+    parts: &Parts,
+    text: String,
+) -> Response<AnswerBody> {
+    let Some(base) = read_base(parts) else {
+        return make_error(
+            StatusCode::BAD_REQUEST,
+            "say from which version you edited: ?base=GENERATION, 0 if new",
+        );
+    };
+    let document = match parse_document(service, &text) {
+        Ok(document) => document,
+        Err(findings) => return make_error(StatusCode::UNPROCESSABLE_ENTITY, &findings.to_string()),
+    };
+    if document.name != service {
+        let message = format!("the document names service {}, not {service}", document.name);
+        return make_error(StatusCode::UNPROCESSABLE_ENTITY, &message);
+    }
+    if let Err(owner) = check_owner(desk, team, service, &document.team).await {
+        let message = format!("the document belongs to team {owner}; team {team} may not edit it");
+        return make_error(StatusCode::FORBIDDEN, &message);
+    }
+    let request = EditRequest {
+        service: service.to_owned(),
+        edit_id: rand::random(),
+        author: team.to_owned(),
+        unix_millis: 0,
+        text,
+        base,
+        in_force: current_generation(desk, service),
+    };
+    answer_result(desk, run_edit(&*desk.platform, request).await)
+}
+
+fn read_base(parts: &Parts) -> Option<u64> {
+    let query = parts.uri.query()?;
+    let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    pairs.filter(|(key, _)| *key == "base").find_map(|(_, value)| value.parse().ok())
+}
+
+/// A team may edit a document whose present and new owner it is.
+///
+/// The present owner is read from the platform, since the version in force here may be older.
+async fn check_owner(desk: &OperatorDesk, team: &str, service: &str, new_owner: &str) -> Result<(), String> {
+    if team == ADMIN_TEAM {
+        return Ok(());
+    }
+    if team != new_owner {
+        return Err(new_owner.to_owned());
+    }
+    let present = present_owner(desk, service).await;
+    present.filter(|owner| owner != team).map_or(Ok(()), Err)
+}
+
+async fn present_owner(desk: &OperatorDesk, service: &str) -> Option<String> {
+    let in_force = desk.shared.services.load().get(service).map(|entry| entry.document.team.clone());
+    let stored: Result<_, PlatformError> = desk.platform.get(&format!("{CONFIG_PREFIX}{service}")).await;
+    let edition =
+        stored.ok().flatten().and_then(|object| serde_json::from_str::<ConfigEdition>(&object.value).ok());
+    let stored_owner = edition.and_then(|edition| parse_document(service, &edition.text).ok());
+    stored_owner.map(|document| document.team).or(in_force)
+}
+
+fn current_generation(desk: &OperatorDesk, service: &str) -> u64 {
+    let status = desk.shared.status.load();
+    status["services"][service]["generation"].as_u64().unwrap_or(0)
+}
+
+fn answer_result(desk: &OperatorDesk, result: EditResult) -> Response<AnswerBody> {
+    match result {
+        EditResult::Accepted(edition) => {
+            let _ = desk.events.send(ControlEvent::Edition(Box::new(edition.clone())));
+            make_json(
+                StatusCode::OK,
+                &describe("accepted", "in force everywhere within seconds", Some(edition)),
+            )
+        }
+        EditResult::Superseded(edition) => {
+            let message = "your edit took effect and a later one has replaced it";
+            make_json(StatusCode::OK, &describe("superseded", message, Some(edition)))
+        }
+        EditResult::Conflict(edition) => {
+            let message =
+                "another edit came first and nothing was written; start again from the latest version";
+            make_json(StatusCode::CONFLICT, &describe("conflict", message, edition.map(|edition| *edition)))
+        }
+        EditResult::NotTried => make_error(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "the platform does not answer and nothing was written; try again later",
+        ),
+        EditResult::Open => {
+            let message =
+                "the platform did not answer: the edit may have taken effect; read the document again";
+            make_json(StatusCode::GATEWAY_TIMEOUT, &describe("open", message, None))
+        }
+    }
+}
+
+fn describe(result: &str, message: &str, edition: Option<ConfigEdition>) -> ConfigAnswer {
+    let (latest, text) = edition.map(|edition| (edition.mark, edition.text)).unzip();
+    ConfigAnswer { result: result.to_owned(), message: message.to_owned(), latest, text }
+}
--- /dev/null
+++ b/crates/node/src/peer/link.rs
@@ -0,0 +1,264 @@
+//! Connections to other entry VMs, and sending and receiving of messages.
+//!
+//! Small messages go as datagrams, larger ones each on a stream of their own. A connection serves
+//! both directions and is made on demand; while it is being made, a few messages wait for it.
+
+use crate::metrics::ProcessCounters;
+use crate::peer::tls::{PEER_NAME, PeerConfigs};
+use anyhow::{Context, Result};
+use quinn::{Connection, Endpoint};
+use sniperelay_wire::{MAX_MESSAGE_BYTES, PeerMessage, decode, encode};
+use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use tokio::sync::mpsc::Sender;
+
+/// Messages that wait for one connection.
+const MAX_WAITING: usize = 64;
+/// Messages up to this size go as datagrams.
+const DATAGRAM_BYTES: usize = 1100;
+
+#[derive(Debug)]
+enum LinkState {
+    Connecting(Vec<Vec<u8>>),
+    Open(Connection),
+}
+
+#[derive(Debug, Default)]
+struct LinkTable {
+    links: HashMap<SocketAddr, LinkState>,
+    /// Addresses to which nothing is sent and from which nothing is taken; for fault tests.
+    blocked: HashSet<SocketAddr>,
+}
+
+/// Sends messages to other entry VMs and passes on those received.
+#[derive(Debug, Clone)]
+pub struct PeerLink {
+    endpoint: Endpoint,
+    table: Arc<Mutex<LinkTable>>,
+    inbox: Sender<PeerMessage>,
+    counters: Arc<ProcessCounters>,
+}
+
+impl PeerLink {
+    /// Binds the address and starts to accept peers on the current runtime.
+    ///
+    /// # Errors
+    ///
+    /// When the address cannot be bound.
+    pub fn bind(
+        address: SocketAddr,
+        configs: PeerConfigs,
+        inbox: Sender<PeerMessage>,
+        counters: Arc<ProcessCounters>,
+    ) -> Result<Self> {
+        let mut endpoint = Endpoint::server(configs.server, address)
+            .with_context(|| format!("cannot bind UDP {address}"))?;
+        endpoint.set_default_client_config(configs.client);
+        let link = Self { endpoint, table: Arc::default(), inbox, counters };
+        tokio::spawn(link.clone().accept_peers());
+        Ok(link)
+    }
+
+    /// The bound address.
+    ///
+    /// # Errors
+    ///
+    /// When the socket is gone.
+    pub fn local_address(&self) -> Result<SocketAddr> {
+        Ok(self.endpoint.local_addr()?)
+    }
+
+    /// Uses other certificates for new connections.
+    pub fn replace_configs(&mut self, configs: PeerConfigs) {
+        self.endpoint.set_server_config(Some(configs.server));
+        self.endpoint.set_default_client_config(configs.client);
+    }
+
+    /// Cuts the links to these addresses, and no others.
+    pub fn block(&self, addresses: HashSet<SocketAddr>) {
+        self.lock().blocked = addresses;
+    }
+
+    /// Sends a message; a failure is counted and otherwise ignored.
+    pub fn send(&self, address: SocketAddr, message: &PeerMessage) {
+        match encode(message) {
+            Ok(bytes) => self.send_bytes(address, bytes),
+            Err(error) => {
+                log::error!("cannot encode a message: {error}");
+                self.count(&self.counters.peer_messages_lost, 1);
+            }
+        }
+    }
+
+    /// Closes all connections after what was sent has had a chance to leave.
+    pub async fn close(&self) {
+        self.endpoint.close(0u32.into(), b"stopping");
+        self.endpoint.wait_idle().await;
+    }
+
+    fn send_bytes(&self, address: SocketAddr, bytes: Vec<u8>) {
+        let mut table = self.lock();
+        if table.blocked.contains(&address) {
+            return;
+        }
+        if let Some(LinkState::Open(connection)) = table.links.get(&address) {
+            if connection.close_reason().is_none() {
+                self.send_on(&connection.clone(), bytes);
+                return;
+            }
+            table.links.remove(&address);
+        }
+        match table.links.get_mut(&address) {
+            Some(LinkState::Connecting(waiting)) if waiting.len() < MAX_WAITING => waiting.push(bytes),
+            Some(_) => self.count(&self.counters.peer_messages_lost, 1),
+            None => {
+                table.links.insert(address, LinkState::Connecting(vec![bytes]));
+                tokio::spawn(self.clone().connect(address));
+            }
+        }
+    }
+
+    fn send_on(&self, connection: &Connection, bytes: Vec<u8>) {
+        self.count(&self.counters.peer_messages_sent, 1);
+        self.count(&self.counters.peer_bytes_sent, bytes.len() as u64);
+        if bytes.len() <= DATAGRAM_BYTES {
+            if connection.send_datagram(bytes.into()).is_err() {
+                self.count(&self.counters.peer_messages_lost, 1);
+            }
+            return;
+        }
+        let link = self.clone();
+        let connection = connection.clone();
+        tokio::spawn(async move {
+            if send_stream(&connection, &bytes).await.is_err() {
+                link.count(&link.counters.peer_messages_lost, 1);
+            }
+        });
+    }
+
+    async fn connect(self, address: SocketAddr) {
+        let connecting = self.endpoint.connect(address, PEER_NAME);
+        let connected = match connecting {
+            Ok(connecting) => connecting.await.map_err(anyhow::Error::from),
+            Err(error) => Err(error.into()),
+        };
+        match connected {
+            Ok(connection) => {
+                self.adopt(address, connection.clone());
+                self.receive(address, connection).await;
+            }
+            Err(error) => self.give_up(address, &error),
+        }
+    }
+
+    fn give_up(&self, address: SocketAddr, error: &anyhow::Error) {
+        log::debug!("cannot connect to peer {address}: {error}");
+        let removed = self.lock().links.remove(&address);
+        if let Some(LinkState::Connecting(waiting)) = removed {
+            self.count(&self.counters.peer_messages_lost, waiting.len() as u64);
+        }
+        if is_certificate_error(error) {
+            self.count(&self.counters.peers_refused, 1);
+        }
+    }
+
+    /// Makes `connection` the one on which messages to `address` go, and sends what waited.
+    fn adopt(&self, address: SocketAddr, connection: Connection) {
+        let previous = self.lock().links.insert(address, LinkState::Open(connection.clone()));
+        if let Some(LinkState::Connecting(waiting)) = previous {
+            waiting.into_iter().for_each(|bytes| self.send_on(&connection, bytes));
+        }
+    }
+
+    async fn accept_peers(self) {
+        while let Some(incoming) = self.endpoint.accept().await {
+            let link = self.clone();
+            tokio::spawn(async move {
+                let address = incoming.remote_address();
+                match incoming.await {
+                    Ok(connection) => {
+                        link.adopt(address, connection.clone());
+                        link.receive(address, connection).await;
+                    }
+                    Err(error) => {
+                        log::warn!("refused peer {address}: {error}");
+                        link.count(&link.counters.peers_refused, 1);
+                    }
+                }
+            });
+        }
+    }
+
+    async fn receive(&self, address: SocketAddr, connection: Connection) {
+        loop {
+            let bytes = tokio::select! {
+                datagram = connection.read_datagram() => datagram.map(|bytes| bytes.to_vec()),
+                stream = connection.accept_uni() => match stream {
+                    Ok(stream) => {
+                        tokio::spawn(self.clone().receive_stream(address, stream));
+                        continue;
+                    }
+                    Err(error) => Err(error),
+                },
+            };
+            match bytes {
+                Ok(bytes) => self.take_in(address, &bytes),
+                Err(_) => return,
+            }
+        }
+    }
+
+    async fn receive_stream(self, address: SocketAddr, mut stream: quinn::RecvStream) {
+        match stream.read_to_end(MAX_MESSAGE_BYTES).await {
+            Ok(bytes) => self.take_in(address, &bytes),
+            Err(_) => self.count(&self.counters.peer_messages_lost, 1),
+        }
+    }
+
+    fn take_in(&self, address: SocketAddr, bytes: &[u8]) {
+        if self.lock().blocked.contains(&address) {
+            return;
+        }
+        self.count(&self.counters.peer_messages_received, 1);
+        self.count(&self.counters.peer_bytes_received, bytes.len() as u64);
+        match decode(bytes) {
+            Ok(message) => {
+                if self.inbox.try_send(message).is_err() {
+                    self.count(&self.counters.peer_messages_lost, 1);
+                }
+            }
+            Err(error) => {
+                log::warn!("refused a message from {address}: {error}");
+                self.count(&self.counters.peer_messages_lost, 1);
+            }
+        }
+    }
+
+    fn count(&self, counter: &AtomicU64, amount: u64) {
+        counter.fetch_add(amount, Ordering::Relaxed);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, LinkTable> {
+        self.table.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+async fn send_stream(connection: &Connection, bytes: &[u8]) -> Result<()> {
+    let mut stream = connection.open_uni().await?;
+    stream.write_all(bytes).await?;
+    stream.finish()?;
+    stream.stopped().await?;
+    Ok(())
+}
+
+/// TLS alerts reach QUIC as crypto errors, codes 0x100 to 0x1ff (RFC 9001, section 4.8).
+fn is_certificate_error(error: &anyhow::Error) -> bool {
+    let is_crypto = |code: quinn::TransportErrorCode| (0x100..0x200).contains(&u64::from(code));
+    match error.downcast_ref::<quinn::ConnectionError>() {
+        Some(quinn::ConnectionError::TransportError(error)) => is_crypto(error.code),
+        Some(quinn::ConnectionError::ConnectionClosed(close)) => is_crypto(close.error_code),
+        _ => false,
+    }
+}
--- /dev/null
+++ b/crates/node/src/traffic/answer.rs
@@ -0,0 +1,103 @@
+//! Answers that the system makes itself: each carries its outcome and its reason.
+
+use crate::traffic::body::{AnswerBody, full_body};
+use crate::traffic::headers;
+use http::{HeaderValue, Response, StatusCode, header};
+use serde::Serialize;
+use sniperelay_core::reason::{Outcome, RefusalReason};
+use std::time::Duration;
+
+/// Why a request gets no answer of a target.
+#[derive(Debug, Clone)]
+pub struct Refusal {
+    /// Reason.
+    pub reason: RefusalReason,
+    /// What is known of the request.
+    pub outcome: Outcome,
+    /// When the caller may come back, for refusals that pass.
+    pub retry_after: Option<Duration>,
+    /// Status of the answer that was lost, for a finished duplicate.
+    pub earlier_status: Option<u16>,
+}
+
+impl Refusal {
+    /// A refusal of a request that was not run.
+    pub fn not_run(reason: RefusalReason) -> Self {
+        Self { reason, outcome: Outcome::NotRun, retry_after: None, earlier_status: None }
+    }
+
+    /// A refusal of a request that may have run.
+    pub fn unknown(reason: RefusalReason) -> Self {
+        Self { outcome: Outcome::Unknown, ..Self::not_run(reason) }
+    }
+
+    /// Adds when to come back.
+    pub fn with_retry_after(mut self, retry_after: Duration) -> Self {
+        self.retry_after = Some(retry_after);
+        self
+    }
+}
+
+#[derive(Serialize)]
+struct RefusalText<'a> {
+    outcome: &'a str,
+    reason: &'a str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    earlier_status: Option<u16>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    retry_after_ms: Option<u64>,
+}
+
+/// The HTTP answer of a refusal.
+pub fn make_refusal(refusal: &Refusal) -> Response<AnswerBody> {
+    let retry_after_ms = refusal.retry_after.map(|pause| pause.as_millis() as u64);
+    let text = RefusalText {
+        outcome: refusal.outcome.as_str(),
+        reason: refusal.reason.as_str(),
+        earlier_status: refusal.earlier_status,
+        retry_after_ms,
+    };
+    let mut answer = make_json(status_of(refusal.reason), &text);
+    let fields = answer.headers_mut();
+    fields.insert(headers::OUTCOME, HeaderValue::from_static(refusal.outcome.as_str()));
+    fields.insert(headers::REASON, HeaderValue::from_static(refusal.reason.as_str()));
+    if let Some(millis) = retry_after_ms {
+        headers::set_number(fields, headers::RETRY_AFTER_MS, millis);
+        headers::set_number(fields, header::RETRY_AFTER, millis.div_ceil(1000));
+    }
+    answer
+}
+
+/// A JSON answer.
+pub fn make_json(status: StatusCode, value: &impl Serialize) -> Response<AnswerBody> {
+    let text = serde_json::to_string(value).unwrap_or_default();
+    let mut answer = Response::new(full_body(text));
+    *answer.status_mut() = status;
+    answer.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    answer
+}
+
+fn status_of(reason: RefusalReason) -> StatusCode {
+    use RefusalReason as Reason;
+    match reason {
+        Reason::UnknownService | Reason::UnknownRank => StatusCode::NOT_FOUND,
+        Reason::BadRequest | Reason::KeyInvalid => StatusCode::BAD_REQUEST,
+        Reason::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+        Reason::SlowCaller | Reason::CallerGone => StatusCode::REQUEST_TIMEOUT,
+        Reason::KeyMissing => StatusCode::PRECONDITION_REQUIRED,
+        Reason::KeyExpired | Reason::KeyElsewhere | Reason::DuplicateInFlight | Reason::DuplicateFinished => {
+            StatusCode::CONFLICT
+        }
+        Reason::ConnectionLost => StatusCode::BAD_GATEWAY,
+        Reason::TargetTimeout => StatusCode::GATEWAY_TIMEOUT,
+        Reason::ClaimTableFull
+        | Reason::DeadlineUnreachable
+        | Reason::DeadlinePassed
+        | Reason::QueueFull
+        | Reason::NoTarget
+        | Reason::TargetRefused
+        | Reason::ConnectFailed
+        | Reason::Stopping
+        | Reason::ConnectionLimit => StatusCode::SERVICE_UNAVAILABLE,
+    }
+}
--- /dev/null
+++ b/crates/node/src/traffic/body.rs
@@ -0,0 +1,227 @@
+//! Request and answer bodies.
+//!
+//! An answer body that breaks off must reach the caller as a broken body: errors are passed on, so
+//! that the server side closes the connection without a clean end. The slot of an attempt is held
+//! until its answer body has ended, or until it is given up.
+
+use crate::gate::AttemptSlot;
+use crate::traffic::pool::PooledConnection;
+use bytes::Bytes;
+use http_body::{Body, Frame, SizeHint};
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Full, StreamBody};
+use hyper::body::Incoming;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use std::time::Duration;
+use tokio::sync::mpsc;
+
+/// Any error of a body.
+pub type BodyError = Box<dyn std::error::Error + Send + Sync>;
+/// Body of an answer to a caller.
+pub type AnswerBody = UnsyncBoxBody<Bytes, BodyError>;
+/// Body of a request to a target.
+pub type RequestBody = UnsyncBoxBody<Bytes, BodyError>;
+
+/// Request bodies up to this size are read whole before a slot is asked for.
+pub const BUFFER_BYTES: usize = 64 * 1024;
+/// Answer bodies known to be at most this large go straight to the caller's socket.
+const DIRECT_BYTES: u64 = 64 * 1024;
+/// Frames between target and caller of a larger answer body.
+const PUMP_FRAMES: usize = 16;
+
+/// A body with this content.
+pub fn full_body(content: impl Into<Bytes>) -> UnsyncBoxBody<Bytes, BodyError> {
+    Full::new(content.into()).map_err(|never| match never {}).boxed_unsync()
+}
+
+/// Body of an answer from a target, with the slot and the connection that it occupies.
+#[derive(Debug)]
+pub struct TargetBody {
+    incoming: Incoming,
+    occupied: Option<(Option<AttemptSlot>, PooledConnection)>,
+}
+
+impl TargetBody {
+    /// The body of an answer that was just received.
+    pub fn new(incoming: Incoming, slot: Option<AttemptSlot>, connection: PooledConnection) -> Self {
+        Self { incoming, occupied: Some((slot, connection)) }
+    }
+
+    /// Ends the attempt: the connection is kept only after a clean end.
+    fn release(&mut self, is_clean: bool) {
+        if let Some((slot, connection)) = self.occupied.take() {
+            if is_clean {
+                connection.give_back();
+            }
+            drop(slot);
+        }
+    }
+}
+
+impl Body for TargetBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        let polled = Pin::new(&mut self.incoming).poll_frame(context);
+        match &polled {
+            Poll::Ready(None) => self.release(true),
+            Poll::Ready(Some(Err(_))) => self.release(false),
+            Poll::Ready(Some(Ok(_))) if self.incoming.is_end_stream() => self.release(true),
+            _ => {}
+        }
+        polled.map(|frame| frame.map(|result| result.map_err(BodyError::from)))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.incoming.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.incoming.size_hint()
+    }
+}
+
+/// Turns a target's body into the body of the answer. Large bodies go through a bounded buffer:
+/// a caller that takes nothing for `patience` is given up, so that it cannot hold the slot.
+pub fn deliver_body(mut body: TargetBody, patience: Duration) -> AnswerBody {
+    if body.is_end_stream() {
+        body.release(true);
+    }
+    let is_small = body.size_hint().upper().is_some_and(|bytes| bytes <= DIRECT_BYTES);
+    if is_small {
+        return body.boxed_unsync();
+    }
+    let (sender, receiver) = mpsc::channel(PUMP_FRAMES);
+    let size = body.size_hint();
+    tokio::spawn(pump_body(body, sender, patience));
+    PumpedBody { receiver, size }.boxed_unsync()
+}
+
+async fn pump_body(
+    mut body: TargetBody,
+    sender: mpsc::Sender<Result<Frame<Bytes>, BodyError>>,
+    patience: Duration,
+) {
+    loop {
+        let frame = match tokio::time::timeout(patience, body.frame()).await {
+            Ok(Some(frame)) => frame,
+            Ok(None) => return,
+            Err(_) => Err("the target's answer stalled".into()),
+        };
+        let is_broken = frame.is_err();
+        let sent = tokio::time::timeout(patience, sender.send(frame)).await;
+        if is_broken || !matches!(sent, Ok(Ok(()))) {
+            return;
+        }
+    }
+}
+
+/// Receiving end of a pumped body; it ends cleanly only after the size that was announced.
+struct PumpedBody {
+    receiver: mpsc::Receiver<Result<Frame<Bytes>, BodyError>>,
+    size: SizeHint,
+}
+
+impl Body for PumpedBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        self.receiver.poll_recv(context)
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.size
+    }
+}
+
+/// Why a request body could not be read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ReadFailure {
+    /// Larger than the limit.
+    TooLarge,
+    /// The caller was too slow.
+    Slow,
+    /// The caller broke off.
+    Broken,
+}
+
+/// A request body as far as it has been read.
+#[derive(Debug)]
+pub enum InboundBody {
+    /// The whole body.
+    Whole(Bytes),
+    /// The first part of a larger body, and the rest.
+    Partial(Bytes, Incoming),
+}
+
+/// Reads up to [`BUFFER_BYTES`] of a request body within `patience`.
+///
+/// # Errors
+///
+/// Why the body cannot be passed on.
+pub async fn read_body(
+    mut incoming: Incoming,
+    limit: u64,
+    patience: Duration,
+) -> Result<InboundBody, ReadFailure> {
+    if incoming.size_hint().lower() > limit {
+        return Err(ReadFailure::TooLarge);
+    }
+    if incoming.is_end_stream() {
+        return Ok(InboundBody::Whole(Bytes::new()));
+    }
+    let buffered = tokio::time::timeout(patience, buffer_body(&mut incoming)).await;
+    let (bytes, is_whole) = buffered.map_err(|_| ReadFailure::Slow)??;
+    if bytes.len() as u64 > limit {
+        return Err(ReadFailure::TooLarge);
+    }
+    Ok(if is_whole { InboundBody::Whole(bytes) } else { InboundBody::Partial(bytes, incoming) })
+}
+
+async fn buffer_body(incoming: &mut Incoming) -> Result<(Bytes, bool), ReadFailure> {
+    let mut buffer = Vec::new();
+    while buffer.len() < BUFFER_BYTES {
+        match incoming.frame().await {
+            None => return Ok((buffer.into(), true)),
+            Some(Err(_)) => return Err(ReadFailure::Broken),
+            Some(Ok(frame)) => {
+                if let Some(data) = frame.data_ref() {
+                    buffer.extend_from_slice(data);
+                }
+            }
+        }
+    }
+    let is_whole = incoming.is_end_stream();
+    Ok((buffer.into(), is_whole))
+}
+
+/// The body of a request whose rest is still being read from the caller, within `limit` bytes and
+/// with at most `patience` between two frames.
+pub fn stream_body(head: Bytes, rest: Incoming, limit: u64, patience: Duration) -> RequestBody {
+    let remaining = limit.saturating_sub(head.len() as u64);
+    let state = (Some(head), rest, remaining);
+    let frames = futures_util::stream::unfold(state, move |(head, mut rest, remaining)| async move {
+        if let Some(head) = head {
+            return Some((Ok(Frame::data(head)), (None, rest, remaining)));
+        }
+        let frame = match tokio::time::timeout(patience, rest.frame()).await {
+            Err(_) => Err(BodyError::from("the caller sends its body too slowly")),
+            Ok(None) => return None,
+            Ok(Some(frame)) => frame.map_err(BodyError::from),
+        };
+        let size = frame.as_ref().ok().and_then(Frame::data_ref).map_or(0, Bytes::len) as u64;
+        let frame =
+            if size > remaining { Err(BodyError::from("the body is larger than the limit")) } else { frame };
+        Some((frame, (None, rest, remaining.saturating_sub(size))))
+    });
+    StreamBody::new(frames).boxed_unsync()
+}
--- /dev/null
+++ b/crates/node/src/traffic/exchange.rs
@@ -0,0 +1,374 @@
+//! Carries one request to an answer.
+//!
+//! A request that is given up gets its refusal at once, with the outcome that is known: `not-run`
+//! only while no attempt was handed to a target connection, or every target that had it said that
+//! it refused it.
+
+use crate::gate::{AttemptSlot, GatePass, GateSignal, ServiceEntry};
+use crate::shared::{HeldKey, NodeShared, TrafficNews};
+use crate::traffic::answer::{Refusal, make_refusal};
+use crate::traffic::attempt::{AttemptEnd, AttemptLimit, run_attempt};
+use crate::traffic::body::{
+    AnswerBody, InboundBody, ReadFailure, RequestBody, TargetBody, deliver_body, full_body, read_body,
+    stream_body,
+};
+use crate::traffic::claim_check::{KeyPlan, claim_key};
+use crate::traffic::headers;
+use crate::traffic::inbound::{InboundRequest, check_request};
+use crate::traffic::pool::PooledConnection;
+use futures_util::StreamExt;
+use futures_util::future::{AbortHandle, Abortable, Aborted, BoxFuture, FutureExt};
+use futures_util::stream::FuturesUnordered;
+use http::request::Parts;
+use http::{HeaderValue, Request, Response, header};
+use hyper::body::Incoming;
+use sniperelay_core::dispatch::{AnswerVerdict, AttemptFailure, FailureVerdict};
+use sniperelay_core::ids::TargetKey;
+use sniperelay_core::reason::{RefusalReason, RetryReason};
+use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+type Result<T> = std::result::Result<T, Refusal>;
+
+/// Answers one request of a caller.
+pub async fn serve_request(
+    shared: Arc<NodeShared>,
+    caller: IpAddr,
+    request: Request<Incoming>,
+) -> Response<AnswerBody> {
+    let arrived = Instant::now();
+    let (parts, incoming) = request.into_parts();
+    let result = match check_request(&shared, &parts, arrived) {
+        Err(refusal) => {
+            shared.metrics.rank("-", "-").count_refusal(refusal.reason);
+            return make_refusal(&refusal);
+        }
+        Ok(inbound) => serve_checked(&shared, caller, parts, incoming, inbound).await,
+    };
+    result.unwrap_or_else(|refusal| make_refusal(&refusal))
+}
+
+async fn serve_checked(
+    shared: &Arc<NodeShared>,
+    caller: IpAddr,
+    parts: Parts,
+    incoming: Incoming,
+    inbound: InboundRequest,
+) -> Result<Response<AnswerBody>> {
+    let counters = inbound.entry.counters[inbound.rank].clone();
+    let limits = &shared.settings.limits;
+    let body = read_body(incoming, limits.body_bytes, limits.caller_patience).await;
+    let result = match body.map_err(describe_read_failure) {
+        Ok(body) => run_request(shared, caller, parts, body, inbound).await,
+        Err(refusal) => Err(refusal),
+    };
+    result.inspect_err(|refusal| counters.count_refusal(refusal.reason))
+}
+
+fn describe_read_failure(failure: ReadFailure) -> Refusal {
+    Refusal::not_run(match failure {
+        ReadFailure::TooLarge => RefusalReason::BodyTooLarge,
+        ReadFailure::Slow => RefusalReason::SlowCaller,
+        ReadFailure::Broken => RefusalReason::CallerGone,
+    })
+}
+
+async fn run_request(
+    shared: &Arc<NodeShared>,
+    caller: IpAddr,
+    mut parts: Parts,
+    body: InboundBody,
+    inbound: InboundRequest,
+) -> Result<Response<AnswerBody>> {
+    let plan = inbound.key.as_ref().map(|key| claim_key(shared, key, inbound.is_forwarded)).transpose()?;
+    headers::prepare_request_headers(&mut parts.headers, caller);
+    let outbound = OutboundRequest { shared: shared.clone(), parts, body: Some(body) };
+    match plan {
+        None => Exchange::new(outbound, inbound, None).run().await,
+        Some(KeyPlan::PassOn(holder)) => pass_on(outbound, holder, &inbound).await,
+        Some(KeyPlan::RunHere(key)) => {
+            // Goes on when the caller leaves, so that the outcome of the key becomes known.
+            let exchange = Exchange::new(outbound, inbound, Some(Arc::new(key))).run();
+            let joined = tokio::spawn(exchange).await;
+            joined.unwrap_or_else(|_| Err(Refusal::unknown(RefusalReason::Stopping)))
+        }
+    }
+}
+
+/// Passes a request on to the entry VM that its key belongs to. Whatever goes wrong, the key may
+/// have run there earlier.
+async fn pass_on(
+    mut outbound: OutboundRequest,
+    holder: SocketAddr,
+    inbound: &InboundRequest,
+) -> Result<Response<AnswerBody>> {
+    let lost = || Refusal::unknown(RefusalReason::KeyElsewhere);
+    let service = HeaderValue::from_str(&inbound.entry.document.name).map_err(|_| lost())?;
+    outbound.parts.headers.insert(headers::SERVICE, service);
+    outbound.parts.headers.insert(headers::FORWARDED_KEY, HeaderValue::from_static("1"));
+    let request = outbound.next_request(None).ok_or_else(lost)?;
+    let pool = outbound.shared.pool.clone();
+    let limit = AttemptLimit::until(inbound.give_up);
+    let attempt = run_attempt(pool, holder, request, limit, None, None);
+    match tokio::time::timeout_at(inbound.give_up.into(), attempt).await {
+        Ok(AttemptEnd::Answered { response, connection, .. }) => {
+            let patience = outbound.shared.settings.limits.caller_patience;
+            Ok(deliver_answer(*response, TargetBodyParts { connection, slot: None }, patience))
+        }
+        _ => Err(lost()),
+    }
+}
+
+/// A request as it goes to targets.
+struct OutboundRequest {
+    shared: Arc<NodeShared>,
+    parts: Parts,
+    body: Option<InboundBody>,
+}
+
+impl OutboundRequest {
+    /// The request for the next attempt; `None` when its body is used up.
+    fn next_request(&mut self, retry: Option<RetryReason>) -> Option<Request<RequestBody>> {
+        let body = self.next_body()?;
+        let mut builder = Request::builder().method(self.parts.method.clone());
+        let path = self.parts.uri.path_and_query().map_or("/", |path| path.as_str());
+        builder = builder.uri(path);
+        let mut request = builder.body(body).ok()?;
+        *request.headers_mut() = self.parts.headers.clone();
+        if !request.headers().contains_key(header::HOST) {
+            let host = self.parts.uri.host().unwrap_or("sniperelay");
+            request.headers_mut().insert(header::HOST, HeaderValue::from_str(host).ok()?);
+        }
+        if retry.is_some() {
+            request.headers_mut().insert(headers::RETRIED, HeaderValue::from_static("1"));
+        }
+        Some(request)
+    }
+
+    fn next_body(&mut self) -> Option<RequestBody> {
+        match self.body.take()? {
+            InboundBody::Whole(bytes) => {
+                self.body = Some(InboundBody::Whole(bytes.clone()));
+                Some(full_body(bytes))
+            }
+            InboundBody::Partial(head, rest) => {
+                let limits = &self.shared.settings.limits;
+                self.parts.headers.remove(header::CONTENT_LENGTH);
+                Some(stream_body(head, rest, limits.body_bytes, limits.caller_patience))
+            }
+        }
+    }
+}
+
+type AttemptFuture = BoxFuture<'static, std::result::Result<AttemptEnd, Aborted>>;
+
+/// A request on its way through the gate.
+struct Exchange {
+    outbound: OutboundRequest,
+    entry: Arc<ServiceEntry>,
+    inbound: InboundRequest,
+    key: Option<Arc<HeldKey>>,
+    limit: AttemptLimit,
+    attempts: FuturesUnordered<AttemptFuture>,
+    handles: Vec<(TargetKey, AbortHandle)>,
+    /// Whether an attempt was handed to a target connection that did not refuse it.
+    may_have_run: bool,
+    last_failure: Option<RefusalReason>,
+}
+
+impl Exchange {
+    fn new(outbound: OutboundRequest, inbound: InboundRequest, key: Option<Arc<HeldKey>>) -> Self {
+        let limit = AttemptLimit::until(inbound.give_up);
+        let mut outbound = outbound;
+        let wall_millis = limit.wall_end.as_millis() as u64;
+        headers::set_number(&mut outbound.parts.headers, headers::DEADLINE_UNIX_MS, wall_millis);
+        Self {
+            entry: inbound.entry.clone(),
+            outbound,
+            inbound,
+            key,
+            limit,
+            attempts: FuturesUnordered::new(),
+            handles: Vec::new(),
+            may_have_run: false,
+            last_failure: None,
+        }
+    }
+
+    async fn run(mut self) -> Result<Response<AnswerBody>> {
+        let inbound = &self.inbound;
+        let gate = self.entry.gate.clone();
+        let mut pass = gate.admit(inbound.rank, inbound.deadline, inbound.is_idempotent, inbound.is_retried);
+        let timeout = tokio::time::sleep_until(inbound.give_up.into());
+        tokio::pin!(timeout);
+        loop {
+            let step = tokio::select! {
+                signal = pass.next_signal() => self.on_signal(signal),
+                Some(end) = self.attempts.next() => self.on_attempt_end(end),
+                () = &mut timeout => Some(Err(self.timeout_refusal())),
+            };
+            if let Some(result) = step {
+                return self.finish(pass, result);
+            }
+        }
+    }
+
+    fn finish(self, pass: GatePass, result: Result<Response<AnswerBody>>) -> Result<Response<AnswerBody>> {
+        if result.is_ok() {
+            let latency = self.inbound.arrived.elapsed();
+            let is_on_time = Instant::now() <= self.inbound.deadline;
+            self.entry.counters[self.inbound.rank].count_answer(latency, is_on_time);
+        }
+        drop(pass);
+        result
+    }
+
+    fn on_signal(&mut self, signal: Option<GateSignal>) -> Option<Result<Response<AnswerBody>>> {
+        match signal? {
+            GateSignal::Start { slot, address, retry } => return self.start_attempt(slot, address, retry),
+            GateSignal::Refuse { reason, retry_after } => {
+                let reason = self.last_failure.unwrap_or(reason);
+                return Some(Err(self.refusal(reason).with_retry_after(retry_after)));
+            }
+            GateSignal::Abandon { target } => {
+                let abandoned = self.handles.iter().filter(|(other, _)| *other == target);
+                abandoned.for_each(|(_, handle)| handle.abort());
+            }
+        }
+        None
+    }
+
+    fn start_attempt(
+        &mut self,
+        slot: AttemptSlot,
+        address: SocketAddr,
+        retry: Option<RetryReason>,
+    ) -> Option<Result<Response<AnswerBody>>> {
+        if let Some(reason) = retry {
+            self.entry.counters[self.inbound.rank].count_retry(reason);
+        }
+        let Some(request) = self.outbound.next_request(retry) else {
+            // A streamed body cannot be sent twice; another attempt may still answer.
+            let reason = self.last_failure.unwrap_or(RefusalReason::ConnectionLost);
+            return self.attempts.is_empty().then(|| Err(self.refusal(reason)));
+        };
+        let target = slot.target();
+        let pool = self.outbound.shared.pool.clone();
+        let attempt = run_attempt(pool, address, request, self.limit, self.key.clone(), Some(slot));
+        let (handle, registration) = AbortHandle::new_pair();
+        self.handles.push((target, handle));
+        self.attempts.push(Abortable::new(attempt, registration).boxed());
+        None
+    }
+
+    fn on_attempt_end(
+        &mut self,
+        end: std::result::Result<AttemptEnd, Aborted>,
+    ) -> Option<Result<Response<AnswerBody>>> {
+        match end {
+            Err(Aborted) => None,
+            Ok(AttemptEnd::NotSent) => Some(Err(self.refusal(RefusalReason::DeadlinePassed))),
+            Ok(AttemptEnd::Failed { failure, slot }) => self.on_failure(failure, slot?),
+            Ok(AttemptEnd::Answered { response, connection, slot }) => {
+                self.on_answer(*response, connection, slot?)
+            }
+        }
+    }
+
+    fn on_failure(
+        &mut self,
+        failure: AttemptFailure,
+        slot: AttemptSlot,
+    ) -> Option<Result<Response<AnswerBody>>> {
+        let reason = match failure {
+            AttemptFailure::Connect => RefusalReason::ConnectFailed,
+            AttemptFailure::Refused => RefusalReason::TargetRefused,
+            AttemptFailure::Lost | AttemptFailure::ServerError => RefusalReason::ConnectionLost,
+        };
+        self.may_have_run |= !failure.proves_not_run();
+        self.last_failure = Some(reason);
+        let is_final = slot.fail(failure) == FailureVerdict::Final;
+        is_final.then(|| Err(self.refusal(reason)))
+    }
+
+    fn on_answer(
+        &mut self,
+        response: Response<Incoming>,
+        connection: PooledConnection,
+        slot: AttemptSlot,
+    ) -> Option<Result<Response<AnswerBody>>> {
+        self.note_target_state(&response, slot.address());
+        self.may_have_run = true;
+        if response.status().is_server_error() && self.inbound.is_idempotent {
+            return self.on_server_error(response, connection, slot);
+        }
+        let report = headers::read_load(response.headers());
+        let is_error = response.status().is_server_error();
+        if slot.record_answer(report, is_error) == AnswerVerdict::Discard {
+            return None;
+        }
+        Some(Ok(self.deliver(response, TargetBodyParts { connection, slot: Some(slot) })))
+    }
+
+    /// A server error of an idempotent request is passed on only when no retry is allowed.
+    fn on_server_error(
+        &mut self,
+        response: Response<Incoming>,
+        connection: PooledConnection,
+        slot: AttemptSlot,
+    ) -> Option<Result<Response<AnswerBody>>> {
+        self.last_failure = Some(RefusalReason::ConnectionLost);
+        match slot.fail(AttemptFailure::ServerError) {
+            FailureVerdict::Final => {
+                Some(Ok(self.deliver(response, TargetBodyParts { connection, slot: None })))
+            }
+            FailureVerdict::Retried | FailureVerdict::OthersPending => None,
+        }
+    }
+
+    fn deliver(&self, response: Response<Incoming>, parts: TargetBodyParts) -> Response<AnswerBody> {
+        deliver_answer(response, parts, self.outbound.shared.settings.limits.caller_patience)
+    }
+
+    fn note_target_state(&self, response: &Response<Incoming>, target: SocketAddr) {
+        let state = response.headers().get(headers::TARGET_STATE);
+        if state.is_some_and(|state| state == "leaving") {
+            self.entry.gate.run(|dispatcher, _, _| dispatcher.mark_leaving(target));
+            let service = self.entry.document.name.clone();
+            let _ = self.outbound.shared.news.send(TrafficNews::TargetLeaving { service, target });
+        }
+    }
+
+    /// An attempt in flight may be running; a waiting request is not.
+    fn timeout_refusal(&mut self) -> Refusal {
+        if self.attempts.is_empty() {
+            return self.refusal(RefusalReason::DeadlinePassed);
+        }
+        self.may_have_run = true;
+        self.refusal(RefusalReason::TargetTimeout)
+    }
+
+    fn refusal(&self, reason: RefusalReason) -> Refusal {
+        if self.may_have_run { Refusal::unknown(reason) } else { Refusal::not_run(reason) }
+    }
+}
+
+struct TargetBodyParts {
+    connection: PooledConnection,
+    slot: Option<AttemptSlot>,
+}
+
+fn deliver_answer(
+    response: Response<Incoming>,
+    occupied: TargetBodyParts,
+    patience: Duration,
+) -> Response<AnswerBody> {
+    let (mut parts, incoming) = response.into_parts();
+    headers::prepare_answer_headers(&mut parts.headers);
+    let body = TargetBody::new(incoming, occupied.slot, occupied.connection);
+    let mut answer = Response::new(deliver_body(body, patience));
+    *answer.status_mut() = parts.status;
+    *answer.headers_mut() = parts.headers;
+    answer
+}
--- /dev/null
+++ b/crates/node/src/traffic/inbound.rs
@@ -0,0 +1,103 @@
+//! Checks and classes a request before anything is done for it.
+
+use crate::gate::ServiceEntry;
+use crate::shared::NodeShared;
+use crate::traffic::answer::Refusal;
+use crate::traffic::headers;
+use http::request::Parts;
+use http::{HeaderMap, Uri, header};
+use sniperelay_core::claim::ClaimKey;
+use sniperelay_core::ids::RankId;
+use sniperelay_core::reason::RefusalReason;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// A request that passed the checks.
+#[derive(Debug)]
+pub struct InboundRequest {
+    /// Its service.
+    pub entry: Arc<ServiceEntry>,
+    /// Rank by which it is scheduled.
+    pub rank: RankId,
+    /// Whether running it twice is harmless.
+    pub is_idempotent: bool,
+    /// Its key, if it is not idempotent.
+    pub key: Option<ClaimKey>,
+    /// When it arrived.
+    pub arrived: Instant,
+    /// Time by which its answer must begin to be on time.
+    pub deadline: Instant,
+    /// Time after which no answer is waited for.
+    pub give_up: Instant,
+    /// Whether it is a further attempt of a layer above.
+    pub is_retried: bool,
+    /// Whether another entry VM passed it on.
+    pub is_forwarded: bool,
+}
+
+/// Checks a request's head.
+///
+/// # Errors
+///
+/// A refusal; nothing was sent.
+pub fn check_request(
+    shared: &NodeShared,
+    parts: &Parts,
+    arrived: Instant,
+) -> Result<InboundRequest, Refusal> {
+    let bad_request = || Refusal::not_run(RefusalReason::BadRequest);
+    if headers::is_refused_feature(&parts.method, parts.version, &parts.headers) {
+        return Err(bad_request());
+    }
+    let entry = find_service(shared, parts)?;
+    let class = entry.document.classify(parts.method.as_str(), parts.uri.path());
+    let class = class.ok_or_else(|| Refusal::not_run(RefusalReason::UnknownRank))?;
+    let rank = lowered_rank(&entry, class, &parts.headers).map_err(|_| bad_request())?;
+    let remaining =
+        headers::single_millis(&parts.headers, &headers::DEADLINE_MS).map_err(|_| bad_request())?;
+    let policy = &entry.document.ranks[class];
+    let bounded = |limit: Duration| arrived + remaining.map_or(limit, |remaining| remaining.min(limit));
+    let key = if policy.idempotent { None } else { Some(read_key(&parts.headers)?) };
+    Ok(InboundRequest {
+        rank,
+        is_idempotent: policy.idempotent,
+        key,
+        arrived,
+        deadline: bounded(policy.latency),
+        give_up: bounded(policy.give_up),
+        is_retried: parts.headers.contains_key(headers::RETRIED),
+        is_forwarded: parts.headers.contains_key(headers::FORWARDED_KEY),
+        entry,
+    })
+}
+
+fn find_service(shared: &NodeShared, parts: &Parts) -> Result<Arc<ServiceEntry>, Refusal> {
+    let bad_request = |_| Refusal::not_run(RefusalReason::BadRequest);
+    let named = headers::single_text(&parts.headers, &headers::SERVICE).map_err(bad_request)?;
+    let host = headers::single_text(&parts.headers, &header::HOST).map_err(bad_request)?;
+    let name = named.or_else(|| host.or(host_of(&parts.uri)).and_then(first_label));
+    let found = name.and_then(|name| shared.services.load().get(name).cloned());
+    found.ok_or_else(|| Refusal::not_run(RefusalReason::UnknownService))
+}
+
+fn host_of(uri: &Uri) -> Option<&str> {
+    uri.host()
+}
+
+fn first_label(host: &str) -> Option<&str> {
+    host.split([':', '.']).next()
+}
+
+/// The rank that the caller asks for, if it is less urgent than the class.
+fn lowered_rank(entry: &ServiceEntry, class: RankId, fields: &HeaderMap) -> headers::Result<RankId> {
+    let Some(name) = headers::single_text(fields, &headers::RANK)? else { return Ok(class) };
+    let wanted = entry.document.ranks.iter().position(|rank| rank.name == name);
+    Ok(wanted.map_or(class, |rank| rank.max(class)))
+}
+
+fn read_key(fields: &HeaderMap) -> Result<ClaimKey, Refusal> {
+    let invalid = || Refusal::not_run(RefusalReason::KeyInvalid);
+    let text = headers::single_text(fields, &headers::IDEMPOTENCY_KEY).map_err(|_| invalid())?;
+    let text = text.ok_or_else(|| Refusal::not_run(RefusalReason::KeyMissing))?;
+    text.parse().map_err(|_| invalid())
+}
--- /dev/null
+++ b/crates/node/src/traffic/listen.rs
@@ -0,0 +1,114 @@
+//! Caller connections: accepted within a limit, served over HTTP/1.1 and HTTP/2, ended gracefully.
+
+use crate::life::LifePhase;
+use crate::shared::NodeShared;
+use crate::traffic::answer::{Refusal, make_refusal};
+use crate::traffic::body::AnswerBody;
+use crate::traffic::exchange::serve_request;
+use crate::traffic::lookup::{LOOKUP_PATH, answer_lookup};
+use http::{HeaderValue, Request, Response, Version, header};
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use hyper_util::server::conn::auto;
+use hyper_util::server::graceful::GracefulShutdown;
+use sniperelay_core::reason::RefusalReason;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Semaphore, watch};
+
+/// Pause after a failed accept, for example for lack of file descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// Concurrent streams on one HTTP/2 connection.
+const MAX_STREAMS: u32 = 256;
+
+/// Accepts callers until `drain` changes; then ends their connections gracefully and returns when
+/// all have ended or `drain_limit` has passed. Returns whether all ended.
+pub async fn serve_callers(
+    shared: Arc<NodeShared>,
+    listener: TcpListener,
+    mut drain: watch::Receiver<bool>,
+) -> bool {
+    let graceful = GracefulShutdown::new();
+    let permits = Arc::new(Semaphore::new(shared.settings.limits.caller_connections));
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = drain.wait_for(|is_draining| *is_draining) => break,
+        };
+        match accepted {
+            Ok((stream, caller)) => serve_connection(&shared, stream, caller, &graceful, &permits),
+            Err(error) => {
+                log::warn!("cannot accept a caller: {error}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+    drop(listener);
+    tokio::time::timeout(shared.settings.entry.drain_limit, graceful.shutdown()).await.is_ok()
+}
+
+fn serve_connection(
+    shared: &Arc<NodeShared>,
+    stream: TcpStream,
+    caller: SocketAddr,
+    graceful: &GracefulShutdown,
+    permits: &Arc<Semaphore>,
+) {
+    let Ok(permit) = permits.clone().try_acquire_owned() else {
+        shared.metrics.rank("-", "-").count_refusal(RefusalReason::ConnectionLimit);
+        return;
+    };
+    let _ = stream.set_nodelay(true);
+    let state = shared.clone();
+    let service = service_fn(move |request| answer_caller(state.clone(), caller, request));
+    let connection = make_builder(shared).serve_connection(TokioIo::new(stream), service).into_owned();
+    let watched = graceful.watch(connection);
+    tokio::spawn(async move {
+        if let Err(error) = watched.await {
+            log::debug!("connection of caller {caller} ended: {error}");
+        }
+        drop(permit);
+    });
+}
+
+fn make_builder(shared: &NodeShared) -> auto::Builder<TokioExecutor> {
+    let limits = &shared.settings.limits;
+    let mut builder = auto::Builder::new(TokioExecutor::new());
+    builder
+        .http1()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.caller_patience)
+        .max_buf_size(limits.header_bytes);
+    builder
+        .http2()
+        .timer(TokioTimer::new())
+        .max_concurrent_streams(MAX_STREAMS)
+        .max_header_list_size(limits.header_bytes as u32)
+        .keep_alive_interval(limits.caller_patience);
+    builder
+}
+
+async fn answer_caller(
+    shared: Arc<NodeShared>,
+    caller: SocketAddr,
+    request: Request<Incoming>,
+) -> Result<Response<AnswerBody>, Infallible> {
+    let version = request.version();
+    let phase = shared.life.phase();
+    let mut answer = if request.uri().path() == LOOKUP_PATH {
+        answer_lookup(&shared, caller, request.uri())
+    } else if phase == LifePhase::Stopped {
+        make_refusal(&Refusal::not_run(RefusalReason::Stopping))
+    } else {
+        serve_request(shared.clone(), caller.ip(), request).await
+    };
+    if phase != LifePhase::Serving && version < Version::HTTP_2 {
+        // Tells callers that keep connections open to look up again.
+        answer.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    Ok(answer)
+}
