--- /dev/null
+++ b/crates/node/src/traffic/lookup.rs
@@ -0,0 +1,96 @@
+//! Lookups: which entry VMs a caller should use for a service, for how long, and the ticket for
+//! keys made for each of them.
+
+use crate::life::LifePhase;
+use crate::shared::{MemberSnapshot, NodeShared};
+use crate::traffic::answer::{Refusal, make_json, make_refusal};
+use crate::traffic::body::AnswerBody;
+use crate::wall_clock;
+use http::{Response, StatusCode, Uri};
+use serde::{Deserialize, Serialize};
+use sniperelay_core::home::{HomeCandidate, order_for_caller};
+use sniperelay_core::ids::IncarnationId;
+use sniperelay_core::reason::RefusalReason;
+use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
+
+/// Path of lookups.
+pub const LOOKUP_PATH: &str = "/.sniperelay/lookup";
+/// Entry VMs named beyond the homes of the service.
+const SPARE_COUNT: usize = 2;
+
+/// One entry VM in a lookup answer.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LookupAddress {
+    /// Address to connect to.
+    pub address: SocketAddr,
+    /// Ticket: prefix of idempotency keys for this entry VM.
+    pub ticket: String,
+    /// Its failure domain.
+    pub domain: String,
+}
+
+/// Answer to a lookup.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LookupAnswer {
+    /// The service.
+    pub service: String,
+    /// Entry VMs, the best first.
+    pub addresses: Vec<LookupAddress>,
+    /// How long to keep the answer, in milliseconds.
+    pub keep_ms: u64,
+}
+
+/// Answers `GET /.sniperelay/lookup?service=NAME[&domain=NAME]`.
+pub fn answer_lookup(shared: &NodeShared, caller: SocketAddr, uri: &Uri) -> Response<AnswerBody> {
+    shared.metrics.process().lookups.fetch_add(1, Ordering::Relaxed);
+    let query = uri.query().unwrap_or("");
+    let Some(service) = query_value(query, "service") else {
+        return make_refusal(&Refusal::not_run(RefusalReason::BadRequest));
+    };
+    if !shared.services.load().contains_key(service) {
+        return make_refusal(&Refusal::not_run(RefusalReason::UnknownService));
+    }
+    let members = shared.members.load();
+    let ordered = order_members(shared, &members, service, caller, query_value(query, "domain"));
+    let now_millis = wall_clock::unix_millis();
+    let records = ordered.iter().filter_map(|incarnation| members.members.get(incarnation));
+    let addresses = records.map(|record| LookupAddress {
+        address: record.caller_address,
+        ticket: shared.ticket_for(record, now_millis).to_string(),
+        domain: record.domain.clone(),
+    });
+    let answer = LookupAnswer {
+        service: service.to_owned(),
+        addresses: addresses.collect(),
+        keep_ms: shared.settings.entry.lookup_keep.as_millis() as u64,
+    };
+    make_json(StatusCode::OK, &answer)
+}
+
+fn order_members(
+    shared: &NodeShared,
+    members: &MemberSnapshot,
+    service: &str,
+    caller: SocketAddr,
+    domain: Option<&str>,
+) -> Vec<IncarnationId> {
+    let homes = members.homes.get(service).cloned().unwrap_or_default();
+    let is_spare = |candidate: &&HomeCandidate| !homes.contains(candidate);
+    let spares: Vec<HomeCandidate> = members.candidates.iter().filter(is_spare).cloned().collect();
+    let text = caller.to_string();
+    let mut ordered = order_for_caller(homes, &text, domain);
+    ordered.extend(order_for_caller(spares, &text, domain).into_iter().take(SPARE_COUNT));
+    let is_cut_off = !members.is_connected || shared.life.phase() != LifePhase::Serving;
+    let mut incarnations: Vec<IncarnationId> = ordered.iter().map(|home| home.incarnation).collect();
+    if is_cut_off {
+        // What this entry VM knows may be stale: others first, itself last.
+        incarnations.sort_by_key(|incarnation| *incarnation == shared.incarnation);
+    }
+    incarnations
+}
+
+fn query_value<'a>(query: &'a str, name: &str) -> Option<&'a str> {
+    let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    pairs.filter(|(key, _)| *key == name).map(|(_, value)| value).next()
+}
--- /dev/null
+++ b/crates/standin/src/cluster.rs
@@ -0,0 +1,255 @@
+//! Platform, targets and entry VMs of one deployment together in one process, on real sockets.
+
+use crate::certificates::{DeploymentFiles, Validity, make_files};
+use crate::deployment::DeploymentSpec;
+use crate::platform::PlatformStandin;
+use crate::target::{RunLedger, TargetStandin};
+use anyhow::{Context, Result, ensure};
+use sniperelay_config::parse_settings;
+use sniperelay_core::edition::{ConfigEdition, EditMark};
+use sniperelay_core::vm::{VmRecord, VmRole, VmState};
+use sniperelay_node::EntryVm;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+/// Time within which a cluster must be ready.
+const READY_LIMIT: Duration = Duration::from_secs(20);
+/// Waiting requests that a target holds before it sheds.
+const TARGET_QUEUE: u32 = 64;
+/// Token of the admin team in clusters.
+pub const ADMIN_TOKEN: &str = "standin-admin-token";
+
+static NEXT_CLUSTER: AtomicU64 = AtomicU64::new(0);
+
+/// Options of a cluster's entry VMs.
+#[derive(Debug, Clone)]
+pub struct ClusterOptions {
+    /// Routing policy by name.
+    pub policy: String,
+    /// Heartbeat interval.
+    pub heartbeat: Duration,
+    /// How long callers keep lookup answers.
+    pub lookup_keep: Duration,
+    /// Traffic threads per entry VM.
+    pub traffic_threads: usize,
+}
+
+impl Default for ClusterOptions {
+    fn default() -> Self {
+        Self {
+            policy: "slot-credit".to_owned(),
+            heartbeat: Duration::from_millis(200),
+            lookup_keep: Duration::from_millis(1500),
+            traffic_threads: 1,
+        }
+    }
+}
+
+/// A running deployment.
+#[derive(Debug)]
+pub struct ClusterStandin {
+    /// What it is made of.
+    pub spec: DeploymentSpec,
+    /// The platform.
+    pub platform: Arc<PlatformStandin>,
+    /// Targets by service.
+    pub targets: BTreeMap<String, Vec<Arc<TargetStandin>>>,
+    /// Runs of all targets.
+    pub ledger: Arc<RunLedger>,
+    /// Entry VMs that run.
+    pub entry_vms: Vec<EntryVm>,
+    options: ClusterOptions,
+    files: DeploymentFiles,
+    directory: PathBuf,
+    started_count: usize,
+}
+
+impl ClusterStandin {
+    /// Starts everything and waits until each entry VM serves every service.
+    ///
+    /// # Errors
+    ///
+    /// When a part cannot be started or is not ready in time.
+    pub async fn start(spec: DeploymentSpec, options: ClusterOptions) -> Result<Self> {
+        let platform = PlatformStandin::start().await?;
+        let number = NEXT_CLUSTER.fetch_add(1, Ordering::Relaxed);
+        let directory = std::env::temp_dir().join(format!("sniperelay-{}-{number}", std::process::id()));
+        let files = make_files(&directory, Validity::Current)?;
+        let mut cluster = Self {
+            spec,
+            platform,
+            targets: BTreeMap::new(),
+            ledger: Arc::default(),
+            entry_vms: Vec::new(),
+            options,
+            files,
+            directory,
+            started_count: 0,
+        };
+        cluster.start_targets().await?;
+        for _ in 0..cluster.spec.entry_vm_count {
+            cluster.start_entry_vm()?;
+        }
+        cluster.wait_ready().await?;
+        Ok(cluster)
+    }
+
+    async fn start_targets(&mut self) -> Result<()> {
+        for service in self.spec.services.clone() {
+            let name = service.document.name.clone();
+            put_document(&self.platform, &name, &service.text);
+            for index in 0..service.target_count {
+                self.add_target(&name, service.document.slots_per_target, index).await?;
+            }
+        }
+        Ok(())
+    }
+
+    /// Starts one more target of a service and lists it.
+    ///
+    /// # Errors
+    ///
+    /// When no port can be bound.
+    pub async fn add_target(
+        &mut self,
+        service: &str,
+        slots: u32,
+        index: usize,
+    ) -> Result<Arc<TargetStandin>> {
+        let target = TargetStandin::start(slots, TARGET_QUEUE, self.ledger.clone()).await?;
+        let domain = &self.spec.domains[index % self.spec.domains.len()];
+        list_vm(&self.platform, VmRole::Target(service.to_owned()), target.address(), domain, VmState::Live);
+        self.targets.entry(service.to_owned()).or_default().push(target.clone());
+        Ok(target)
+    }
+
+    /// Starts one more entry VM.
+    ///
+    /// # Errors
+    ///
+    /// When it cannot be started.
+    pub fn start_entry_vm(&mut self) -> Result<SocketAddr> {
+        let domain = self.spec.domains[self.started_count % self.spec.domains.len()].clone();
+        self.started_count += 1;
+        let text = self.settings_text(&domain);
+        let settings = parse_settings("standin.ini", &text)?;
+        let entry_vm = EntryVm::start(settings, None)?;
+        let address = entry_vm.caller_address();
+        list_vm(&self.platform, VmRole::EntryVm, entry_vm.peer_address(), &domain, VmState::Live);
+        self.entry_vms.push(entry_vm);
+        Ok(address)
+    }
+
+    fn settings_text(&self, domain: &str) -> String {
+        let seeds: Vec<String> =
+            self.entry_vms.iter().take(3).map(|entry_vm| entry_vm.peer_address().to_string()).collect();
+        let options = &self.options;
+        format!(
+            "[entry-vm]\nfailure-domain = {domain}\ncaller-address = 127.0.0.1:0\npeer-address = 127.0.0.1:0\n\
+             operator-address = 127.0.0.1:0\ntraffic-threads = {}\nlookup-keep-ms = {}\n\
+             [platform]\naddress = {}\nlist-interval-ms = 500\nstatus-interval-ms = 2000\n\
+             [peers]\nseeds = {}\nheartbeat-ms = {}\nca-file = {}\ncertificate-file = {}\nkey-file = {}\n\
+             [routing]\npolicy = {}\n[operators]\nadmin = {ADMIN_TOKEN}\n[log]\nlevel = warn\n",
+            options.traffic_threads,
+            options.lookup_keep.as_millis(),
+            self.platform.address(),
+            seeds.join(", "),
+            options.heartbeat.as_millis(),
+            self.files.ca.display(),
+            self.files.certificate.display(),
+            self.files.key.display(),
+            options.policy,
+        )
+    }
+
+    /// Addresses of the entry VMs for callers.
+    pub fn caller_addresses(&self) -> Vec<SocketAddr> {
+        self.entry_vms.iter().map(EntryVm::caller_address).collect()
+    }
+
+    /// Waits until every entry VM knows all services, targets and entry VMs.
+    ///
+    /// # Errors
+    ///
+    /// When that takes too long.
+    pub async fn wait_ready(&self) -> Result<()> {
+        let deadline = Instant::now() + READY_LIMIT;
+        while !self.entry_vms.iter().all(|entry_vm| self.is_ready(entry_vm)) {
+            ensure!(Instant::now() < deadline, "the cluster was not ready within {READY_LIMIT:?}");
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        Ok(())
+    }
+
+    fn is_ready(&self, entry_vm: &EntryVm) -> bool {
+        let shared = entry_vm.shared();
+        let services = shared.services.load();
+        let has_targets = |(name, targets): (&String, &Vec<Arc<TargetStandin>>)| {
+            services.get(name).is_some_and(|entry| {
+                entry.gate.read(|dispatcher| dispatcher.targets().len()) >= targets.len()
+            })
+        };
+        self.targets.iter().all(has_targets) && shared.members.load().candidates.len() == self.entry_vms.len()
+    }
+
+    /// Ends all entry VMs at once and removes the files.
+    pub fn shut_down(self) {
+        self.entry_vms.into_iter().for_each(EntryVm::kill);
+        let _ = std::fs::remove_dir_all(&self.directory);
+    }
+}
+
+/// Puts the first version of a document into the platform.
+pub fn put_document(platform: &PlatformStandin, service: &str, text: &str) {
+    let edition = ConfigEdition {
+        service: service.to_owned(),
+        mark: EditMark { edit_id: 1, generation: 1, author: "standin".to_owned(), unix_millis: 0 },
+        history: Vec::new(),
+        text: text.to_owned(),
+    };
+    let value = serde_json::to_string(&edition).unwrap_or_default();
+    platform.put(&format!("config/{service}"), value);
+}
+
+/// Writes a VM into the platform's list.
+pub fn list_vm(platform: &PlatformStandin, role: VmRole, address: SocketAddr, domain: &str, state: VmState) {
+    let record = VmRecord { role, address, failure_domain: domain.to_owned(), state };
+    let value = serde_json::to_string(&record).unwrap_or_default();
+    platform.put(&format!("vms/{address}"), value);
+}
+
+/// Removes a VM from the platform's list.
+pub fn unlist_vm(platform: &PlatformStandin, address: SocketAddr) {
+    platform.delete(&format!("vms/{address}"));
+}
+
+/// Performs an operator's request and returns status and body.
+///
+/// # Errors
+///
+/// When there is no answer.
+pub async fn ask_operator(
+    address: SocketAddr,
+    method: http::Method,
+    path: &str,
+    token: Option<&str>,
+    body: &str,
+) -> Result<(http::StatusCode, String)> {
+    use http_body_util::BodyExt;
+    let stream = tokio::net::TcpStream::connect(address).await.context("operator port")?;
+    let io = hyper_util::rt::TokioIo::new(stream);
+    let (mut sender, connection) = hyper::client::conn::http1::handshake(io).await?;
+    tokio::spawn(connection);
+    let mut builder = http::Request::builder().method(method).uri(path).header("host", "operator");
+    if let Some(token) = token {
+        builder = builder.header("authorization", format!("Bearer {token}"));
+    }
+    let answer = sender.send_request(builder.body(body.to_owned())?).await?;
+    let status = answer.status();
+    let bytes = answer.into_body().collect().await?.to_bytes();
+    Ok((status, String::from_utf8_lossy(&bytes).into_owned()))
+}
--- /dev/null
+++ b/crates/standin/src/demo.rs
@@ -0,0 +1,214 @@
+//! The main job on real sockets: both users' services, several entry VMs, a short load with a
+//! failed and a stopped entry VM, a configuration edit and a platform outage.
+
+use crate::caller::{CallEnd, CallerStandin};
+use crate::cluster::{ADMIN_TOKEN, ClusterOptions, ClusterStandin, ask_operator};
+use crate::deployment::{DeploymentSpec, cooperative, trust};
+use crate::load::{ArrivalResult, FigureTable, RankLoad, draw_arrivals, play_arrivals, summarize};
+use anyhow::Result;
+use http::{Method, StatusCode};
+use sniperelay_core::document::ServiceDocument;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+/// Length of the load.
+const LOAD_TIME: Duration = Duration::from_secs(8);
+/// Share of the slots that the load uses.
+const UTILIZATION: f64 = 0.4;
+/// Mean service time.
+const SERVICE_TIME: Duration = Duration::from_millis(30);
+/// Time within which an accepted edit must be in force on every entry VM.
+const EDIT_LIMIT: Duration = Duration::from_secs(2);
+const CALLER_COUNT: usize = 24;
+const SEED: u64 = 1;
+
+/// One check of the demo.
+#[derive(Debug, Clone)]
+pub struct DemoCheck {
+    /// What was checked.
+    pub name: String,
+    /// Whether it held.
+    pub holds: bool,
+    /// What was seen.
+    pub seen: String,
+}
+
+/// Runs the demo for both deployments and prints tables. Returns whether every check held.
+///
+/// # Errors
+///
+/// When a part cannot be started.
+pub async fn run_demo() -> Result<bool> {
+    let mut all_hold = true;
+    for spec in [cooperative(), trust()] {
+        let checks = run_deployment(spec).await?;
+        for check in &checks {
+            println!("  [{}] {}: {}", if check.holds { "ok" } else { "FAILED" }, check.name, check.seen);
+        }
+        println!();
+        all_hold &= checks.iter().all(|check| check.holds);
+    }
+    println!("{}", if all_hold { "every check held" } else { "a check FAILED" });
+    Ok(all_hold)
+}
+
+async fn run_deployment(spec: DeploymentSpec) -> Result<Vec<DemoCheck>> {
+    println!("{}: {} entry VMs in {} failure domains", spec.name, spec.entry_vm_count, spec.domains.len());
+    let documents: Vec<ServiceDocument> =
+        spec.services.iter().map(|service| service.document.clone()).collect();
+    let loads = make_loads(&spec);
+    let mut cluster = ClusterStandin::start(spec, ClusterOptions::default()).await?;
+    let callers = make_callers(&cluster);
+    let arrivals = draw_arrivals(&loads, &documents, SEED);
+    let load = tokio::spawn(async move { play_arrivals(arrivals, &callers).await });
+    let mut checks = disturb(&mut cluster).await?;
+    let results = load.await?;
+    let table = summarize(&results, Duration::ZERO, LOAD_TIME);
+    print_table(&documents, &table);
+    checks.extend(judge(&cluster, &results));
+    cluster.shut_down();
+    Ok(checks)
+}
+
+fn make_loads(spec: &DeploymentSpec) -> Vec<RankLoad> {
+    let shares = [0.5, 0.3, 0.2];
+    let services = spec.services.iter().flat_map(|service| {
+        let slots = service.target_count as f64 * f64::from(service.document.slots_per_target);
+        let rate = slots * UTILIZATION / SERVICE_TIME.as_secs_f64();
+        shares.iter().enumerate().map(move |(rank, share)| RankLoad {
+            service: service.document.name.clone(),
+            rank,
+            per_second: rate * share,
+            service_time: SERVICE_TIME,
+            answer_bytes: if rank == 2 { 100_000 } else { 2_000 },
+            from: Duration::ZERO,
+            until: LOAD_TIME,
+        })
+    });
+    services.collect()
+}
+
+/// Callers spread over the failure domains.
+pub fn make_callers(cluster: &ClusterStandin) -> Vec<Arc<CallerStandin>> {
+    let addresses = cluster.caller_addresses();
+    let domains = &cluster.spec.domains;
+    let caller = |index: usize| {
+        let mut seeds = addresses.clone();
+        seeds.rotate_left(index % addresses.len());
+        Arc::new(CallerStandin::new(seeds, Some(domains[index % domains.len()].clone())))
+    };
+    (0..CALLER_COUNT).map(caller).collect()
+}
+
+/// A configuration edit, a failed entry VM, a platform outage and a planned stop, one after the
+/// other while the load runs.
+async fn disturb(cluster: &mut ClusterStandin) -> Result<Vec<DemoCheck>> {
+    tokio::time::sleep(LOAD_TIME / 8).await;
+    let edit = check_edit(cluster).await?;
+    tokio::time::sleep(LOAD_TIME / 8).await;
+    cluster.entry_vms.remove(2).kill();
+    tokio::time::sleep(LOAD_TIME / 8).await;
+    cluster.platform.control.is_down.store(true, Ordering::Relaxed);
+    let stopped = cluster.entry_vms.remove(5).stop().await?;
+    cluster.platform.control.is_down.store(false, Ordering::Relaxed);
+    let stop = DemoCheck {
+        name: "a planned stop during a platform outage ends cleanly".to_owned(),
+        holds: stopped,
+        seen: format!("clean: {stopped}"),
+    };
+    Ok(vec![edit, stop])
+}
+
+async fn check_edit(cluster: &ClusterStandin) -> Result<DemoCheck> {
+    let service = &cluster.spec.services[0];
+    let name = &service.document.name;
+    let text = service.text.replace("hedge-percent = 5", "hedge-percent = 4");
+    let started = Instant::now();
+    // The write takes effect and its answer is lost.
+    cluster.platform.control.lose_answers.store(1, Ordering::Relaxed);
+    let operator = cluster.entry_vms[1].operator_address();
+    let path = format!("/config/{name}?base=1");
+    let (status, body) = ask_operator(operator, Method::PUT, &path, Some(ADMIN_TOKEN), &text).await?;
+    let is_in_force = || {
+        cluster.entry_vms.iter().all(|entry_vm| {
+            let services = entry_vm.shared().services.load();
+            services.get(name).is_some_and(|entry| entry.document.retry.hedge_share == 0.04)
+        })
+    };
+    while !is_in_force() && started.elapsed() < EDIT_LIMIT {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    let holds = status == StatusCode::OK && is_in_force();
+    Ok(DemoCheck {
+        name: "an edit whose answer was lost is accepted and in force everywhere within 2 s".to_owned(),
+        holds,
+        seen: if holds { format!("{:.0?}", started.elapsed()) } else { format!("{status} {body}") },
+    })
+}
+
+fn judge(cluster: &ClusterStandin, results: &[ArrivalResult]) -> Vec<DemoCheck> {
+    let count = |condition: &dyn Fn(&ArrivalResult) -> bool| {
+        results.iter().filter(|result| condition(result)).count()
+    };
+    let mixed = count(&|result| result.result.end == CallEnd::Mixed);
+    let lost = count(&|result| matches!(result.result.end, CallEnd::Broken | CallEnd::Unanswered));
+    let doubled = cluster.ledger.doubled_keys();
+    let false_not_run = count(&|result| {
+        let is_not_run =
+            matches!(&result.result.end, CallEnd::Refused { outcome, .. } if outcome == "not-run");
+        is_not_run && cluster.ledger.runs_of_id(result.arrival.spec.id) > 0
+    });
+    let is_served = |result: &ArrivalResult| {
+        result.result.end == CallEnd::Whole && result.result.head_latency <= result.arrival.latency
+    };
+    let urgent = count(&|result| result.arrival.rank == 0);
+    let served = count(&|result| result.arrival.rank == 0 && is_served(result));
+    let share = served as f64 / urgent.max(1) as f64;
+    let check = |name: &str, holds, seen: String| DemoCheck { name: name.to_owned(), holds, seen };
+    vec![
+        check(
+            "every answer is the whole answer to its own request",
+            mixed == 0,
+            format!("{mixed} mixed of {}", results.len()),
+        ),
+        check("no answer broke off and every call was answered", lost == 0, format!("{lost} lost")),
+        check(
+            "no key ran twice",
+            doubled == 0,
+            format!("{doubled} doubled of {}", cluster.ledger.key_count()),
+        ),
+        check("what was told not-run was not run", false_not_run == 0, format!("{false_not_run} false")),
+        check(
+            "urgent work is served on time while an entry VM fails",
+            share >= 0.99,
+            format!("{:.2} %", share * 100.0),
+        ),
+    ]
+}
+
+fn print_table(documents: &[ServiceDocument], table: &FigureTable) {
+    println!(
+        "  {:<14}{:<13}{:>9}{:>9}{:>7}{:>9}{:>8}{:>10}{:>10}{:>10}",
+        "service", "rank", "arrivals", "on time", "late", "refused", "other", "p50 ms", "p99 ms", "p99.9 ms"
+    );
+    for ((service, rank), figures) in table {
+        let document = documents.iter().find(|document| document.name == *service);
+        let name = document.map_or("?", |document| document.ranks[*rank].name.as_str());
+        let other = figures.broken + figures.mixed + figures.target_errors + figures.unanswered;
+        let millis = |quantile| figures.quantile(quantile).as_secs_f64() * 1000.0;
+        println!(
+            "  {service:<14}{name:<13}{:>9}{:>9}{:>7}{:>9}{other:>8}{:>10.1}{:>10.1}{:>10.1}",
+            figures.arrivals,
+            figures.on_time,
+            figures.late,
+            figures.refused(),
+            millis(0.5),
+            millis(0.99),
+            millis(0.999),
+        );
+        for ((outcome, reason), count) in &figures.refusals {
+            println!("  {:<27}refused: {outcome}, {reason}: {count}", "");
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/deployment.rs
@@ -0,0 +1,67 @@
+//! The two users' services at today's sizes.
+
+use sniperelay_config::parse_document;
+use sniperelay_core::document::ServiceDocument;
+
+/// One service of a deployment.
+#[derive(Debug, Clone)]
+pub struct ServiceSpec {
+    /// Its document, parsed.
+    pub document: ServiceDocument,
+    /// Its document as INI.
+    pub text: String,
+    /// Number of its targets.
+    pub target_count: usize,
+}
+
+/// A deployment.
+#[derive(Debug, Clone)]
+pub struct DeploymentSpec {
+    /// Name.
+    pub name: &'static str,
+    /// Failure domains.
+    pub domains: Vec<String>,
+    /// Services.
+    pub services: Vec<ServiceSpec>,
+    /// Entry VMs.
+    pub entry_vm_count: usize,
+}
+
+const COOPERATIVE_DOMAINS: &[&str] = &["erie-shore", "huron-bay", "ontario-north", "michigan-west"];
+const TRUST_DOMAINS: &[&str] = &["accra-a", "tema-b", "kasoa-c"];
+
+/// The Cooperative.
+pub fn cooperative() -> DeploymentSpec {
+    DeploymentSpec {
+        name: "cooperative",
+        domains: COOPERATIVE_DOMAINS.iter().map(|name| (*name).to_owned()).collect(),
+        services: vec![
+            make_service(include_str!("../../../examples/services/rota-board.ini"), 20),
+            make_service(include_str!("../../../examples/services/claim-desk.ini"), 10),
+            make_service(include_str!("../../../examples/services/ledger-vault.ini"), 10),
+        ],
+        entry_vm_count: 13,
+    }
+}
+
+/// The Trust.
+pub fn trust() -> DeploymentSpec {
+    DeploymentSpec {
+        name: "trust",
+        domains: TRUST_DOMAINS.iter().map(|name| (*name).to_owned()).collect(),
+        services: vec![
+            make_service(include_str!("../../../examples/services/slip-lookup.ini"), 15),
+            make_service(include_str!("../../../examples/services/slip-issue.ini"), 10),
+            make_service(include_str!("../../../examples/services/archive-pull.ini"), 5),
+        ],
+        entry_vm_count: 13,
+    }
+}
+
+/// A service from the text of its document; the examples are known to be valid.
+pub fn make_service(text: &str, target_count: usize) -> ServiceSpec {
+    match parse_document("example", text) {
+        Ok(document) => ServiceSpec { document, text: text.to_owned(), target_count },
+        Err(findings) => panic!("an example document is not valid:\n{findings}"),
+    }
+}
--- /dev/null
+++ b/crates/standin/src/load.rs
@@ -0,0 +1,217 @@
+//! Open-loop load: arrivals and service times drawn from a seed, results per service and rank.
+
+use crate::caller::{CallEnd, CallResult, CallSpec, CallerStandin};
+use hdrhistogram::Histogram;
+use http::Method;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use sniperelay_core::document::ServiceDocument;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio::task::JoinSet;
+
+/// Lag of the load tool behind its arrivals that voids a run's figures.
+pub const MAX_LAG: Duration = Duration::from_millis(20);
+
+/// Arrivals of one rank.
+#[derive(Debug, Clone)]
+pub struct RankLoad {
+    /// Service.
+    pub service: String,
+    /// Position of the rank in the document.
+    pub rank: usize,
+    /// Mean arrivals per second.
+    pub per_second: f64,
+    /// Mean service time.
+    pub service_time: Duration,
+    /// Size of answers.
+    pub answer_bytes: usize,
+    /// Beginning of the arrivals within the run.
+    pub from: Duration,
+    /// End of the arrivals within the run.
+    pub until: Duration,
+}
+
+/// One arrival.
+#[derive(Debug, Clone)]
+pub struct Arrival {
+    /// Time within the run.
+    pub at: Duration,
+    /// Rank of the request.
+    pub rank: usize,
+    /// The call.
+    pub spec: CallSpec,
+    /// Latency target.
+    pub latency: Duration,
+}
+
+/// Result of one arrival.
+#[derive(Debug, Clone)]
+pub struct ArrivalResult {
+    /// The arrival.
+    pub arrival: Arrival,
+    /// What became of it.
+    pub result: CallResult,
+    /// Lag of the load tool when it sent the call.
+    pub lag: Duration,
+}
+
+/// Draws arrivals: Poisson processes with service times spread evenly from half to three halves of
+/// their mean.
+pub fn draw_arrivals(loads: &[RankLoad], documents: &[ServiceDocument], seed: u64) -> Vec<Arrival> {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut arrivals: Vec<Arrival> = Vec::new();
+    for load in loads {
+        let Some(document) = documents.iter().find(|document| document.name == load.service) else {
+            continue;
+        };
+        let mut at = load.from;
+        loop {
+            let gap = -rng.random_range(f64::MIN_POSITIVE..1.0).ln() / load.per_second;
+            at += Duration::from_secs_f64(gap);
+            if at >= load.until {
+                break;
+            }
+            arrivals.push(make_arrival(load, document, at, rng.random_range(0.5..1.5)));
+        }
+    }
+    arrivals.sort_by_key(|arrival| arrival.at);
+    let first_id = seed.wrapping_mul(1_000_003) << 24;
+    for (index, arrival) in arrivals.iter_mut().enumerate() {
+        arrival.spec.id = first_id.wrapping_add(index as u64 + 1);
+    }
+    arrivals
+}
+
+fn make_arrival(load: &RankLoad, document: &ServiceDocument, at: Duration, factor: f64) -> Arrival {
+    let policy = &document.ranks[load.rank];
+    let route = &policy.matches[0];
+    let spec = CallSpec {
+        service: load.service.clone(),
+        method: route.method.parse().unwrap_or(Method::GET),
+        path: route.path.replace('*', "item"),
+        id: 0,
+        service_time: load.service_time.mul_f64(factor),
+        answer_bytes: load.answer_bytes,
+        needs_key: !policy.idempotent,
+    };
+    Arrival { at, rank: load.rank, spec, latency: policy.latency }
+}
+
+/// Plays arrivals against callers and collects the results.
+pub async fn play_arrivals(arrivals: Vec<Arrival>, callers: &[Arc<CallerStandin>]) -> Vec<ArrivalResult> {
+    let start = Instant::now() + Duration::from_millis(50);
+    let mut calls = JoinSet::new();
+    let mut results = Vec::with_capacity(arrivals.len());
+    for (index, arrival) in arrivals.into_iter().enumerate() {
+        let due = start + arrival.at;
+        tokio::time::sleep_until(due.into()).await;
+        let lag = due.elapsed();
+        let caller = callers[index % callers.len()].clone();
+        calls.spawn(async move {
+            let result = caller.call(&arrival.spec).await;
+            ArrivalResult { arrival, result, lag }
+        });
+        while let Some(Ok(result)) = calls.try_join_next() {
+            results.push(result);
+        }
+    }
+    while let Some(joined) = calls.join_next().await {
+        results.extend(joined.ok());
+    }
+    results
+}
+
+/// Figures of one rank.
+#[derive(Debug, Clone)]
+pub struct RankFigures {
+    /// Arrivals.
+    pub arrivals: u64,
+    /// Whole answers on time.
+    pub on_time: u64,
+    /// Whole answers that came late.
+    pub late: u64,
+    /// Answers that broke off visibly.
+    pub broken: u64,
+    /// Complete answers with wrong content.
+    pub mixed: u64,
+    /// Errors of targets.
+    pub target_errors: u64,
+    /// Calls without an answer.
+    pub unanswered: u64,
+    /// Refusals by outcome and reason.
+    pub refusals: BTreeMap<(String, String), u64>,
+    /// Time until whole answers began, in microseconds.
+    pub latency: Histogram<u64>,
+}
+
+impl RankFigures {
+    fn new() -> Self {
+        let bounds = Histogram::new_with_bounds(1, 120_000_000, 3);
+        Self {
+            arrivals: 0,
+            on_time: 0,
+            late: 0,
+            broken: 0,
+            mixed: 0,
+            target_errors: 0,
+            unanswered: 0,
+            refusals: BTreeMap::new(),
+            latency: bounds.unwrap_or_else(|error| panic!("histogram bounds: {error}")),
+        }
+    }
+
+    /// Latency at a quantile.
+    pub fn quantile(&self, quantile: f64) -> Duration {
+        Duration::from_micros(self.latency.value_at_quantile(quantile))
+    }
+
+    /// Refusals in all.
+    pub fn refused(&self) -> u64 {
+        self.refusals.values().sum()
+    }
+
+    fn record(&mut self, result: &ArrivalResult) {
+        self.arrivals += 1;
+        match &result.result.end {
+            CallEnd::Whole => self.record_whole(result),
+            CallEnd::Broken => self.broken += 1,
+            CallEnd::Mixed => self.mixed += 1,
+            CallEnd::TargetError(_) => self.target_errors += 1,
+            CallEnd::Unanswered => self.unanswered += 1,
+            CallEnd::Refused { outcome, reason } => {
+                *self.refusals.entry((outcome.clone(), reason.clone())).or_default() += 1;
+            }
+        }
+    }
+
+    fn record_whole(&mut self, result: &ArrivalResult) {
+        let latency = result.result.head_latency;
+        let is_on_time = latency <= result.arrival.latency;
+        let counter = if is_on_time { &mut self.on_time } else { &mut self.late };
+        *counter += 1;
+        self.latency.saturating_record(latency.as_micros() as u64);
+    }
+}
+
+/// Figures by service and rank.
+pub type FigureTable = BTreeMap<(String, usize), RankFigures>;
+
+/// Summarises results that arrived within a part of the run.
+pub fn summarize(results: &[ArrivalResult], from: Duration, until: Duration) -> FigureTable {
+    let mut table = FigureTable::new();
+    for result in results.iter().filter(|result| (from..until).contains(&result.arrival.at)) {
+        let key = (result.arrival.spec.service.clone(), result.arrival.rank);
+        table.entry(key).or_insert_with(RankFigures::new).record(result);
+    }
+    table
+}
+
+/// Lag of the load tool at a quantile of the arrivals.
+pub fn lag_quantile(results: &[ArrivalResult], quantile: f64) -> Duration {
+    let mut lags: Vec<Duration> = results.iter().map(|result| result.lag).collect();
+    lags.sort_unstable();
+    let index = ((lags.len() as f64 * quantile) as usize).min(lags.len().saturating_sub(1));
+    lags.get(index).copied().unwrap_or_default()
+}
--- /dev/null
+++ b/crates/standin/src/platform.rs
@@ -0,0 +1,278 @@
+//! Stand-in of the platform's object API over HTTP and JSON.
+//!
+//! Faults: down (connections are closed without an answer), slow, answers lost after the change
+//! took effect, and a short memory for watches.
+
+use anyhow::Result;
+use bytes::Bytes;
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use serde::Serialize;
+use sniperelay_platform::api::{EventList, ObjectEvent, ObjectList, StoredObject};
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+
+/// Changes remembered for watches.
+const LOG_LENGTH: usize = 4096;
+
+#[derive(Debug, Default)]
+struct ObjectStore {
+    revision: u64,
+    objects: BTreeMap<String, StoredObject>,
+    log: VecDeque<ObjectEvent>,
+    /// Revision of the latest change that is no longer remembered.
+    forgotten: u64,
+}
+
+impl ObjectStore {
+    fn record(&mut self, key: &str, value: Option<String>) -> u64 {
+        self.revision += 1;
+        self.log.push_back(ObjectEvent { key: key.to_owned(), version: self.revision, value });
+        while self.log.len() > LOG_LENGTH {
+            self.forgotten = self.log.pop_front().map_or(self.forgotten, |event| event.version);
+        }
+        self.revision
+    }
+
+    fn version(&self, key: &str) -> u64 {
+        self.objects.get(key).map_or(0, |object| object.version)
+    }
+
+    fn put(&mut self, key: &str, value: String) -> u64 {
+        let version = self.record(key, Some(value.clone()));
+        self.objects.insert(key.to_owned(), StoredObject { key: key.to_owned(), version, value });
+        version
+    }
+
+    fn delete(&mut self, key: &str) -> u64 {
+        self.objects.remove(key);
+        self.record(key, None)
+    }
+}
+
+/// Faults and counters of the stand-in.
+#[derive(Debug, Default)]
+pub struct PlatformControl {
+    /// Every connection is closed without an answer.
+    pub is_down: AtomicBool,
+    /// Delay of each answer, in milliseconds.
+    pub delay_ms: AtomicU64,
+    /// Writes whose answer is still to be lost after they took effect.
+    pub lose_answers: AtomicU64,
+    /// Calls received.
+    pub calls: AtomicU64,
+    /// Calls received while down.
+    pub calls_while_down: AtomicU64,
+    per_second: Mutex<BTreeMap<u64, u64>>,
+}
+
+/// A running stand-in.
+#[derive(Debug)]
+pub struct PlatformStandin {
+    address: SocketAddr,
+    store: Mutex<ObjectStore>,
+    changed: watch::Sender<u64>,
+    started: Instant,
+    /// Faults and counters.
+    pub control: PlatformControl,
+}
+
+impl PlatformStandin {
+    /// Starts a stand-in on a free port of the loopback address.
+    ///
+    /// # Errors
+    ///
+    /// When no port can be bound.
+    pub async fn start() -> Result<Arc<Self>> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let standin = Arc::new(Self {
+            address: listener.local_addr()?,
+            store: Mutex::default(),
+            changed: watch::Sender::new(0),
+            started: Instant::now(),
+            control: PlatformControl::default(),
+        });
+        tokio::spawn(standin.clone().accept(listener));
+        Ok(standin)
+    }
+
+    /// Its address.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Writes an object directly.
+    pub fn put(&self, key: &str, value: impl Into<String>) -> u64 {
+        let version = self.lock().put(key, value.into());
+        self.changed.send_replace(version);
+        version
+    }
+
+    /// Deletes an object directly.
+    pub fn delete(&self, key: &str) {
+        let version = self.lock().delete(key);
+        self.changed.send_replace(version);
+    }
+
+    /// Reads an object directly.
+    pub fn get(&self, key: &str) -> Option<StoredObject> {
+        self.lock().objects.get(key).cloned()
+    }
+
+    /// Keys under a prefix.
+    pub fn keys(&self, prefix: &str) -> Vec<String> {
+        self.lock().objects.keys().filter(|key| key.starts_with(prefix)).cloned().collect()
+    }
+
+    /// Forgets all changes, so that watches become too old.
+    pub fn forget_changes(&self) {
+        let mut store = self.lock();
+        store.forgotten = store.revision;
+        store.log.clear();
+    }
+
+    /// Most calls received within one second of the stand-in's life.
+    pub fn peak_calls_per_second(&self) -> u64 {
+        let counts = self.control.per_second.lock().unwrap_or_else(PoisonError::into_inner);
+        counts.values().copied().max().unwrap_or(0)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, ObjectStore> {
+        self.store.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn accept(self: Arc<Self>, listener: TcpListener) {
+        while let Ok((stream, _)) = listener.accept().await {
+            self.count_call();
+            if self.control.is_down.load(Ordering::Relaxed) {
+                self.control.calls_while_down.fetch_add(1, Ordering::Relaxed);
+                continue;
+            }
+            let standin = self.clone();
+            tokio::spawn(async move {
+                let service = service_fn(move |request| standin.clone().answer(request));
+                // A lost answer ends the connection with an error on purpose.
+                let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+            });
+        }
+    }
+
+    fn count_call(&self) {
+        self.control.calls.fetch_add(1, Ordering::Relaxed);
+        let second = self.started.elapsed().as_secs();
+        let mut counts = self.control.per_second.lock().unwrap_or_else(PoisonError::into_inner);
+        *counts.entry(second).or_default() += 1;
+    }
+
+    async fn answer(self: Arc<Self>, request: Request<Incoming>) -> Result<Response<Full<Bytes>>> {
+        let delay = self.control.delay_ms.load(Ordering::Relaxed);
+        if delay > 0 {
+            tokio::time::sleep(Duration::from_millis(delay)).await;
+        }
+        let (parts, body) = request.into_parts();
+        let value = String::from_utf8(body.collect().await?.to_bytes().to_vec())?;
+        let path = parts.uri.path().to_owned();
+        let (area, key) = path.trim_start_matches('/').split_once('/').unwrap_or(("", ""));
+        let expected = parts.headers.get("if-match").and_then(|version| version.to_str().ok()?.parse().ok());
+        let answer = match (&parts.method, area) {
+            (&Method::GET, "objects") => self.answer_get(key),
+            (&Method::GET, "list") => self.answer_list(key),
+            (&Method::GET, "watch") => self.answer_watch(key, parts.uri.query().unwrap_or("")).await,
+            (&Method::PUT, "objects") => self.answer_write(key, expected, Some(value))?,
+            (&Method::DELETE, "objects") => self.answer_write(key, expected, None)?,
+            _ => empty(StatusCode::BAD_REQUEST),
+        };
+        Ok(answer)
+    }
+
+    fn answer_get(&self, key: &str) -> Response<Full<Bytes>> {
+        self.get(key).map_or_else(|| empty(StatusCode::NOT_FOUND), |object| json(StatusCode::OK, &object))
+    }
+
+    fn answer_list(&self, prefix: &str) -> Response<Full<Bytes>> {
+        let store = self.lock();
+        let items = store.objects.values().filter(|object| object.key.starts_with(prefix)).cloned().collect();
+        json(StatusCode::OK, &ObjectList { revision: store.revision, items })
+    }
+
+    async fn answer_watch(&self, prefix: &str, query: &str) -> Response<Full<Bytes>> {
+        let number = |name: &str| {
+            let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+            pairs
+                .filter(|(key, _)| *key == name)
+                .find_map(|(_, value)| value.parse::<u64>().ok())
+                .unwrap_or(0)
+        };
+        let since = number("since");
+        let deadline = tokio::time::Instant::now() + Duration::from_millis(number("wait_ms"));
+        let mut changed = self.changed.subscribe();
+        loop {
+            changed.borrow_and_update();
+            match self.changes(prefix, since) {
+                None => return empty(StatusCode::GONE),
+                Some(list) if !list.events.is_empty() => return json(StatusCode::OK, &list),
+                Some(list) => {
+                    if tokio::time::timeout_at(deadline, changed.changed()).await.is_err() {
+                        return json(StatusCode::OK, &list);
+                    }
+                }
+            }
+        }
+    }
+
+    fn changes(&self, prefix: &str, since: u64) -> Option<EventList> {
+        let store = self.lock();
+        if since < store.forgotten {
+            return None;
+        }
+        let events = store.log.iter().filter(|event| event.version > since && event.key.starts_with(prefix));
+        Some(EventList { revision: store.revision, events: events.cloned().collect() })
+    }
+
+    fn answer_write(
+        &self,
+        key: &str,
+        expected: Option<u64>,
+        value: Option<String>,
+    ) -> Result<Response<Full<Bytes>>> {
+        let mut store = self.lock();
+        let current = store.version(key);
+        if expected != Some(current) {
+            return Ok(json(StatusCode::CONFLICT, &serde_json::json!({"version": current})));
+        }
+        let version = match value {
+            Some(value) => store.put(key, value),
+            None => store.delete(key),
+        };
+        drop(store);
+        self.changed.send_replace(version);
+        let is_lost = self
+            .control
+            .lose_answers
+            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, |left| left.checked_sub(1));
+        anyhow::ensure!(is_lost.is_err(), "the answer is lost");
+        Ok(json(StatusCode::OK, &serde_json::json!({"version": version})))
+    }
+}
+
+fn json(status: StatusCode, value: &impl Serialize) -> Response<Full<Bytes>> {
+    let text = serde_json::to_string(value).unwrap_or_default();
+    let mut answer = Response::new(Full::new(text.into()));
+    *answer.status_mut() = status;
+    answer
+}
+
+fn empty(status: StatusCode) -> Response<Full<Bytes>> {
+    let mut answer = Response::new(Full::new(Bytes::new()));
+    *answer.status_mut() = status;
+    answer
+}
--- /dev/null
+++ b/crates/standin/src/target.rs
@@ -0,0 +1,301 @@
+//! Stand-in of a backend server: slots, a queue, load reports, and faults on demand.
+//!
+//! The [`RunLedger`] counts how often each request and each idempotency key ran: it is the judge
+//! of doubled requests and of false `not-run` outcomes.
+
+use crate::content::{ID_HEADER, SIZE_HEADER, TIME_HEADER, make_content};
+use anyhow::Result;
+use bytes::Bytes;
+use http::{HeaderValue, Request, Response, StatusCode};
+use http_body::Frame;
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Full, StreamBody};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use sniperelay_node::traffic::headers;
+use sniperelay_node::wall_clock;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::Semaphore;
+use tokio::task::AbortHandle;
+
+type BodyError = Box<dyn std::error::Error + Send + Sync>;
+type TargetBody = UnsyncBoxBody<Bytes, BodyError>;
+
+/// Slow factor of a target at normal speed, in thousandths.
+pub const NORMAL_SPEED: u32 = 1000;
+const CHUNK_BYTES: usize = 16 * 1024;
+
+#[derive(Debug, Default)]
+struct LedgerState {
+    runs_by_id: HashMap<u64, u32>,
+    runs_by_key: HashMap<String, u32>,
+}
+
+/// Counts the runs of all targets of a deployment.
+#[derive(Debug, Default)]
+pub struct RunLedger {
+    state: Mutex<LedgerState>,
+}
+
+impl RunLedger {
+    /// Counts a run.
+    fn record(&self, id: u64, key: Option<&str>) {
+        let mut state = self.lock();
+        *state.runs_by_id.entry(id).or_default() += 1;
+        if let Some(key) = key {
+            *state.runs_by_key.entry(key.to_owned()).or_default() += 1;
+        }
+    }
+
+    /// Runs of a request.
+    pub fn runs_of_id(&self, id: u64) -> u32 {
+        self.lock().runs_by_id.get(&id).copied().unwrap_or(0)
+    }
+
+    /// Keys that ran more than once.
+    pub fn doubled_keys(&self) -> usize {
+        self.lock().runs_by_key.values().filter(|runs| **runs > 1).count()
+    }
+
+    /// Keys that ran.
+    pub fn key_count(&self) -> usize {
+        self.lock().runs_by_key.len()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, LedgerState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Faults and counters of one target.
+#[derive(Debug)]
+pub struct TargetControl {
+    /// Service time relative to normal, in thousandths.
+    pub slow_permille: AtomicU32,
+    /// Answers with a server error at once.
+    pub is_failing: AtomicBool,
+    /// Says that it is leaving, with every answer.
+    pub is_leaving: AtomicBool,
+    /// Refuses new work without running it.
+    pub is_refusing: AtomicBool,
+    /// Answers of 1000 that break off in mid-body.
+    pub break_permille: AtomicU32,
+    /// Requests accepted into a slot or the queue.
+    pub accepted: AtomicU64,
+    /// Wall-clock time of the last accepted request, in milliseconds since the Unix epoch.
+    pub last_accepted_ms: AtomicU64,
+    /// Requests cancelled while waiting or running.
+    pub cancelled: AtomicU64,
+    /// Requests refused because their deadline had passed.
+    pub overdue: AtomicU64,
+    /// Health and load calls.
+    pub probes: AtomicU64,
+    /// Connections accepted.
+    pub connections: AtomicU64,
+    /// Connections open.
+    pub open_connections: AtomicU64,
+    /// Most connections open at once.
+    pub peak_connections: AtomicU64,
+}
+
+/// A running stand-in.
+#[derive(Debug)]
+pub struct TargetStandin {
+    address: SocketAddr,
+    slots: Semaphore,
+    slot_count: u32,
+    queue_limit: u32,
+    waiting: AtomicU32,
+    ledger: Arc<RunLedger>,
+    listener: Mutex<Option<AbortHandle>>,
+    /// Faults and counters.
+    pub control: TargetControl,
+}
+
+/// Frees what a request occupies, and counts it as cancelled unless it finished.
+struct RunGuard {
+    target: Arc<TargetStandin>,
+    is_finished: bool,
+}
+
+impl Drop for RunGuard {
+    fn drop(&mut self) {
+        if !self.is_finished {
+            self.target.control.cancelled.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+}
+
+impl TargetStandin {
+    /// Starts a target on a free port.
+    ///
+    /// # Errors
+    ///
+    /// When no port can be bound.
+    pub async fn start(slot_count: u32, queue_limit: u32, ledger: Arc<RunLedger>) -> Result<Arc<Self>> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let target = Arc::new(Self {
+            address: listener.local_addr()?,
+            slots: Semaphore::new(slot_count as usize),
+            slot_count,
+            queue_limit,
+            waiting: AtomicU32::new(0),
+            ledger,
+            listener: Mutex::default(),
+            control: TargetControl {
+                slow_permille: AtomicU32::new(NORMAL_SPEED),
+                is_failing: AtomicBool::new(false),
+                is_leaving: AtomicBool::new(false),
+                is_refusing: AtomicBool::new(false),
+                break_permille: AtomicU32::new(0),
+                accepted: AtomicU64::new(0),
+                last_accepted_ms: AtomicU64::new(0),
+                cancelled: AtomicU64::new(0),
+                overdue: AtomicU64::new(0),
+                probes: AtomicU64::new(0),
+                connections: AtomicU64::new(0),
+                open_connections: AtomicU64::new(0),
+                peak_connections: AtomicU64::new(0),
+            },
+        });
+        let task = tokio::spawn(target.clone().accept(listener));
+        *target.listener.lock().unwrap_or_else(PoisonError::into_inner) = Some(task.abort_handle());
+        Ok(target)
+    }
+
+    /// Its address.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Requests being served and waiting.
+    pub fn load(&self) -> (u32, u32) {
+        let busy = self.slot_count - self.slots.available_permits() as u32;
+        (busy, self.waiting.load(Ordering::Relaxed))
+    }
+
+    /// Stops accepting connections; open ones go on.
+    pub fn close_listener(&self) {
+        if let Some(task) = self.listener.lock().unwrap_or_else(PoisonError::into_inner).take() {
+            task.abort();
+        }
+    }
+
+    async fn accept(self: Arc<Self>, listener: TcpListener) {
+        while let Ok((stream, _)) = listener.accept().await {
+            let _ = stream.set_nodelay(true);
+            let target = self.clone();
+            target.control.connections.fetch_add(1, Ordering::Relaxed);
+            let open = target.control.open_connections.fetch_add(1, Ordering::Relaxed) + 1;
+            target.control.peak_connections.fetch_max(open, Ordering::Relaxed);
+            tokio::spawn(async move {
+                let answering = target.clone();
+                let service = service_fn(move |request| answering.clone().answer(request));
+                // Broken answers end the connection with an error on purpose.
+                let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+                target.control.open_connections.fetch_sub(1, Ordering::Relaxed);
+            });
+        }
+    }
+
+    async fn answer(self: Arc<Self>, request: Request<Incoming>) -> Result<Response<TargetBody>, BodyError> {
+        if request.uri().path() == "/load" {
+            self.control.probes.fetch_add(1, Ordering::Relaxed);
+            return Ok(self.make_answer(StatusCode::OK, full("{}")));
+        }
+        if self.control.is_refusing.load(Ordering::Relaxed) {
+            return Ok(self.refuse("draining"));
+        }
+        if self.waiting.load(Ordering::Relaxed) >= self.queue_limit {
+            return Ok(self.refuse("shed"));
+        }
+        self.control.accepted.fetch_add(1, Ordering::Relaxed);
+        self.control.last_accepted_ms.store(wall_clock::unix_millis(), Ordering::Relaxed);
+        let mut guard = RunGuard { target: self.clone(), is_finished: false };
+        let answer = self.serve(request).await;
+        guard.is_finished = true;
+        answer
+    }
+
+    async fn serve(&self, request: Request<Incoming>) -> Result<Response<TargetBody>, BodyError> {
+        let (parts, body) = request.into_parts();
+        body.collect().await?;
+        let number =
+            |name: &str| parts.headers.get(name).and_then(|value| value.to_str().ok()?.parse::<u64>().ok());
+        let id = number(ID_HEADER).unwrap_or(0);
+        if self.control.is_failing.load(Ordering::Relaxed) {
+            return Ok(self.make_answer(StatusCode::INTERNAL_SERVER_ERROR, full("failing")));
+        }
+        let permit = self.wait_for_slot().await?;
+        let deadline = number(headers::DEADLINE_UNIX_MS.as_str());
+        if deadline.is_some_and(|deadline| wall_clock::unix_millis() > deadline) {
+            self.control.overdue.fetch_add(1, Ordering::Relaxed);
+            return Ok(self.refuse("deadline"));
+        }
+        let key = parts.headers.get(headers::IDEMPOTENCY_KEY).and_then(|key| key.to_str().ok());
+        self.ledger.record(id, key);
+        let slow = u64::from(self.control.slow_permille.load(Ordering::Relaxed));
+        let micros = number(TIME_HEADER).unwrap_or(0) * slow / u64::from(NORMAL_SPEED);
+        tokio::time::sleep(Duration::from_micros(micros)).await;
+        let size = number(SIZE_HEADER).unwrap_or(0) as usize;
+        drop(permit);
+        Ok(self.make_answer(StatusCode::OK, self.make_body(id, size)))
+    }
+
+    async fn wait_for_slot(&self) -> Result<tokio::sync::SemaphorePermit<'_>, BodyError> {
+        struct WaitGuard<'a>(&'a AtomicU32);
+        impl Drop for WaitGuard<'_> {
+            fn drop(&mut self) {
+                self.0.fetch_sub(1, Ordering::Relaxed);
+            }
+        }
+        self.waiting.fetch_add(1, Ordering::Relaxed);
+        let _guard = WaitGuard(&self.waiting);
+        Ok(self.slots.acquire().await?)
+    }
+
+    fn make_body(&self, id: u64, size: usize) -> TargetBody {
+        let breaks = u64::from(self.control.break_permille.load(Ordering::Relaxed));
+        let is_broken = size > 0 && id.wrapping_mul(0x9e37_79b9_7f4a_7c15) % 1000 < breaks;
+        if size <= CHUNK_BYTES && !is_broken {
+            return full(make_content(id, 0, size));
+        }
+        let end = if is_broken { size / 2 } else { size };
+        let chunks = (0..end).step_by(CHUNK_BYTES).map(move |offset| {
+            let length = CHUNK_BYTES.min(end - offset);
+            Ok(Frame::data(make_content(id, offset, length)))
+        });
+        let tail = is_broken.then(|| Err(BodyError::from("broken on purpose")));
+        StreamBody::new(futures_util::stream::iter(chunks.chain(tail))).boxed_unsync()
+    }
+
+    fn refuse(&self, reason: &'static str) -> Response<TargetBody> {
+        let mut answer = self.make_answer(StatusCode::SERVICE_UNAVAILABLE, full(reason));
+        answer.headers_mut().insert(headers::REFUSED, HeaderValue::from_static(reason));
+        answer
+    }
+
+    fn make_answer(&self, status: StatusCode, body: TargetBody) -> Response<TargetBody> {
+        let (busy, queued) = self.load();
+        let mut answer = Response::new(body);
+        *answer.status_mut() = status;
+        if let Ok(load) = HeaderValue::from_str(&format!("busy={busy};queued={queued}")) {
+            answer.headers_mut().insert(headers::LOAD, load);
+        }
+        let is_leaving = self.control.is_leaving.load(Ordering::Relaxed);
+        let state = if is_leaving { "leaving" } else { "live" };
+        answer.headers_mut().insert(headers::TARGET_STATE, HeaderValue::from_static(state));
+        answer
+    }
+}
+
+fn full(content: impl Into<Bytes>) -> TargetBody {
+    Full::new(content.into()).map_err(|never| match never {}).boxed_unsync()
+}
