Benches of policy, added latency and decision cost

Cause: the policy could not be compared with baselines, and no bound was checked. Change: bench policy (13 scenarios, real entry VMs and sockets, open-loop arrivals from a seed, bounds from a central queue and a value relaxation over the same arrivals), bench latency, bench decision.

--- /dev/null
+++ b/crates/standin/src/bench/bound.rs
@@ -0,0 +1,126 @@
+//! Upper bounds computed from the same arrivals and service times.
+
+use crate::load::Arrival;
+use sniperelay_core::document::ServiceDocument;
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, VecDeque};
+use std::time::Duration;
+
+/// What a scheduler is taken to know in advance.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Foresight {
+    /// Every arrival and its service time.
+    All,
+    /// Every arrival, and the mean service time instead of each one's own.
+    MeanTimes,
+}
+
+/// Largest value that any scheduler can serve which keeps the documents' shares.
+///
+/// The slots have `slots * (span + longest latency)` of slot time. Each rank first gets its kept
+/// share of it, or its whole demand if that is less; what remains goes to the requests with the
+/// most worth per slot time, fractions allowed. No order of requests in time is respected, so that
+/// a real scheduler cannot do better.
+pub fn value_bound(
+    arrivals: &[Arrival],
+    document: &ServiceDocument,
+    slots: usize,
+    span: Duration,
+    foresight: Foresight,
+) -> f64 {
+    let longest = document.ranks.iter().map(|rank| rank.latency).max().unwrap_or_default();
+    let capacity = slots as f64 * (span + longest).as_secs_f64();
+    let mut times: Vec<Vec<f64>> = vec![Vec::new(); document.ranks.len()];
+    arrivals.iter().for_each(|arrival| times[arrival.rank].push(arrival.spec.service_time.as_secs_f64()));
+    if foresight == Foresight::MeanTimes {
+        times.iter_mut().for_each(|rank| flatten(rank));
+    }
+    times.iter_mut().for_each(|rank| rank.sort_by(|left, right| right.total_cmp(left)));
+    let mut left = capacity;
+    let mut value = 0.0;
+    for (rank, policy) in document.ranks.iter().enumerate() {
+        let kept = policy.kept_share * capacity;
+        let used = take_shortest(&mut times[rank], kept, policy.worth, &mut value);
+        left -= used;
+    }
+    value + take_densest(&mut times, document, left)
+}
+
+fn flatten(times: &mut [f64]) {
+    let mean = times.iter().sum::<f64>() / times.len().max(1) as f64;
+    times.fill(mean);
+}
+
+/// Takes requests of one rank, the shortest first, from the end of a descending list.
+fn take_shortest(times: &mut Vec<f64>, budget: f64, worth: f64, value: &mut f64) -> f64 {
+    let mut used = 0.0;
+    while let Some(time) = times.pop() {
+        let room = budget - used;
+        if time > room {
+            *value += worth * room / time;
+            // The rest of the request stays available to the other pass.
+            times.push(time - room);
+            return budget;
+        }
+        used += time;
+        *value += worth;
+    }
+    used
+}
+
+fn take_densest(times: &mut [Vec<f64>], document: &ServiceDocument, mut left: f64) -> f64 {
+    let mut value = 0.0;
+    while left > 0.0 {
+        let density = |rank: usize| times[rank].last().map(|time| document.ranks[rank].worth / time);
+        let best = (0..times.len()).filter_map(|rank| density(rank).map(|density| (rank, density)));
+        let Some((rank, density)) = best.max_by(|left, right| left.1.total_cmp(&right.1)) else { break };
+        let time = times[rank].pop().unwrap_or(0.0);
+        value += density * time.min(left);
+        left -= time;
+    }
+    value
+}
+
+/// Latencies of the requests of one rank in a central queue that knows every slot at once: the
+/// most urgent waiting request gets the next free slot.
+pub fn central_queue(arrivals: &[Arrival], rank: usize, slots: usize) -> Vec<Duration> {
+    let ranks = arrivals.iter().map(|arrival| arrival.rank).max().unwrap_or(0) + 1;
+    let mut queues: Vec<VecDeque<&Arrival>> = vec![VecDeque::new(); ranks];
+    let mut busy: BinaryHeap<Reverse<Duration>> = BinaryHeap::new();
+    let mut latencies = Vec::new();
+    let mut next = 0;
+    let mut now = Duration::ZERO;
+    loop {
+        while busy.len() < slots {
+            let Some(queue) = queues.iter_mut().find(|queue| !queue.is_empty()) else { break };
+            let Some(arrival) = queue.pop_front() else { break };
+            let end = now + arrival.spec.service_time;
+            busy.push(Reverse(end));
+            if arrival.rank == rank {
+                latencies.push(end - arrival.at);
+            }
+        }
+        let arrival_at = arrivals.get(next).map(|arrival| arrival.at);
+        let free_at = busy.peek().map(|Reverse(end)| *end);
+        match (arrival_at, free_at) {
+            (Some(at), free) if free.is_none_or(|free| at <= free) => {
+                now = at;
+                queues[arrivals[next].rank].push_back(&arrivals[next]);
+                next += 1;
+            }
+            (_, Some(free)) => {
+                now = free;
+                busy.pop();
+            }
+            (None, None) => return latencies,
+            (Some(_), None) => unreachable!("an arrival without a busy slot is taken above"),
+        }
+    }
+}
+
+/// Quantile of durations.
+pub fn quantile(mut values: Vec<Duration>, quantile: f64) -> Duration {
+    values.sort_unstable();
+    let index = ((values.len() as f64 * quantile).ceil() as usize).clamp(1, values.len().max(1)) - 1;
+    values.get(index).copied().unwrap_or_default()
+}
--- /dev/null
+++ b/crates/standin/src/bench/report.rs
@@ -0,0 +1,79 @@
+//! Figures of benches and how they are printed.
+
+use serde::Serialize;
+use serde_json::Value;
+
+/// One figure.
+#[derive(Debug, Clone, Serialize)]
+pub struct BenchFigure {
+    /// What was measured.
+    pub name: String,
+    /// The value.
+    pub value: f64,
+    /// Its unit.
+    pub unit: &'static str,
+    /// Bound from the users' needs.
+    pub bound: Option<f64>,
+    /// Whether the bound holds.
+    pub holds: Option<bool>,
+    /// Seed of the run.
+    pub seed: u64,
+    /// Whatever else helps.
+    #[serde(skip_serializing_if = "Value::is_null")]
+    pub detail: Value,
+}
+
+/// Which side of a bound is good.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BoundSide {
+    /// The value must not be above the bound.
+    AtMost,
+    /// The value must not be below the bound.
+    AtLeast,
+}
+
+impl BenchFigure {
+    /// A figure without a bound.
+    pub fn plain(name: impl Into<String>, value: f64, unit: &'static str, seed: u64) -> Self {
+        Self { name: name.into(), value, unit, bound: None, holds: None, seed, detail: Value::Null }
+    }
+
+    /// Adds a bound.
+    pub fn with_bound(mut self, side: BoundSide, bound: f64) -> Self {
+        let holds = match side {
+            BoundSide::AtMost => self.value <= bound,
+            BoundSide::AtLeast => self.value >= bound,
+        };
+        self.bound = Some(bound);
+        self.holds = Some(holds);
+        self
+    }
+
+    /// Adds whatever else helps.
+    pub fn with_detail(mut self, detail: Value) -> Self {
+        self.detail = detail;
+        self
+    }
+}
+
+/// Prints figures. Returns whether every bound holds.
+pub fn print_figures(figures: &[BenchFigure], is_json: bool) -> bool {
+    for figure in figures {
+        if is_json {
+            println!("{}", serde_json::to_string(figure).unwrap_or_default());
+        } else {
+            print_row(figure);
+        }
+    }
+    figures.iter().all(|figure| figure.holds != Some(false))
+}
+
+fn print_row(figure: &BenchFigure) {
+    let bound = figure.bound.map_or(String::new(), |bound| format!("bound {bound:.3}"));
+    let holds = match figure.holds {
+        Some(true) => "holds",
+        Some(false) => "DOES NOT HOLD",
+        None => "",
+    };
+    println!("{:<62}{:>14.3} {:<8}{bound:<18}{holds}", figure.name, figure.value, figure.unit);
+}
--- /dev/null
+++ b/crates/standin/src/bench/scenario.rs
@@ -0,0 +1,227 @@
+//! Scenarios: loads and faults over time, on one service with 20 targets of 4 slots.
+
+use crate::cluster::ClusterStandin;
+use crate::load::RankLoad;
+use crate::target::NORMAL_SPEED;
+use anyhow::{Result, bail};
+use rand::rngs::SmallRng;
+use rand::seq::index::sample;
+use rand::{Rng, SeedableRng};
+use sniperelay_core::vm::{VmRole, VmState};
+use sniperelay_node::control::ControlEvent;
+use std::collections::HashSet;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+/// Service of the scenarios.
+pub const SERVICE: &str = "rota-board";
+/// Targets.
+pub const TARGET_COUNT: usize = 20;
+/// Slots of all targets.
+pub const SLOT_COUNT: usize = 80;
+/// Mean service time.
+pub const SERVICE_TIME: Duration = Duration::from_millis(60);
+/// Load before the measured part.
+pub const WARM_UP: Duration = Duration::from_secs(3);
+/// Measured part; floods and faults fill it.
+pub const MEASURED: Duration = Duration::from_secs(8);
+/// Load after the measured part, to see the recovery.
+pub const RECOVERY: Duration = Duration::from_secs(3);
+/// Share of the slots by rank at the steady load of 90 %.
+const STEADY_SHARES: [f64; 3] = [0.4, 0.3, 0.2];
+
+/// A scenario.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Scenario {
+    /// 70 % of the slots.
+    Steady70,
+    /// 90 % of the slots.
+    Steady90,
+    /// Ten times the least urgent work.
+    FloodBulk,
+    /// Three times the most urgent work.
+    FloodUrgent3,
+    /// Ten times the most urgent work.
+    FloodUrgent10,
+    /// Ten times the least and three times the most urgent work.
+    FloodBoth,
+    /// Three targets at a tenth of their speed, others every 200 ms.
+    Straggler,
+    /// Two targets answer errors at once.
+    FastFail,
+    /// Four targets leave one after the other.
+    Drain,
+    /// Four targets join one after the other.
+    ColdStart,
+    /// Each target's speed changes every few tens of milliseconds.
+    Noisy,
+    /// Two of 13 entry VMs fail.
+    VmLoss,
+    /// The entry VMs cannot hear each other.
+    Partition,
+}
+
+impl Scenario {
+    /// Every scenario with its name.
+    pub const ALL: &'static [(&'static str, Self)] = &[
+        ("steady-70", Self::Steady70),
+        ("steady-90", Self::Steady90),
+        ("flood-bulk", Self::FloodBulk),
+        ("flood-urgent-3", Self::FloodUrgent3),
+        ("flood-urgent-10", Self::FloodUrgent10),
+        ("flood-both", Self::FloodBoth),
+        ("straggler", Self::Straggler),
+        ("fast-fail", Self::FastFail),
+        ("drain", Self::Drain),
+        ("cold-start", Self::ColdStart),
+        ("noisy", Self::Noisy),
+        ("vm-loss", Self::VmLoss),
+        ("partition", Self::Partition),
+    ];
+
+    /// The scenario with this name.
+    ///
+    /// # Errors
+    ///
+    /// The known names when there is none.
+    pub fn find(name: &str) -> Result<Self> {
+        if let Some((_, scenario)) = Self::ALL.iter().find(|(known, _)| *known == name) {
+            return Ok(*scenario);
+        }
+        let names: Vec<&str> = Self::ALL.iter().map(|(known, _)| *known).collect();
+        bail!("unknown scenario '{name}', must be one of {}", names.join(", "))
+    }
+
+    /// Loads of all ranks.
+    pub fn loads(self) -> Vec<RankLoad> {
+        let total = match self {
+            Self::Steady90 | Self::FloodBulk | Self::FloodUrgent3 | Self::FloodUrgent10 | Self::FloodBoth => {
+                0.9
+            }
+            _ => 0.7,
+        };
+        let capacity = SLOT_COUNT as f64 / SERVICE_TIME.as_secs_f64();
+        let steady = STEADY_SHARES.map(|share| share / 0.9 * total * capacity);
+        let end = WARM_UP + MEASURED + RECOVERY;
+        let mut loads: Vec<RankLoad> =
+            (0..3).map(|rank| make_load(rank, steady[rank], Duration::ZERO, end)).collect();
+        let factors = self.flood_factors();
+        let floods = (0..3).filter(|rank| factors[*rank] > 1.0);
+        loads.extend(floods.map(|rank| {
+            let extra = steady[rank] * (factors[rank] - 1.0);
+            make_load(rank, extra, WARM_UP, WARM_UP + MEASURED)
+        }));
+        loads
+    }
+
+    fn flood_factors(self) -> [f64; 3] {
+        match self {
+            Self::FloodBulk => [1.0, 1.0, 10.0],
+            Self::FloodUrgent3 => [3.0, 1.0, 1.0],
+            Self::FloodUrgent10 => [10.0, 1.0, 1.0],
+            Self::FloodBoth => [3.0, 1.0, 10.0],
+            _ => [1.0; 3],
+        }
+    }
+
+    /// Whether the scenario is a flood.
+    pub fn is_flood(self) -> bool {
+        self.flood_factors() != [1.0; 3]
+    }
+
+    /// Plays the faults of the scenario.
+    ///
+    /// # Errors
+    ///
+    /// When a target cannot be started.
+    pub async fn disturb(self, cluster: &mut ClusterStandin, seed: u64) -> Result<()> {
+        tokio::time::sleep(WARM_UP).await;
+        let mut rng = SmallRng::seed_from_u64(seed ^ 0x5eed);
+        match self {
+            Self::Straggler => shift_stragglers(cluster, &mut rng).await,
+            Self::Noisy => make_noise(cluster, &mut rng).await,
+            Self::FastFail => fail_fast(cluster).await,
+            Self::Drain => drain_targets(cluster).await,
+            Self::ColdStart => return add_targets(cluster).await,
+            Self::VmLoss => {
+                cluster.entry_vms.remove(4).kill();
+                tokio::time::sleep(Duration::from_secs(2)).await;
+                cluster.entry_vms.remove(8).kill();
+            }
+            Self::Partition => cut_all_links(cluster).await,
+            _ => {}
+        }
+        Ok(())
+    }
+}
+
+fn make_load(rank: usize, per_second: f64, from: Duration, until: Duration) -> RankLoad {
+    let service = SERVICE.to_owned();
+    RankLoad { service, rank, per_second, service_time: SERVICE_TIME, answer_bytes: 1000, from, until }
+}
+
+async fn shift_stragglers(cluster: &ClusterStandin, rng: &mut SmallRng) {
+    let targets = &cluster.targets[SERVICE];
+    let end = Instant::now() + MEASURED;
+    while Instant::now() < end {
+        let slow: Vec<usize> = sample(rng, targets.len(), 3).into_vec();
+        for (index, target) in targets.iter().enumerate() {
+            let factor = if slow.contains(&index) { 10 } else { 1 };
+            target.control.slow_permille.store(NORMAL_SPEED * factor, Ordering::Relaxed);
+        }
+        tokio::time::sleep(Duration::from_millis(200)).await;
+    }
+    targets.iter().for_each(|target| target.control.slow_permille.store(NORMAL_SPEED, Ordering::Relaxed));
+}
+
+async fn make_noise(cluster: &ClusterStandin, rng: &mut SmallRng) {
+    let targets = &cluster.targets[SERVICE];
+    let end = Instant::now() + MEASURED;
+    while Instant::now() < end {
+        for target in targets {
+            let permille = if rng.random_bool(0.1) { 2500 } else { rng.random_range(700..1200) };
+            target.control.slow_permille.store(permille, Ordering::Relaxed);
+        }
+        tokio::time::sleep(Duration::from_millis(rng.random_range(10..40))).await;
+    }
+    targets.iter().for_each(|target| target.control.slow_permille.store(NORMAL_SPEED, Ordering::Relaxed));
+}
+
+async fn fail_fast(cluster: &ClusterStandin) {
+    let failing = &cluster.targets[SERVICE][..2];
+    failing.iter().for_each(|target| target.control.is_failing.store(true, Ordering::Relaxed));
+    tokio::time::sleep(MEASURED).await;
+    failing.iter().for_each(|target| target.control.is_failing.store(false, Ordering::Relaxed));
+}
+
+async fn drain_targets(cluster: &ClusterStandin) {
+    for (index, target) in cluster.targets[SERVICE].iter().enumerate().take(4) {
+        let domain = &cluster.spec.domains[index % cluster.spec.domains.len()];
+        target.control.is_leaving.store(true, Ordering::Relaxed);
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        let role = VmRole::Target(SERVICE.to_owned());
+        crate::cluster::list_vm(&cluster.platform, role, target.address(), domain, VmState::Leaving);
+    }
+}
+
+async fn add_targets(cluster: &mut ClusterStandin) -> Result<()> {
+    for index in 0..4 {
+        let target = cluster.add_target(SERVICE, 4, index).await?;
+        target.control.slow_permille.store(NORMAL_SPEED * 4, Ordering::Relaxed);
+        tokio::time::sleep(Duration::from_millis(1500)).await;
+        target.control.slow_permille.store(NORMAL_SPEED, Ordering::Relaxed);
+    }
+    Ok(())
+}
+
+async fn cut_all_links(cluster: &ClusterStandin) {
+    let addresses: HashSet<_> = cluster.entry_vms.iter().map(|entry_vm| entry_vm.peer_address()).collect();
+    let block = |blocked: &HashSet<_>| {
+        for entry_vm in &cluster.entry_vms {
+            entry_vm.control().send(ControlEvent::BlockPeers(blocked.clone()));
+        }
+    };
+    block(&addresses);
+    tokio::time::sleep(MEASURED).await;
+    block(&HashSet::new());
+}
--- a/crates/standin/src/caller.rs
+++ b/crates/standin/src/caller.rs
@@ -88,20 +88,20 @@
     lookups: Mutex<HashMap<String, KeptLookup>>,
     idle: Mutex<HashMap<SocketAddr, Vec<Sender>>>,
     next_suffix: AtomicU64,
-    /// Entry VM to use whatever lookups say; for measurements of one entry VM.
-    fixed: Option<SocketAddr>,
+    /// Address to call without a lookup.
+    direct: Option<SocketAddr>,
 }
 
 impl CallerStandin {
     /// A caller that knows these entry VMs.
     pub fn new(seeds: Vec<SocketAddr>, domain: Option<String>) -> Self {
         let next_suffix = AtomicU64::new(1);
-        Self { domain, seeds, lookups: Mutex::default(), idle: Mutex::default(), next_suffix, fixed: None }
+        Self { domain, seeds, lookups: Mutex::default(), idle: Mutex::default(), next_suffix, direct: None }
     }
 
-    /// A caller that always uses `address`.
-    pub fn fixed(address: SocketAddr) -> Self {
-        Self { fixed: Some(address), ..Self::new(vec![address], None) }
+    /// A caller that calls one target directly, without an entry VM.
+    pub fn direct(address: SocketAddr) -> Self {
+        Self { direct: Some(address), ..Self::new(vec![address], None) }
     }
 
     /// Performs a call.
@@ -135,6 +135,9 @@
 
     /// Looks a service up, or uses the kept answer.
     pub async fn addresses(&self, service: &str) -> Vec<LookupAddress> {
+        if let Some(address) = self.direct {
+            return vec![LookupAddress { address, ticket: String::new(), domain: String::new() }];
+        }
         if let Some(kept) = self.kept_lookup(service) {
             return kept;
         }
@@ -147,7 +150,7 @@
         {
             let Some(answer) = self.look_up(*seed, service).await else { continue };
             let until = Instant::now() + Duration::from_millis(answer.keep_ms);
-            let kept = KeptLookup { addresses: self.only_fixed(answer.addresses), until };
+            let kept = KeptLookup { addresses: answer.addresses, until };
             let mut lookups = self.lookups.lock().unwrap_or_else(PoisonError::into_inner);
             lookups.insert(service.to_owned(), kept.clone());
             return kept.addresses;
@@ -155,13 +158,6 @@
         Vec::new()
     }
 
-    fn only_fixed(&self, mut addresses: Vec<LookupAddress>) -> Vec<LookupAddress> {
-        if let Some(fixed) = self.fixed {
-            addresses.retain(|address| address.address == fixed);
-        }
-        addresses
-    }
-
     fn kept_lookup(&self, service: &str) -> Option<Vec<LookupAddress>> {
         let lookups = self.lookups.lock().unwrap_or_else(PoisonError::into_inner);
         let kept = lookups.get(service)?;
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -4,6 +4,7 @@
 //! |---|---|
 //! | [`platform`] | the object API with versions, watches, outages and lost answers |
 //! | [`target`] | a backend server: slots, queue, load reports, faults, and the ledger of runs |
+//! | [`bench`] | benches |
 //! | [`caller`] | a caller: lookups, kept answers, keys, whole-answer check |
 //! | [`content`] | body content that belongs to one request |
 //! | [`deployment`] | the two users' services at today's sizes |
@@ -12,6 +13,7 @@
 //! | [`load`] | open-loop load and its results per rank |
 //! | [`demo`] | the main job on real sockets, with checks |
 
+pub mod bench;
 pub mod caller;
 pub mod certificates;
 pub mod cluster;
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -1,7 +1,8 @@
 //! Command of the stand-ins: `demo` and `bench`.
 
-use anyhow::Result;
+use anyhow::{Result, bail};
 use argh::FromArgs;
+use sniperelay_standin::bench;
 use std::process::ExitCode;
 
 /// Stand-ins of platform, targets and callers; demo and benches.
@@ -15,6 +16,7 @@
 #[argh(subcommand)]
 enum StandinCommand {
     Demo(DemoArgs),
+    Bench(BenchArgs),
 }
 
 /// Show the main job on real sockets, with checks; exit code 0 only if every check held.
@@ -22,11 +24,64 @@
 #[argh(subcommand, name = "demo")]
 struct DemoArgs {}
 
+/// Measure; exit code 1 when a bound does not hold.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "bench")]
+struct BenchArgs {
+    /// policy, latency or decision
+    #[argh(positional)]
+    name: String,
+    /// scenario of the policy bench, or all
+    #[argh(option, default = "\"steady-90\".to_owned()")]
+    scenario: String,
+    /// routing policy
+    #[argh(option, default = "\"slot-credit\".to_owned()")]
+    policy: String,
+    /// policy to compare with
+    #[argh(option)]
+    baseline: Option<String>,
+    /// seed of the randomness
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// number of seeds, from --seed on
+    #[argh(option, default = "1")]
+    seeds: u64,
+    /// print one JSON object a line
+    #[argh(switch)]
+    json: bool,
+}
+
+async fn run_bench(args: &BenchArgs) -> Result<bool> {
+    let mut all_hold = true;
+    for seed in args.seed..args.seed + args.seeds.max(1) {
+        let figures = match args.name.as_str() {
+            "policy" => run_policies(args, seed).await?,
+            "latency" => bench::latency::bench_latency(seed).await?,
+            "decision" => bench::decision::bench_decision(seed),
+            other => bail!("unknown bench '{other}', must be policy, latency or decision"),
+        };
+        all_hold &= bench::report::print_figures(&figures, args.json);
+    }
+    Ok(all_hold)
+}
+
+async fn run_policies(args: &BenchArgs, seed: u64) -> Result<Vec<bench::report::BenchFigure>> {
+    let all = bench::scenario::Scenario::ALL.iter().map(|(name, _)| *name);
+    let names: Vec<&str> = if args.scenario == "all" { all.collect() } else { vec![&args.scenario] };
+    let mut figures = Vec::new();
+    for name in names {
+        figures
+            .extend(bench::policy::bench_policy(name, &args.policy, args.baseline.as_deref(), seed).await?);
+    }
+    Ok(figures)
+}
+
 fn main() -> Result<ExitCode> {
     let args: StandinArgs = argh::from_env();
     let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
     let holds = match args.command {
         StandinCommand::Demo(DemoArgs {}) => runtime.block_on(sniperelay_standin::demo::run_demo())?,
+        StandinCommand::Bench(args) => runtime.block_on(run_bench(&args))?,
     };
     Ok(if holds { ExitCode::SUCCESS } else { ExitCode::FAILURE })
 }
