--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -18,6 +18,7 @@
 use crate::borrow::BorrowPlan;
 use crate::budget::AttemptBudget;
 use crate::document::ServiceDocument;
+use crate::estimate::{MeanEstimate, QuantileEstimate};
 use crate::ids::{IncarnationId, QueuedKey, RankId, RequestId, TargetKey};
 use crate::pick::PickPolicy;
 use crate::queue::RankQueue;
@@ -33,8 +34,6 @@
 
 pub use attempt::{AnswerNote, AnswerVerdict, AttemptFailure, FailureVerdict};
 
-/// Weight of a new sample in a cost estimate.
-const COST_WEIGHT: f64 = 0.05;
 /// Length of one bucket of the drain rate.
 const RATE_BUCKET: Duration = Duration::from_millis(100);
 
@@ -110,34 +109,6 @@
     pub seed: u64,
 }
 
-/// Exponentially weighted mean and mean deviation of a duration, in seconds.
-#[derive(Debug, Clone, Copy)]
-struct CostEstimate {
-    mean: f64,
-    deviation: f64,
-}
-
-impl CostEstimate {
-    fn new(guess: Duration) -> Self {
-        let mean = guess.as_secs_f64();
-        Self { mean, deviation: mean / 2.0 }
-    }
-
-    fn record(&mut self, sample: Duration) {
-        let error = sample.as_secs_f64() - self.mean;
-        self.mean += COST_WEIGHT * error;
-        self.deviation += COST_WEIGHT * (error.abs() - self.deviation);
-    }
-
-    fn mean(self) -> Duration {
-        Duration::from_secs_f64(self.mean.max(1e-6))
-    }
-
-    fn beyond(self, deviations: f64) -> Duration {
-        Duration::from_secs_f64((self.mean + deviations * self.deviation).max(1e-6))
-    }
-}
-
 /// Starts per second, over the current and the previous bucket.
 #[derive(Debug, Default)]
 struct DrainRate {
@@ -173,10 +144,14 @@
 #[derive(Debug)]
 struct RankState {
     queue: RankQueue,
-    /// Time until the answer begins.
-    head_cost: CostEstimate,
+    /// Median time until the answer begins.
+    typical_head: QuantileEstimate,
+    /// Time within which nine in ten answers begin.
+    slow_head: QuantileEstimate,
+    /// Time within which nearly all answers begin.
+    longest_head: QuantileEstimate,
     /// Time for which a slot is held.
-    hold_cost: CostEstimate,
+    hold: MeanEstimate,
     drain_rate: DrainRate,
 }
 
@@ -304,8 +279,10 @@
     }
 
     fn adopt_rank(&mut self, rank: RankId, old: &mut RankState) {
-        self.ranks[rank].head_cost = old.head_cost;
-        self.ranks[rank].hold_cost = old.hold_cost;
+        self.ranks[rank].typical_head = old.typical_head;
+        self.ranks[rank].slow_head = old.slow_head;
+        self.ranks[rank].longest_head = old.longest_head;
+        self.ranks[rank].hold = old.hold;
         while let Some(queued) = old.queue.pop_front() {
             let request = queued.request;
             let key = self.ranks[rank].queue.push_back(queued);
@@ -326,8 +303,10 @@
         let guess = latency / 8;
         Self {
             queue: RankQueue::default(),
-            head_cost: CostEstimate::new(guess),
-            hold_cost: CostEstimate::new(guess),
+            typical_head: QuantileEstimate::new(0.5, guess),
+            slow_head: QuantileEstimate::new(0.9, guess),
+            longest_head: QuantileEstimate::new(0.98, guess),
+            hold: MeanEstimate::new(guess),
             drain_rate: DrainRate::default(),
         }
     }
--- a/crates/core/src/dispatch/admit.rs
+++ b/crates/core/src/dispatch/admit.rs
@@ -6,8 +6,8 @@
 use crate::reason::RefusalReason;
 use std::time::{Duration, Instant};
 
-/// Deviations of the time to an answer that admission leaves before the deadline.
-const ADMIT_DEVIATIONS: f64 = 1.0;
+/// Largest part of a rank's latency target that is kept for the answer itself.
+const MAX_MARGIN_SHARE: f64 = 0.6;
 /// Shortest time after which a refused caller is told to come back.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
 
@@ -31,10 +31,9 @@
 
     /// Forgets a waiting request whose caller is gone. Returns whether it was waiting.
     pub fn cancel_waiting(&mut self, request: RequestId) -> bool {
-        let Some((rank, key)) = self.waiting.remove(&request) else { return false };
-        self.ranks[rank].queue.remove(key);
+        let is_waiting = self.cancel_queued_copy(request);
         self.drop_idle_flight(request);
-        true
+        is_waiting
     }
 
     fn check_admission(&mut self, request: &NewRequest, now: Instant) -> Result<(), RefusalReason> {
@@ -50,7 +49,7 @@
         if self.ranks[request.rank].queue.len() >= self.document.ranks[request.rank].queue_limit {
             return Err(RefusalReason::QueueFull);
         }
-        let service_time = self.ranks[request.rank].head_cost.beyond(ADMIT_DEVIATIONS);
+        let service_time = self.time_margin(request.rank);
         let answer_at = now + self.predicted_wait(request.rank, now) + service_time;
         if !self.ranks[request.rank].queue.is_empty() && answer_at > request.deadline {
             return Err(RefusalReason::DeadlineUnreachable);
@@ -58,6 +57,12 @@
         Ok(())
     }
 
+    /// Time that an answer of `rank` is given before the deadline while requests compete for slots.
+    pub(super) fn time_margin(&self, rank: RankId) -> Duration {
+        let limit = self.document.ranks[rank].latency.mul_f64(MAX_MARGIN_SHARE);
+        self.ranks[rank].longest_head.value().min(limit)
+    }
+
     /// Time that a new request of `rank` would wait, from queue length and drain rate.
     fn predicted_wait(&mut self, rank: RankId, now: Instant) -> Duration {
         let state = &mut self.ranks[rank];
@@ -65,7 +70,7 @@
         if waiting == 0 {
             return Duration::ZERO;
         }
-        let hold = state.hold_cost.mean().as_secs_f64();
+        let hold = state.hold.value().as_secs_f64();
         let measured = state.drain_rate.per_second(now);
         let owed = self.document.ranks[rank].kept_share * f64::from(self.targets.usable_slots()) / hold;
         let rate = measured.max(owed).max(1.0);
@@ -94,6 +99,7 @@
             deadline: request.deadline,
             queued_at: now,
             avoid: None,
+            is_hedge: false,
         };
         let key = self.ranks[request.rank].queue.push_back(queued);
         self.waiting.insert(request.request, (request.rank, key));
--- a/crates/core/src/dispatch/attempt.rs
+++ b/crates/core/src/dispatch/attempt.rs
@@ -75,20 +75,24 @@
         now: Instant,
         actions: &mut Vec<DispatchAction>,
     ) -> AnswerVerdict {
-        let Some(flight) = self.flights.get_mut(&request) else { return AnswerVerdict::Discard };
+        let Some(flight) = self.flights.get(&request) else { return AnswerVerdict::Discard };
         let Some(attempt) = flight.attempts.iter().find(|attempt| attempt.target == target) else {
             return AnswerVerdict::Discard;
         };
         let latency = now.saturating_duration_since(attempt.started);
+        self.cancel_queued_copy(request);
+        let Some(flight) = self.flights.get_mut(&request) else { return AnswerVerdict::Discard };
         let is_first = !std::mem::replace(&mut flight.is_answered, true);
         let others = flight.attempts.iter().filter(|attempt| attempt.target != target);
         actions.extend(others.map(|other| DispatchAction::Abandon { request, target: other.target }));
         let rank = &mut self.ranks[flight.rank];
-        let ratio = latency.as_secs_f64() / rank.head_cost.mean().as_secs_f64();
+        let ratio = latency.as_secs_f64() / rank.typical_head.value().as_secs_f64();
         if note.is_error {
             self.targets.record_failure(target, now);
         } else {
-            rank.head_cost.record(latency);
+            rank.typical_head.record(latency);
+            rank.slow_head.record(latency);
+            rank.longest_head.record(latency);
             self.targets.record_answer(target, ratio, note.report, now);
         }
         if is_first { AnswerVerdict::Deliver } else { AnswerVerdict::Discard }
@@ -134,7 +138,7 @@
         let Some(flight) = self.flights.get(&request) else { return };
         let Some(attempt) = flight.attempts.iter().find(|attempt| attempt.target == target) else { return };
         let hold = now.saturating_duration_since(attempt.started);
-        self.ranks[flight.rank].hold_cost.record(hold);
+        self.ranks[flight.rank].hold.record(hold);
     }
 
     /// Ends one attempt. Returns whether it was known.
@@ -156,30 +160,49 @@
         now: Instant,
     ) -> FailureVerdict {
         let Some(flight) = self.flights.get(&request) else { return FailureVerdict::Final };
-        if flight.is_answered || !flight.attempts.is_empty() {
+        if flight.is_answered || !flight.attempts.is_empty() || self.waiting.contains_key(&request) {
             return FailureVerdict::OthersPending;
         }
         let rank = flight.rank;
         let is_safe = flight.is_idempotent || failure.proves_not_run();
         let has_attempts = flight.attempt_count < self.document.retry.max_attempts && !flight.is_retried;
-        let has_time = now + self.ranks[rank].head_cost.mean() < flight.deadline;
+        let has_time = now + self.ranks[rank].typical_head.value() < flight.deadline;
         if !(is_safe && has_attempts && has_time && self.retry_budget.try_take()) {
             return FailureVerdict::Final;
         }
-        self.queue_retry(request, target, failure, now);
+        self.queue_attempt(request, target, failure.retry_reason(), now);
         FailureVerdict::Retried
     }
 
-    fn queue_retry(&mut self, request: RequestId, target: TargetKey, failure: AttemptFailure, now: Instant) {
+    /// Queues a further attempt in front of the other requests of its rank.
+    pub(super) fn queue_attempt(
+        &mut self,
+        request: RequestId,
+        target: TargetKey,
+        reason: RetryReason,
+        now: Instant,
+    ) {
         let Some(flight) = self.flights.get_mut(&request) else { return };
-        flight.retry = Some(failure.retry_reason());
+        flight.retry = Some(reason);
         let rank = flight.rank;
-        let queued =
-            QueuedRequest { request, deadline: flight.deadline, queued_at: now, avoid: Some(target) };
+        let queued = QueuedRequest {
+            request,
+            deadline: flight.deadline,
+            queued_at: now,
+            avoid: Some(target),
+            is_hedge: reason == RetryReason::Hedge,
+        };
         let key = self.ranks[rank].queue.push_front(queued);
         self.waiting.insert(request, (rank, key));
     }
 
+    /// Withdraws what waits for a slot. Returns whether something did.
+    pub(super) fn cancel_queued_copy(&mut self, request: RequestId) -> bool {
+        let Some((rank, key)) = self.waiting.remove(&request) else { return false };
+        self.ranks[rank].queue.remove(key);
+        true
+    }
+
     /// Forgets a request that neither waits nor has attempts in flight.
     pub(super) fn drop_idle_flight(&mut self, request: RequestId) {
         let is_idle = self.flights.get(&request).is_some_and(|flight| flight.attempts.is_empty());
--- a/crates/core/src/dispatch/bind.rs
+++ b/crates/core/src/dispatch/bind.rs
@@ -36,8 +36,9 @@
             return;
         }
         for rank in 0..self.ranks.len() {
-            let service_time = self.ranks[rank].head_cost.mean();
-            let is_expired = |queued: &QueuedRequest| now + service_time > queued.deadline;
+            let service_time = self.ranks[rank].typical_head.value();
+            let is_expired =
+                |queued: &QueuedRequest| !queued.is_hedge && now + service_time > queued.deadline;
             while let Some(queued) = self.ranks[rank].queue.pop_front_if(is_expired) {
                 self.waiting.remove(&queued.request);
                 self.give_up(rank, &queued, now, actions);
@@ -53,15 +54,19 @@
         self.shares.next_rank(|rank| !self.ranks[rank].queue.is_empty())
     }
 
-    /// Whether the deadline leaves no time for the expected answer. A request that has waited for
-    /// nothing is given its chance: the estimate may be wrong for it.
+    /// Whether the deadline leaves too little time for the answer. While others of its rank wait,
+    /// a slot is better used by one of them than by a request that may well be late. A request
+    /// that has not waited is given its chance: the estimate may be wrong for it.
     fn is_hopeless(&self, rank: RankId, queued: &QueuedRequest, now: Instant) -> bool {
-        if self.settings.policy.is_baseline() || queued.queued_at == now {
+        if self.settings.policy.is_baseline() || queued.is_hedge || queued.queued_at == now {
             return false;
         }
-        now + self.ranks[rank].head_cost.mean() > queued.deadline
+        let state = &self.ranks[rank];
+        let needed = if state.queue.is_empty() { state.typical_head.value() } else { self.time_margin(rank) };
+        now + needed > queued.deadline
     }
 
+    /// Refuses a request that was taken from its queue, unless another attempt may still answer it.
     fn give_up(
         &mut self,
         rank: RankId,
@@ -69,6 +74,9 @@
         now: Instant,
         actions: &mut Vec<DispatchAction>,
     ) {
+        if self.flights.get(&queued.request).is_some_and(|flight| !flight.attempts.is_empty()) {
+            return;
+        }
         let is_past = now >= queued.deadline;
         let reason = if is_past { RefusalReason::DeadlinePassed } else { RefusalReason::DeadlineUnreachable };
         let retry_after = self.retry_after(rank, now);
@@ -97,7 +105,7 @@
         let retry = flight.retry.take();
         self.targets.start(target);
         self.ranks[rank].drain_rate.record(now);
-        let cost = self.ranks[rank].hold_cost.mean();
+        let cost = self.ranks[rank].hold.value();
         let ranks = &self.ranks;
         self.shares.charge(rank, cost, |other| !ranks[other].queue.is_empty());
         actions.push(DispatchAction::Start { request: queued.request, target, address, retry });
--- a/crates/core/src/dispatch/upkeep.rs
+++ b/crates/core/src/dispatch/upkeep.rs
@@ -1,18 +1,15 @@
 //! Periodic pass: expiries, stragglers, hedges, and the safe share of a silent owner.
 
-use super::{AttemptState, DispatchAction, FlightState, ServiceDispatcher};
+use super::{DispatchAction, FlightState, ServiceDispatcher};
 use crate::ids::{RequestId, TargetKey};
-use crate::pick::pick_target;
 use crate::reason::RetryReason;
+use crate::target::TargetState;
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
-/// Deviations beyond the mean after which an attempt is overdue.
-const OVERDUE_DEVIATIONS: f64 = 4.0;
-/// Deviations beyond the mean after which a hedge is sent.
-const HEDGE_DEVIATIONS: f64 = 3.0;
-/// Overdue attempts that make a target a straggler.
-const OVERDUE_COUNT: u32 = 2;
+/// Age of an attempt, relative to the time within which nine in ten answers begin, from which it
+/// is overdue.
+const OVERDUE_RATIO: f64 = 1.15;
 /// Wait after which a request may use a target whose owner lends nothing.
 const OWNER_SILENCE: Duration = Duration::from_millis(25);
 
@@ -30,67 +27,61 @@
         self.ask_for_slots(now, actions);
     }
 
+    /// Shuns targets with an overdue attempt and no answer for as long as that attempt runs: a
+    /// healthy target answers others meanwhile.
     fn shun_stragglers(&mut self, now: Instant) {
-        let mut overdue: HashMap<TargetKey, u32> = HashMap::new();
+        let mut overdue: HashMap<TargetKey, Instant> = HashMap::new();
         for flight in self.flights.values().filter(|flight| !flight.is_answered) {
-            let limit = self.ranks[flight.rank].head_cost.beyond(OVERDUE_DEVIATIONS);
-            let late = flight.attempts.iter().filter(|attempt| attempt.started + limit < now);
-            late.for_each(|attempt| *overdue.entry(attempt.target).or_default() += 1);
+            let limit = self.overdue_age(flight);
+            for attempt in flight.attempts.iter().filter(|attempt| attempt.started + limit < now) {
+                let oldest = overdue.entry(attempt.target).or_insert(attempt.started);
+                *oldest = attempt.started.min(*oldest);
+            }
+        }
+        for (key, oldest) in overdue {
+            let is_silent = |target: &TargetState| target.is_silent_since(oldest) && target.in_flight > 1;
+            if self.targets.get(key).is_some_and(is_silent) {
+                self.targets.shun(key, now);
+            }
         }
-        let stragglers = overdue.into_iter().filter(|(_, count)| *count >= OVERDUE_COUNT);
-        stragglers.for_each(|(target, _)| self.targets.shun(target, now));
     }
 
-    /// Sends second attempts beside overdue ones, within the hedge budget, to slots that nobody
-    /// waits for.
+    fn overdue_age(&self, flight: &FlightState) -> Duration {
+        self.ranks[flight.rank].slow_head.value().mul_f64(OVERDUE_RATIO)
+    }
+
+    /// Queues second attempts beside overdue ones and beside all at stragglers, within the hedge
+    /// budget, the oldest first. They go before waiting requests of their rank: the answer of a
+    /// second attempt also frees the slot that the first one holds.
     fn hedge_overdue(&mut self, now: Instant, actions: &mut Vec<DispatchAction>) {
         if self.document.retry.hedge_share == 0.0 {
             return;
         }
-        let mut overdue: Vec<RequestId> = self.overdue_requests(now);
-        overdue.sort_unstable();
-        for request in overdue {
-            if !self.waiting.is_empty() || !self.has_free_target() || !self.hedge_one(request, now, actions) {
-                return;
+        let overdue = self.flights.iter().filter(|(request, flight)| self.may_hedge(**request, flight, now));
+        let mut candidates: Vec<(Instant, RequestId, TargetKey)> = overdue
+            .map(|(request, flight)| (flight.attempts[0].started, *request, flight.attempts[0].target))
+            .collect();
+        candidates.sort_unstable();
+        for (_, request, target) in candidates {
+            if !self.hedge_budget.try_take() {
+                break;
             }
+            self.queue_attempt(request, target, RetryReason::Hedge, now);
         }
+        self.bind_waiting(now, actions);
     }
 
-    fn overdue_requests(&self, now: Instant) -> Vec<RequestId> {
-        let flights = self.flights.iter().filter(|(_, flight)| self.may_hedge(flight, now));
-        flights.map(|(request, _)| *request).collect()
-    }
-
-    fn may_hedge(&self, flight: &FlightState, now: Instant) -> bool {
-        let is_open = !flight.is_answered && !flight.is_retried && flight.attempts.len() == 1;
-        let limit = self.ranks[flight.rank].head_cost.beyond(HEDGE_DEVIATIONS);
-        let has_time = now + self.ranks[flight.rank].head_cost.mean() < flight.deadline;
-        is_open
-            && has_time
-            && flight.is_idempotent
-            && flight.attempt_count < self.document.retry.max_attempts
-            && flight.attempts[0].started + limit < now
-    }
-
-    /// Sends one hedge. Returns false when the budget or the targets allow no more.
-    fn hedge_one(&mut self, request: RequestId, now: Instant, actions: &mut Vec<DispatchAction>) -> bool {
-        let Some(first) = self.flights.get(&request).map(|flight| flight.attempts[0].target) else {
-            return true;
-        };
-        let policy = self.settings.policy;
-        let picked = pick_target(&self.targets, policy, Some(first), self.turn, &mut self.rng);
-        let Some(target) = picked.filter(|target| *target != first) else { return false };
-        let Some(address) = self.targets.get(target).map(|state| state.address) else { return false };
-        if !self.hedge_budget.try_take() {
+    fn may_hedge(&self, request: RequestId, flight: &FlightState, now: Instant) -> bool {
+        let is_single = flight.attempts.len() == 1 && !self.waiting.contains_key(&request);
+        let is_open = is_single && !flight.is_answered && !flight.is_retried;
+        if !is_open || !flight.is_idempotent || flight.attempt_count >= self.document.retry.max_attempts {
             return false;
         }
-        if let Some(flight) = self.flights.get_mut(&request) {
-            flight.attempts.push(AttemptState { target, started: now });
-            flight.attempt_count += 1;
-        }
-        self.targets.start(target);
-        actions.push(DispatchAction::Start { request, target, address, retry: Some(RetryReason::Hedge) });
-        true
+        let attempt = flight.attempts[0];
+        let is_at_straggler = self.targets.get(attempt.target).is_some_and(TargetState::is_shunned);
+        let is_overdue = attempt.started + self.overdue_age(flight) < now;
+        let has_time = now + self.ranks[flight.rank].typical_head.value() < flight.deadline;
+        has_time && (is_overdue || is_at_straggler)
     }
 
     /// Uses targets of silent owners with at most one request in flight each, so that work goes
@@ -106,9 +97,8 @@
     }
 
     fn idle_foreign_target(&self) -> Option<TargetKey> {
-        let idle = |target: &crate::target::TargetState| {
-            target.is_usable() && target.owned_slots() == 0 && target.in_flight == 0
-        };
+        let idle =
+            |target: &TargetState| target.is_usable() && target.owned_slots() == 0 && target.in_flight == 0;
         self.targets.iter().filter(|(_, target)| idle(target)).map(|(key, _)| key).next()
     }
 }
--- a/crates/core/src/document.rs
+++ b/crates/core/src/document.rs
@@ -104,8 +104,9 @@
 }
 
 impl ServiceDocument {
-    /// Classes a request: the first rank with a matching pattern.
+    /// Classes a request: the first rank with a matching pattern. `HEAD` is classed like `GET`.
     pub fn classify(&self, method: &str, path: &str) -> Option<RankId> {
+        let method = if method == "HEAD" { "GET" } else { method };
         self.ranks.iter().position(|rank| rank.matches.iter().any(|route| route.matches(method, path)))
     }
 }
--- a/crates/core/src/edit.rs
+++ b/crates/core/src/edit.rs
@@ -87,7 +87,7 @@
 }
 
 /// One edit under way.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct EditSession {
     request: EditRequest,
     written: Option<ConfigEdition>,
--- /dev/null
+++ b/crates/core/src/estimate.rs
@@ -0,0 +1,70 @@
+//! Estimates of durations from a stream of samples, in constant memory.
+
+use std::time::Duration;
+
+/// Weight of a new sample in a mean.
+const MEAN_WEIGHT: f64 = 0.05;
+/// Relative step of a quantile estimate.
+const QUANTILE_STEP: f64 = 0.05;
+/// Samples after which the step of a quantile estimate has halved.
+const EARLY_SAMPLES: f64 = 4.0;
+/// Smallest estimate, in seconds.
+const MIN_SECONDS: f64 = 1e-6;
+
+/// Exponentially weighted mean of a duration.
+#[derive(Debug, Clone, Copy)]
+pub struct MeanEstimate {
+    seconds: f64,
+}
+
+impl MeanEstimate {
+    /// An estimate that starts at `guess`.
+    pub fn new(guess: Duration) -> Self {
+        Self { seconds: guess.as_secs_f64().max(MIN_SECONDS) }
+    }
+
+    /// Takes in a sample.
+    pub fn record(&mut self, sample: Duration) {
+        self.seconds += MEAN_WEIGHT * (sample.as_secs_f64() - self.seconds);
+        self.seconds = self.seconds.max(MIN_SECONDS);
+    }
+
+    /// The estimate.
+    pub fn value(self) -> Duration {
+        Duration::from_secs_f64(self.seconds)
+    }
+}
+
+/// Quantile of a duration by stochastic approximation: each sample moves the estimate by a small
+/// relative step whose size depends only on which side the sample falls. A few very large samples
+/// move it no more than slightly large ones do.
+#[derive(Debug, Clone, Copy)]
+pub struct QuantileEstimate {
+    quantile: f64,
+    seconds: f64,
+    samples: u32,
+}
+
+impl QuantileEstimate {
+    /// An estimate of `quantile` (0 to 1) that starts at `guess`.
+    pub fn new(quantile: f64, guess: Duration) -> Self {
+        Self { quantile, seconds: guess.as_secs_f64().max(MIN_SECONDS), samples: 0 }
+    }
+
+    /// Takes in a sample. The first one replaces the guess, and early ones move the estimate more.
+    pub fn record(&mut self, sample: Duration) {
+        if self.samples == 0 {
+            self.seconds = sample.as_secs_f64();
+        }
+        let size = (EARLY_SAMPLES / (EARLY_SAMPLES + f64::from(self.samples))).max(QUANTILE_STEP);
+        self.samples = self.samples.saturating_add(1);
+        let is_above = sample.as_secs_f64() > self.seconds;
+        let side = if is_above { self.quantile } else { self.quantile - 1.0 };
+        self.seconds = (self.seconds * (1.0 + size * side)).max(MIN_SECONDS);
+    }
+
+    /// The estimate.
+    pub fn value(self) -> Duration {
+        Duration::from_secs_f64(self.seconds)
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,6 +7,7 @@
 //! | module | table or pass |
 //! |---|---|
 //! | [`document`] | the typed configuration document of one service and its verifier |
+//! | [`estimate`] | means and quantiles of durations |
 //! | [`finding`] | findings that a verifier collects, with their place |
 //! | [`reason`] | outcomes, refusal reasons and retry reasons |
 //! | [`claim`] | idempotency keys bound to one process incarnation |
@@ -34,6 +35,7 @@
 pub mod document;
 pub mod edit;
 pub mod edition;
+pub mod estimate;
 pub mod finding;
 pub mod home;
 pub mod ids;
--- a/crates/core/src/queue.rs
+++ b/crates/core/src/queue.rs
@@ -16,6 +16,9 @@
     pub queued_at: Instant,
     /// Target that an earlier attempt used.
     pub avoid: Option<TargetKey>,
+    /// Whether an earlier attempt is still in flight. Such a second attempt does not expire: its
+    /// answer frees the slot that the first one holds, even when it is late.
+    pub is_hedge: bool,
 }
 
 /// Waiting requests of one rank, first in first out; cancelled ones leave a gap that is skipped.
--- a/crates/core/src/target.rs
+++ b/crates/core/src/target.rs
@@ -84,6 +84,7 @@
     foreign_at: Option<Instant>,
     lent: Vec<SlotLoan>,
     borrowed: Vec<SlotLoan>,
+    answered_at: Option<Instant>,
     failures: u32,
     ejections: u32,
     ejected_until: Option<Instant>,
@@ -109,6 +110,16 @@
         self.ejected_until.is_some()
     }
 
+    /// Whether it gets no work because it is slower than its peers.
+    pub fn is_shunned(&self) -> bool {
+        self.shunned_until.is_some()
+    }
+
+    /// Whether it has given no answer after `since`.
+    pub fn is_silent_since(&self, since: Instant) -> bool {
+        self.answered_at.is_none_or(|at| at <= since)
+    }
+
     /// Slots that this entry VM owns here.
     pub fn owned_slots(&self) -> u32 {
         self.owned_slots
@@ -188,6 +199,7 @@
             foreign_at: None,
             lent: Vec::new(),
             borrowed: Vec::new(),
+            answered_at: None,
             failures: 0,
             ejections: 0,
             ejected_until: None,
@@ -291,6 +303,7 @@
     /// Accounts for an answer: latency relative to the service's average, and a load report.
     pub fn record_answer(&mut self, key: TargetKey, ratio: f64, report: Option<LoadReport>, now: Instant) {
         let Some(target) = self.targets.get_mut(key) else { return };
+        target.answered_at = Some(now);
         target.failures = 0;
         target.ejections = 0;
         target.slowness += SLOWNESS_WEIGHT * (ratio - target.slowness);
--- /dev/null
+++ b/crates/core/tests/edit_model.rs
@@ -0,0 +1,166 @@
+//! Exhaustive exploration of concurrent edits: two editors, and a platform that answers, loses a
+//! write, loses the answer after the write took effect, or delays the write.
+
+use sniperelay_core::edit::{EditRequest, EditResult, EditSession, EditStep, StoredEdition, WriteAnswer};
+use sniperelay_core::edition::ConfigEdition;
+
+/// Faults per sequence.
+const MAX_FAULTS: u32 = 3;
+const MAX_STEPS: u32 = 18;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum PlatformFault {
+    None,
+    /// Nothing happens and there is no answer.
+    LostBefore,
+    /// It takes effect and the answer is lost.
+    LostAfter,
+    /// There is no answer, and the write arrives at some later time.
+    Delayed,
+}
+
+const FAULTS: &[PlatformFault] =
+    &[PlatformFault::None, PlatformFault::LostBefore, PlatformFault::LostAfter, PlatformFault::Delayed];
+
+#[derive(Clone)]
+struct ModelState {
+    version: u64,
+    stored: Option<ConfigEdition>,
+    /// Every edition that ever took effect.
+    log: Vec<ConfigEdition>,
+    delayed: Vec<(u64, ConfigEdition)>,
+    editors: Vec<(EditSession, EditStep)>,
+    faults: u32,
+}
+
+impl ModelState {
+    fn new() -> Self {
+        let editors = (1..=2).map(|edit_id| (EditSession::new(request(edit_id)), EditStep::Read)).collect();
+        Self { version: 0, stored: None, log: Vec::new(), delayed: Vec::new(), editors, faults: 0 }
+    }
+
+    fn write(&mut self, expected: u64, edition: &ConfigEdition) -> bool {
+        let current = if self.stored.is_some() { self.version } else { 0 };
+        if expected != current {
+            return false;
+        }
+        self.version += 1;
+        if let Some(last) = self.log.last() {
+            assert!(edition.mark.generation > last.mark.generation, "a version did not rise");
+        }
+        self.stored = Some(edition.clone());
+        self.log.push(edition.clone());
+        true
+    }
+
+    fn step_editor(&mut self, index: usize, fault: PlatformFault) -> bool {
+        if fault != PlatformFault::None {
+            self.faults += 1;
+        }
+        let (mut session, step) = self.editors[index].clone();
+        let next = match step {
+            EditStep::Finished(_) => return false,
+            EditStep::Read if fault == PlatformFault::None => {
+                let stored =
+                    self.stored.clone().map(|edition| StoredEdition { version: self.version, edition });
+                session.on_read(Ok(stored))
+            }
+            EditStep::Read if fault == PlatformFault::LostBefore => session.on_read(Err(())),
+            EditStep::Read => return false,
+            EditStep::Write { expected, edition } => {
+                let answer = self.answer_write(expected, edition, fault);
+                session.on_written(answer)
+            }
+        };
+        self.editors[index] = (session, next);
+        true
+    }
+
+    fn answer_write(&mut self, expected: u64, edition: ConfigEdition, fault: PlatformFault) -> WriteAnswer {
+        match fault {
+            PlatformFault::None if self.write(expected, &edition) => WriteAnswer::Done,
+            PlatformFault::None => WriteAnswer::Conflict,
+            PlatformFault::LostBefore => WriteAnswer::Unanswered,
+            PlatformFault::LostAfter => {
+                self.write(expected, &edition);
+                WriteAnswer::Unanswered
+            }
+            PlatformFault::Delayed => {
+                self.delayed.push((expected, edition));
+                WriteAnswer::Unanswered
+            }
+        }
+    }
+
+    /// Results must be true now and stay true when all delayed writes have arrived.
+    fn check_results(&self) {
+        for (index, (_, step)) in self.editors.iter().enumerate() {
+            let edit_id = index as u128 + 1;
+            let took_effect = self.log.iter().filter(|edition| edition.mark.edit_id == edit_id).count();
+            assert!(took_effect <= 1, "edit {edit_id} took effect twice");
+            let EditStep::Finished(result) = step else { continue };
+            match result {
+                EditResult::Accepted(_) | EditResult::Superseded(_) => {
+                    assert_eq!(took_effect, 1, "{result:?}")
+                }
+                EditResult::Conflict(_) | EditResult::NotTried => assert_eq!(took_effect, 0, "{result:?}"),
+                EditResult::Open => {}
+            }
+        }
+    }
+}
+
+fn request(edit_id: u128) -> EditRequest {
+    EditRequest {
+        service: "s".to_owned(),
+        edit_id,
+        author: format!("editor {edit_id}"),
+        unix_millis: 0,
+        text: String::new(),
+        base: 0,
+        in_force: 0,
+    }
+}
+
+#[test]
+fn every_result_is_true_under_all_orders_of_faults() {
+    let mut counts = [0u64; 2];
+    explore(&ModelState::new(), 0, &mut counts);
+    println!("{} states, {} ends explored", counts[0], counts[1]);
+    assert!(counts[1] > 1000, "only {} ends: the model does not move", counts[1]);
+}
+
+fn explore(state: &ModelState, depth: u32, counts: &mut [u64; 2]) {
+    counts[0] += 1;
+    state.check_results();
+    let mut has_next = false;
+    if depth < MAX_STEPS {
+        for index in 0..state.editors.len() {
+            let allowed = if state.faults < MAX_FAULTS { FAULTS } else { &FAULTS[..1] };
+            for fault in allowed {
+                let mut next = state.clone();
+                if next.step_editor(index, *fault) {
+                    has_next = true;
+                    explore(&next, depth + 1, counts);
+                }
+            }
+        }
+        for index in 0..state.delayed.len() {
+            let mut next = state.clone();
+            let (expected, edition) = next.delayed.remove(index);
+            next.write(expected, &edition);
+            has_next = true;
+            explore(&next, depth + 1, counts);
+        }
+    }
+    if !has_next {
+        counts[1] += 1;
+    }
+}
+
+#[test]
+fn a_recreated_object_does_not_fall_below_the_version_in_force() {
+    let mut session = EditSession::new(EditRequest { base: 7, in_force: 7, ..request(9) });
+    let EditStep::Write { expected, edition } = session.on_read(Ok(None)) else { panic!("must write") };
+    assert_eq!((expected, edition.mark.generation), (0, 8));
+}
--- /dev/null
+++ b/crates/node/tests/http.rs
@@ -0,0 +1,133 @@
+//! HTTP rules between callers and targets, in tables of cases.
+
+mod common;
+
+use common::{header_of, raw_exchange, start_cluster, status_of};
+use std::sync::atomic::Ordering;
+
+/// Each row: request, expected status, expected outcome, expected reason.
+const CASES: &[(&str, u16, &str, &str)] = &[
+    ("GET /rota/x HTTP/1.1\r\nHost: rota-board\r\n", 200, "", ""),
+    ("GET /rota/x HTTP/1.1\r\nHost: rota-board:8080\r\n", 200, "", ""),
+    ("GET /rota/x HTTP/1.1\r\nHost: 127.0.0.1\r\nSniperelay-Service: rota-board\r\n", 200, "", ""),
+    ("HEAD /rota/x HTTP/1.1\r\nHost: rota-board\r\n", 200, "", ""),
+    ("GET /rota/x HTTP/1.1\r\nHost: nobody\r\n", 404, "not-run", "unknown-service"),
+    ("GET /nothing HTTP/1.1\r\nHost: rota-board\r\n", 404, "not-run", "unknown-rank"),
+    ("PUT /rota/x HTTP/1.1\r\nHost: rota-board\r\n", 404, "not-run", "unknown-rank"),
+    ("GET /rota/x HTTP/1.0\r\nHost: rota-board\r\n", 400, "not-run", "bad-request"),
+    ("CONNECT rota-board:80 HTTP/1.1\r\nHost: rota-board\r\n", 400, "not-run", "bad-request"),
+    ("GET /rota/x HTTP/1.1\r\nHost: rota-board\r\nUpgrade: websocket\r\n", 400, "not-run", "bad-request"),
+    ("GET /rota/x HTTP/1.1\r\nHost: rota-board\r\nHost: claim-desk\r\n", 400, "not-run", "bad-request"),
+    ("GET /rota/x HTTP/1.1\r\nHost: rota-board\r\nContent-Length: 1\r\nContent-Length: 2\r\n", 400, "", ""),
+    ("GET /rota/x HTTP/1.1\r\nHost: rota-board\r\nContent-Length: x\r\n", 400, "", ""),
+    ("GET /rota/x HTTP/1.1\r\nHost: rota-board\r\nTransfer-Encoding: gzip\r\n", 400, "", ""),
+    (
+        "GET /rota/x HTTP/1.1\r\nHost: rota-board\r\nSniperelay-Deadline-Ms: soon\r\n",
+        400,
+        "not-run",
+        "bad-request",
+    ),
+    (
+        "GET /rota/x HTTP/1.1\r\nHost: rota-board\r\nSniperelay-Deadline-Ms: 0\r\n",
+        503,
+        "not-run",
+        "deadline-passed",
+    ),
+    ("POST /claims HTTP/1.1\r\nHost: claim-desk\r\nContent-Length: 0\r\n", 428, "not-run", "key-missing"),
+    (
+        "POST /claims HTTP/1.1\r\nHost: claim-desk\r\nIdempotency-Key: x\r\nContent-Length: 0\r\n",
+        400,
+        "not-run",
+        "key-invalid",
+    ),
+    (
+        "POST /claims HTTP/1.1\r\nHost: claim-desk\r\nIdempotency-Key: 00000000000000aa-0-x\r\nContent-Length: 0\r\n",
+        409,
+        "unknown",
+        "key-elsewhere",
+    ),
+    (
+        "GET /rota/x HTTP/1.1\r\nHost: rota-board\r\nContent-Length: 99999999\r\n",
+        413,
+        "not-run",
+        "body-too-large",
+    ),
+];
+
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_are_answered_by_the_rules() {
+    let cluster = start_cluster(1, 1).await;
+    let address = cluster.caller_addresses()[0];
+    for (request, status, outcome, reason) in CASES {
+        let answer = raw_exchange(address, &format!("{request}Connection: close\r\n\r\n")).await;
+        assert_eq!(status_of(&answer), *status, "{request}\n{answer}");
+        assert_eq!(header_of(&answer, "sniperelay-outcome").unwrap_or(""), *outcome, "{request}");
+        assert_eq!(header_of(&answer, "sniperelay-reason").unwrap_or(""), *reason, "{request}");
+    }
+    cluster.shut_down();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn smuggled_requests_do_not_reach_a_target() {
+    let cluster = start_cluster(1, 1).await;
+    let address = cluster.caller_addresses()[0];
+    let target = cluster.targets["rota-board"][0].clone();
+    let request = "GET /rota/x HTTP/1.1\r\nHost: rota-board\r\nContent-Length: 60\r\nTransfer-Encoding: chunked\r\n\
+                   Connection: close\r\n\r\n0\r\n\r\nGET /rota/smuggled HTTP/1.1\r\nHost: rota-board\r\n\r\n";
+    let answer = raw_exchange(address, request).await;
+    assert!(answer.matches("HTTP/1.1").count() <= 1, "{answer}");
+    assert!(target.control.accepted.load(Ordering::Relaxed) <= 1);
+    cluster.shut_down();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn hop_by_hop_headers_end_here() {
+    let cluster = start_cluster(1, 1).await;
+    let address = cluster.caller_addresses()[0];
+    let request = "GET /rota/x HTTP/1.1\r\nHost: rota-board\r\nstandin-echo: 1\r\nConnection: close, x-private\r\n\
+                   X-Private: 1\r\nX-Public: 2\r\nKeep-Alive: 5\r\nProxy-Authorization: secret\r\nTE: trailers\r\n\r\n";
+    let answer = raw_exchange(address, request).await;
+    let body = answer.split("\r\n\r\n").nth(1).unwrap_or("").to_lowercase();
+    for gone in ["x-private", "keep-alive", "proxy-authorization", "te: ", "connection: close, x-private"] {
+        assert!(!body.contains(gone), "{gone} reached the target:\n{body}");
+    }
+    for kept in
+        ["x-public: 2", "via: 1.1 sniperelay", "forwarded: for=127.0.0.1", "sniperelay-deadline-unix-ms"]
+    {
+        assert!(body.contains(kept), "{kept} is missing:\n{body}");
+    }
+    assert!(header_of(&answer, "via").is_some());
+    assert!(header_of(&answer, "sniperelay-load").is_none(), "the load report is not for callers");
+    cluster.shut_down();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_body_that_breaks_off_reaches_the_caller_broken() {
+    let cluster = start_cluster(1, 1).await;
+    let address = cluster.caller_addresses()[0];
+    cluster.targets["rota-board"][0].control.break_permille.store(1000, Ordering::Relaxed);
+    for size in [1000, 50_000, 300_000] {
+        let request = format!(
+            "GET /rota/x HTTP/1.1\r\nHost: rota-board\r\nstandin-id: 7\r\nstandin-size: {size}\r\n\
+             Connection: close\r\n\r\n"
+        );
+        let answer = raw_exchange(address, &request).await;
+        // Either a visible error status, or a chunked body without its last chunk.
+        let is_refused = status_of(&answer) >= 500;
+        let has_clean_end = answer.ends_with("0\r\n\r\n");
+        assert!(is_refused || !has_clean_end, "a broken body of {size} bytes ended cleanly");
+    }
+    cluster.shut_down();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn expect_100_continue_is_answered() {
+    let cluster = start_cluster(1, 1).await;
+    let address = cluster.caller_addresses()[0];
+    let request = "GET /rota/x HTTP/1.1\r\nHost: rota-board\r\nExpect: 100-continue\r\nContent-Length: 3\r\n\
+                   Connection: close\r\n\r\nabc";
+    let answer = raw_exchange(address, request).await;
+    assert!(answer.starts_with("HTTP/1.1 100"), "{answer}");
+    assert!(answer.contains("HTTP/1.1 200"), "{answer}");
+    cluster.shut_down();
+}
--- /dev/null
+++ b/crates/node/tests/keys.rs
@@ -0,0 +1,103 @@
+//! Peers of another deployment or with an expired certificate are refused and counted.
+
+use sniperelay_config::settings::PeerSettings;
+use sniperelay_core::ids::IncarnationId;
+use sniperelay_node::metrics::ProcessCounters;
+use sniperelay_node::peer::link::PeerLink;
+use sniperelay_node::peer::tls::load_configs;
+use sniperelay_standin::certificates::{DeploymentFiles, Validity, make_files};
+use sniperelay_wire::PeerMessage;
+use std::path::Path;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use tokio::sync::mpsc::{Receiver, channel};
+
+const PATIENCE: Duration = Duration::from_secs(20);
+
+struct LinkEnd {
+    link: PeerLink,
+    inbox: Receiver<PeerMessage>,
+    counters: Arc<ProcessCounters>,
+}
+
+fn settings_of(files: &DeploymentFiles) -> PeerSettings {
+    PeerSettings {
+        seeds: Vec::new(),
+        heartbeat: Duration::from_secs(1),
+        ca_file: files.ca.clone(),
+        certificate_file: files.certificate.clone(),
+        key_file: files.key.clone(),
+    }
+}
+
+fn start_end(files: &DeploymentFiles) -> LinkEnd {
+    let (sender, inbox) = channel(16);
+    let counters = Arc::new(ProcessCounters::default());
+    let configs = load_configs(&settings_of(files)).unwrap();
+    let link = PeerLink::bind("127.0.0.1:0".parse().unwrap(), configs, sender, counters.clone()).unwrap();
+    LinkEnd { link, inbox, counters }
+}
+
+fn message(sender: IncarnationId) -> PeerMessage {
+    PeerMessage::EditionCompare { sender, mask: 1 }
+}
+
+async fn is_refused(left: &LinkEnd, right: &mut LinkEnd) -> bool {
+    left.link.send(right.link.local_address().unwrap(), &message(1));
+    let refusals = || {
+        left.counters.peers_refused.load(Ordering::Relaxed)
+            + right.counters.peers_refused.load(Ordering::Relaxed)
+    };
+    for _ in 0..PATIENCE.as_millis() / 10 {
+        if right.inbox.try_recv().is_ok() {
+            return false;
+        }
+        if refusals() > 0 {
+            return true;
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    panic!("neither a message nor a refusal");
+}
+
+fn directory(name: &str) -> std::path::PathBuf {
+    std::env::temp_dir().join(format!("sniperelay-keys-{}-{name}", std::process::id()))
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn only_valid_peers_of_the_deployment_are_heard() {
+    let own = make_files(&directory("own"), Validity::Current).unwrap();
+    let other = make_files(&directory("other"), Validity::Current).unwrap();
+    let expired = make_files(&directory("expired"), Validity::Expired).unwrap();
+    let rows: [(&str, &DeploymentFiles, &DeploymentFiles, bool); 4] = [
+        ("same deployment", &own, &own, false),
+        ("other deployment calls", &other, &own, true),
+        ("other deployment is called", &own, &other, true),
+        ("expired", &expired, &expired, true),
+    ];
+    for (name, caller, called, expected) in rows {
+        let left = start_end(caller);
+        let mut right = start_end(called);
+        assert_eq!(is_refused(&left, &mut right).await, expected, "{name}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn keys_are_replaced_without_a_restart() {
+    let old = make_files(&directory("old"), Validity::Current).unwrap();
+    let new = make_files(&directory("new"), Validity::Current).unwrap();
+    let mut right = start_end(&old);
+    right.link.replace_configs(load_configs(&settings_of(&new)).unwrap());
+    let left = start_end(&new);
+    assert!(!is_refused(&left, &mut right).await);
+}
+
+#[test]
+fn files_that_cannot_be_used_are_named() {
+    let files = make_files(&directory("broken"), Validity::Current).unwrap();
+    let mut settings = settings_of(&files);
+    settings.key_file = Path::new("/nonexistent/key.pem").to_owned();
+    let error = format!("{:#}", load_configs(&settings).unwrap_err());
+    assert!(error.contains("/nonexistent/key.pem"), "{error}");
+}
--- /dev/null
+++ b/crates/node/tests/promises.rs
@@ -0,0 +1,317 @@
+//! The promises over real sockets, with faults at the interfaces.
+
+mod common;
+
+use common::{header_of, raw_exchange, start_cluster, status_of, wait_until};
+use http::{Method, StatusCode};
+use sniperelay_core::edition::{ConfigEdition, EditMark};
+use sniperelay_node::EntryVm;
+use sniperelay_standin::caller::{CallEnd, CallSpec, CallerStandin};
+use sniperelay_standin::cluster::{ADMIN_TOKEN, ClusterStandin, ask_operator, put_document};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+fn read_call(id: u64, service_time: Duration) -> CallSpec {
+    CallSpec {
+        service: "rota-board".to_owned(),
+        method: Method::GET,
+        path: "/rota/item".to_owned(),
+        id,
+        service_time,
+        answer_bytes: 2000,
+        needs_key: false,
+    }
+}
+
+async fn claim(address: SocketAddr, key: &str) -> String {
+    let request = format!(
+        "POST /claims HTTP/1.1\r\nHost: claim-desk\r\nIdempotency-Key: {key}\r\nContent-Length: 0\r\n\
+         Connection: close\r\n\r\n"
+    );
+    raw_exchange(address, &request).await
+}
+
+async fn ticket_of(entry_vm: &EntryVm) -> String {
+    let caller = CallerStandin::new(vec![entry_vm.caller_address()], None);
+    let addresses = caller.addresses("claim-desk").await;
+    let own = addresses.into_iter().find(|address| address.address == entry_vm.caller_address());
+    own.expect("every entry VM of a small cluster is named").ticket
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_repeated_claim_runs_once_wherever_it_goes() {
+    let mut cluster = start_cluster(3, 2).await;
+    let [first, second, _] = cluster.caller_addresses()[..] else { unreachable!("three entry VMs") };
+    let key = format!("{}-claim", ticket_of(&cluster.entry_vms[0]).await);
+    assert_eq!(status_of(&claim(first, &key).await), 200);
+    for address in [first, second] {
+        let answer = claim(address, &key).await;
+        assert_eq!(status_of(&answer), 409, "{answer}");
+        assert_eq!(header_of(&answer, "sniperelay-outcome"), Some("ran"));
+        assert!(answer.contains("\"earlier_status\":200"), "{answer}");
+    }
+    // The holder fails; nobody else may run the key.
+    cluster.entry_vms.remove(0).kill();
+    let answer = claim(second, &key).await;
+    assert_eq!(header_of(&answer, "sniperelay-outcome"), Some("unknown"), "{answer}");
+    assert_eq!((cluster.ledger.key_count(), cluster.ledger.doubled_keys()), (1, 0));
+    cluster.shut_down();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_claim_whose_caller_leaves_is_settled() {
+    let cluster = start_cluster(1, 1).await;
+    let address = cluster.caller_addresses()[0];
+    let key = format!("{}-gone", ticket_of(&cluster.entry_vms[0]).await);
+    let request = format!(
+        "POST /claims HTTP/1.1\r\nHost: claim-desk\r\nIdempotency-Key: {key}\r\nstandin-micros: 50000\r\n\
+         Content-Length: 0\r\n\r\n"
+    );
+    let mut stream = tokio::net::TcpStream::connect(address).await.unwrap();
+    tokio::io::AsyncWriteExt::write_all(&mut stream, request.as_bytes()).await.unwrap();
+    wait_until("the claim runs", || cluster.ledger.key_count() == 1).await;
+    drop(stream);
+    let mut answer = String::new();
+    for _ in 0..200 {
+        answer = claim(address, &key).await;
+        if header_of(&answer, "sniperelay-reason") == Some("duplicate-finished") {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    assert_eq!(header_of(&answer, "sniperelay-outcome"), Some("ran"), "{answer}");
+    assert_eq!(cluster.ledger.doubled_keys(), 0);
+    cluster.shut_down();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_target_that_breaks_off_a_claim_leaves_it_unknown_and_not_repeated() {
+    let cluster = start_cluster(1, 2).await;
+    let address = cluster.caller_addresses()[0];
+    // A listener that takes requests and closes without an answer stands in for all targets.
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let closing = listener.local_addr().unwrap();
+    let taken = Arc::new(std::sync::atomic::AtomicU64::new(0));
+    let counter = taken.clone();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let mut buffer = [0; 4096];
+            if tokio::io::AsyncReadExt::read(&mut stream, &mut buffer).await.unwrap_or(0) > 0 {
+                counter.fetch_add(1, Ordering::Relaxed);
+            }
+        }
+    });
+    for target in &cluster.targets["claim-desk"] {
+        sniperelay_standin::cluster::unlist_vm(&cluster.platform, target.address());
+    }
+    let role = sniperelay_core::vm::VmRole::Target("claim-desk".to_owned());
+    let state = sniperelay_core::vm::VmState::Live;
+    sniperelay_standin::cluster::list_vm(&cluster.platform, role, closing, "erie-shore", state);
+    wait_for_targets(&cluster, "claim-desk", &[closing]).await;
+    let key = format!("{}-lost", ticket_of(&cluster.entry_vms[0]).await);
+    let answer = claim(address, &key).await;
+    assert_eq!(status_of(&answer), 502, "{answer}");
+    assert_eq!(header_of(&answer, "sniperelay-outcome"), Some("unknown"));
+    let again = claim(address, &key).await;
+    assert_eq!(header_of(&again, "sniperelay-outcome"), Some("unknown"), "{again}");
+    assert_eq!(taken.load(Ordering::Relaxed), 1, "the claim was sent more than once");
+    cluster.shut_down();
+}
+
+async fn wait_for_targets(cluster: &ClusterStandin, service: &str, addresses: &[SocketAddr]) {
+    let sees = |entry_vm: &EntryVm| {
+        let services = entry_vm.shared().services.load();
+        services[service].gate.read(|dispatcher| {
+            let mut live: Vec<SocketAddr> = dispatcher
+                .targets()
+                .iter()
+                .filter(|(_, target)| target.is_usable())
+                .map(|(_, target)| target.address)
+                .collect();
+            live.sort_unstable();
+            live == addresses
+        })
+    };
+    wait_until("the target list is in force", || cluster.entry_vms.iter().all(sees)).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_vm_that_starts_in_an_outage_learns_from_peers_and_claims_go_on() {
+    let mut cluster = start_cluster(2, 2).await;
+    cluster.platform.control.is_down.store(true, Ordering::Relaxed);
+    cluster.start_entry_vm().unwrap();
+    cluster.wait_ready().await.unwrap();
+    let newcomer = &cluster.entry_vms[2];
+    let key = format!("{}-outage", ticket_of(newcomer).await);
+    assert_eq!(status_of(&claim(newcomer.caller_address(), &key).await), 200);
+    cluster.shut_down();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_target_that_says_it_leaves_gets_no_new_work_from_any_entry_vm() {
+    let cluster = start_cluster(3, 3).await;
+    let leaver = cluster.targets["rota-board"][0].clone();
+    leaver.control.is_leaving.store(true, Ordering::Relaxed);
+    let callers: Vec<CallerStandin> =
+        cluster.caller_addresses().iter().map(|address| CallerStandin::new(vec![*address], None)).collect();
+    // Some call meets the leaver and learns it from its answer.
+    let mut id = 0;
+    while leaver.control.accepted.load(Ordering::Relaxed) == 0 {
+        id += 1;
+        callers[id as usize % 3].call(&read_call(id, Duration::ZERO)).await;
+        assert!(id < 10_000, "the leaver was never used");
+    }
+    let knows = |entry_vm: &EntryVm| {
+        let services = entry_vm.shared().services.load();
+        services["rota-board"].gate.read(|dispatcher| {
+            let key = dispatcher.targets().find(leaver.address());
+            key.and_then(|key| dispatcher.targets().get(key)).is_none_or(|target| !target.is_usable())
+        })
+    };
+    wait_until("all entry VMs know the leaver", || cluster.entry_vms.iter().all(knows)).await;
+    let accepted = leaver.control.accepted.load(Ordering::Relaxed);
+    for id in 20_000..20_200 {
+        let result = callers[id as usize % 3].call(&read_call(id, Duration::ZERO)).await;
+        assert_eq!(result.end, CallEnd::Whole);
+    }
+    assert_eq!(leaver.control.accepted.load(Ordering::Relaxed), accepted, "new work after the word spread");
+    cluster.shut_down();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn planned_stops_cut_no_request() {
+    let mut cluster = start_cluster(4, 3).await;
+    cluster.platform.control.is_down.store(true, Ordering::Relaxed);
+    let addresses = cluster.caller_addresses();
+    let callers: Vec<Arc<CallerStandin>> =
+        (0..8).map(|_| Arc::new(CallerStandin::new(addresses.clone(), None))).collect();
+    let is_over = Arc::new(std::sync::atomic::AtomicBool::new(false));
+    let mut tasks = tokio::task::JoinSet::new();
+    for (index, caller) in callers.into_iter().enumerate() {
+        let is_over = is_over.clone();
+        tasks.spawn(async move {
+            let mut ends = Vec::new();
+            let mut id = index as u64 * 1_000_000;
+            while !is_over.load(Ordering::Relaxed) {
+                id += 1;
+                ends.push(caller.call(&read_call(id, Duration::from_millis(20))).await.end);
+            }
+            ends
+        });
+    }
+    // Two stops at once, during an outage of the platform.
+    let second = cluster.entry_vms.remove(2);
+    let first = cluster.entry_vms.remove(0);
+    let (first, second) = tokio::join!(first.stop(), second.stop());
+    assert!(first.unwrap() && second.unwrap(), "connections were cut");
+    is_over.store(true, Ordering::Relaxed);
+    let ends: Vec<CallEnd> = tasks.join_all().await.concat();
+    let failed: Vec<&CallEnd> = ends.iter().filter(|end| **end != CallEnd::Whole).collect();
+    assert!(
+        failed.is_empty(),
+        "{} of {} failed: {:?}",
+        failed.len(),
+        ends.len(),
+        &failed[..failed.len().min(5)]
+    );
+    cluster.shut_down();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn racing_edits_are_told_apart_and_teams_edit_their_own() {
+    let cluster = start_cluster(2, 1).await;
+    let text = cluster.spec.services[0].text.clone();
+    let operators: Vec<SocketAddr> = cluster.entry_vms.iter().map(EntryVm::operator_address).collect();
+    let put = |operator, path: &'static str, token, text: String| async move {
+        ask_operator(operator, Method::PUT, path, token, &text).await.unwrap()
+    };
+    let path = "/config/rota-board?base=1";
+    let left = text.replace("worth = 100", "worth = 101");
+    let right = text.replace("worth = 100", "worth = 102");
+    let token = Some(ADMIN_TOKEN);
+    let (first, second) =
+        tokio::join!(put(operators[0], path, token, left), put(operators[1], path, token, right));
+    let mut statuses = [first.0, second.0];
+    statuses.sort();
+    assert_eq!(statuses, [StatusCode::OK, StatusCode::CONFLICT], "{first:?} {second:?}");
+    let conflict = if first.0 == StatusCode::CONFLICT { first.1 } else { second.1 };
+    assert!(conflict.contains("\"author\":\"admin\"") && conflict.contains("\"generation\":2"), "{conflict}");
+    // Each row: path, token, change, expected status.
+    let rows = [
+        ("/config/rota-board?base=2", None, "", StatusCode::UNAUTHORIZED),
+        ("/config/rota-board?base=2", Some("wrong-token"), "", StatusCode::UNAUTHORIZED),
+        ("/config/rota-board", token, "", StatusCode::BAD_REQUEST),
+        ("/config/claim-desk?base=1", token, "", StatusCode::UNPROCESSABLE_ENTITY),
+        ("/config/rota-board?base=2", token, "[nonsense]\n", StatusCode::UNPROCESSABLE_ENTITY),
+        ("/config/rota-board?base=1", token, "", StatusCode::CONFLICT),
+        ("/config/rota-board?base=2", token, "", StatusCode::OK),
+    ];
+    for (path, token, extra, expected) in rows {
+        let (status, body) = put(operators[0], path, token, format!("{text}{extra}")).await;
+        assert_eq!(status, expected, "{path}: {body}");
+    }
+    cluster.shut_down();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn nothing_that_the_platform_shows_later_reverts_a_document() {
+    let cluster = start_cluster(2, 1).await;
+    let text = cluster.spec.services[0].text.clone();
+    let edited = text.replace("worth = 100", "worth = 103");
+    let operator = cluster.entry_vms[0].operator_address();
+    let path = "/config/rota-board?base=1";
+    let (status, body) = ask_operator(operator, Method::PUT, path, Some(ADMIN_TOKEN), &edited).await.unwrap();
+    assert_eq!(status, StatusCode::OK, "{body}");
+    let in_force = || {
+        let worth =
+            |entry_vm: &EntryVm| entry_vm.shared().services.load()["rota-board"].document.ranks[0].worth;
+        cluster.entry_vms.iter().map(worth).collect::<Vec<f64>>()
+    };
+    wait_until("the edit is in force", || in_force() == [103.0, 103.0]).await;
+    // Deleted, recreated with an old version, and replaced by what is no document.
+    cluster.platform.delete("config/rota-board");
+    put_document(&cluster.platform, "rota-board", &text);
+    cluster.platform.put("config/rota-board", "not json");
+    let bad = ConfigEdition {
+        service: "rota-board".to_owned(),
+        mark: EditMark { edit_id: 5, generation: 99, author: "x".to_owned(), unix_millis: 0 },
+        history: Vec::new(),
+        text: "[service]\nname = rota-board\n".to_owned(),
+    };
+    cluster.platform.put("config/rota-board", serde_json::to_string(&bad).unwrap());
+    // An edit of another service is seen after all of these.
+    let other = cluster.spec.services[1].text.replace("worth = 200", "worth = 201");
+    let (status, _) =
+        ask_operator(operator, Method::PUT, "/config/claim-desk?base=1", Some(ADMIN_TOKEN), &other)
+            .await
+            .unwrap();
+    assert_eq!(status, StatusCode::OK);
+    let refused = |entry_vm: &EntryVm| {
+        entry_vm.shared().metrics.process().documents_refused.load(Ordering::Relaxed) > 0
+    };
+    wait_until("a watcher has refused the bad document", || cluster.entry_vms.iter().any(refused)).await;
+    assert_eq!(in_force(), [103.0, 103.0]);
+    cluster.shut_down();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn every_reason_has_a_counter_that_operators_can_read() {
+    use sniperelay_core::reason::{RefusalReason, RetryReason};
+    let cluster = start_cluster(1, 1).await;
+    let caller = CallerStandin::new(cluster.caller_addresses(), None);
+    caller.call(&read_call(1, Duration::ZERO)).await;
+    let operator = cluster.entry_vms[0].operator_address();
+    let (_, metrics) = ask_operator(operator, Method::GET, "/metrics", None, "").await.unwrap();
+    let refusals = RefusalReason::ALL.iter().map(|reason| ("refusals", reason.as_str()));
+    let retries = RetryReason::ALL.iter().map(|reason| ("retries", reason.as_str()));
+    for (name, reason) in refusals.chain(retries) {
+        let line = metrics.lines().find(|line| {
+            line.starts_with(&format!("sniperelay_{name}")) && line.contains(&format!("reason=\"{reason}\""))
+        });
+        assert!(line.is_some(), "no counter for {name} {reason}");
+    }
+    assert!(metrics.contains("sniperelay_answer_latency_seconds_bucket"));
+    cluster.shut_down();
+}
--- /dev/null
+++ b/crates/platform/tests/contract.rs
@@ -0,0 +1,75 @@
+//! Contract of the platform client, against the stand-in.
+
+use sniperelay_platform::{HttpPlatform, PlatformApi, PlatformError};
+use sniperelay_standin::platform::PlatformStandin;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+async fn start() -> (Arc<PlatformStandin>, HttpPlatform) {
+    let standin = PlatformStandin::start().await.unwrap();
+    let client = HttpPlatform::new(standin.address(), 10_000);
+    // The first call takes the one saved call; later ones are refilled at the rate.
+    client.list("none/").await.unwrap();
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    (standin, client)
+}
+
+#[tokio::test]
+async fn objects_are_written_under_their_version_only() {
+    let (_standin, client) = start().await;
+    assert_eq!(client.get("a/x").await, Ok(None));
+    let first = client.put("a/x", 0, "one").await.unwrap();
+    assert_eq!(client.put("a/x", 0, "two").await, Err(PlatformError::Conflict { current: first }));
+    let second = client.put("a/x", first, "two").await.unwrap();
+    assert!(second > first);
+    assert_eq!(client.delete("a/x", first).await, Err(PlatformError::Conflict { current: second }));
+    let deleted = client.delete("a/x", second).await.unwrap();
+    assert_eq!(client.get("a/x").await, Ok(None));
+    let recreated = client.put("a/x", 0, "three").await.unwrap();
+    assert!(recreated > deleted, "a recreated object has a higher version");
+}
+
+#[tokio::test]
+async fn lists_and_watches_follow_a_prefix() {
+    let (standin, client) = start().await;
+    standin.put("a/1", "x");
+    standin.put("b/1", "y");
+    let list = client.list("a/").await.unwrap();
+    assert_eq!(list.items.len(), 1);
+    let (changes, _) = tokio::join!(client.watch("a/", list.revision, Duration::from_secs(20)), async {
+        standin.put("b/2", "z");
+        standin.put("a/2", "w");
+    });
+    let changes = changes.unwrap();
+    assert!(changes.events.iter().any(|event| event.key == "a/2" && event.value.as_deref() == Some("w")));
+    assert!(changes.events.iter().all(|event| event.key.starts_with("a/")));
+    standin.delete("a/1");
+    let deleted = client.watch("a/", changes.revision, Duration::from_secs(20)).await.unwrap();
+    assert_eq!(deleted.events[0].value, None);
+    standin.forget_changes();
+    assert_eq!(client.watch("a/", list.revision, Duration::ZERO).await, Err(PlatformError::WatchTooOld));
+}
+
+#[tokio::test]
+async fn a_lost_answer_is_told_from_a_refusal() {
+    let (standin, client) = start().await;
+    standin.control.lose_answers.store(1, Ordering::Relaxed);
+    let error = client.put("a/x", 0, "one").await.unwrap_err();
+    assert!(matches!(error, PlatformError::Unanswered(_)), "{error:?}");
+    assert!(!error.proves_no_effect());
+    assert_eq!(standin.get("a/x").map(|object| object.value), Some("one".to_owned()));
+}
+
+#[tokio::test]
+async fn calls_are_held_back_after_a_failure() {
+    let (standin, client) = start().await;
+    standin.control.is_down.store(true, Ordering::Relaxed);
+    let mut held_back = 0;
+    for _ in 0..50 {
+        let error = client.get("a/x").await.unwrap_err();
+        held_back += u32::from(matches!(error, PlatformError::HeldBack(_)));
+    }
+    assert!(held_back >= 40, "only {held_back} of 50 calls were held back");
+    assert!(standin.control.calls_while_down.load(Ordering::Relaxed) <= 10);
+}
--- a/crates/standin/src/bench/bound.rs
+++ b/crates/standin/src/bench/bound.rs
@@ -15,12 +15,12 @@
     MeanTimes,
 }
 
-/// Largest value that any scheduler can serve which keeps the documents' shares.
+/// Largest value that any scheduler can serve which keeps the documents' shares at all times.
 ///
-/// The slots have `slots * (span + longest latency)` of slot time. Each rank first gets its kept
-/// share of it, or its whole demand if that is less; what remains goes to the requests with the
-/// most worth per slot time, fractions allowed. No order of requests in time is respected, so that
-/// a real scheduler cannot do better.
+/// Within the span each rank first gets its kept share of the slot time, or its whole demand if
+/// that is less. What remains goes to the requests with the most worth per slot time, fractions
+/// allowed. A rank can go on for its latency beyond the span. No order of requests in time is
+/// respected, so that a real scheduler cannot do better.
 pub fn value_bound(
     arrivals: &[Arrival],
     document: &ServiceDocument,
@@ -28,8 +28,7 @@
     span: Duration,
     foresight: Foresight,
 ) -> f64 {
-    let longest = document.ranks.iter().map(|rank| rank.latency).max().unwrap_or_default();
-    let capacity = slots as f64 * (span + longest).as_secs_f64();
+    let capacity = slots as f64 * span.as_secs_f64();
     let mut times: Vec<Vec<f64>> = vec![Vec::new(); document.ranks.len()];
     arrivals.iter().for_each(|arrival| times[arrival.rank].push(arrival.spec.service_time.as_secs_f64()));
     if foresight == Foresight::MeanTimes {
@@ -40,10 +39,11 @@
     let mut value = 0.0;
     for (rank, policy) in document.ranks.iter().enumerate() {
         let kept = policy.kept_share * capacity;
-        let used = take_shortest(&mut times[rank], kept, policy.worth, &mut value);
-        left -= used;
+        left -= take_shortest(&mut times[rank], kept, policy.worth, &mut value);
     }
-    value + take_densest(&mut times, document, left)
+    let tails: Vec<f64> =
+        document.ranks.iter().map(|rank| slots as f64 * rank.latency.as_secs_f64()).collect();
+    value + take_densest(&mut times, document, left, &tails)
 }
 
 fn flatten(times: &mut [f64]) {
@@ -68,17 +68,29 @@
     used
 }
 
-fn take_densest(times: &mut [Vec<f64>], document: &ServiceDocument, mut left: f64) -> f64 {
+/// Takes requests of all ranks, those with the most worth per slot time first. The ranks with
+/// latencies up to that of rank `r` can together use `free + tails[r]`.
+fn take_densest(times: &mut [Vec<f64>], document: &ServiceDocument, free: f64, tails: &[f64]) -> f64 {
     let mut value = 0.0;
-    while left > 0.0 {
-        let density = |rank: usize| times[rank].last().map(|time| document.ranks[rank].worth / time);
-        let best = (0..times.len()).filter_map(|rank| density(rank).map(|density| (rank, density)));
-        let Some((rank, density)) = best.max_by(|left, right| left.1.total_cmp(&right.1)) else { break };
-        let time = times[rank].pop().unwrap_or(0.0);
-        value += density * time.min(left);
-        left -= time;
+    let mut used = vec![0.0; times.len()];
+    loop {
+        let room = |rank: usize| {
+            let limits = (0..used.len()).filter(|other| tails[*other] >= tails[rank]).map(|other| {
+                let sharing = (0..used.len()).filter(|third| tails[*third] <= tails[other]);
+                free + tails[other] - sharing.map(|third| used[third]).sum::<f64>()
+            });
+            limits.fold(f64::INFINITY, f64::min)
+        };
+        let candidates = (0..times.len()).filter(|rank| room(*rank) > 1e-9);
+        let densities = candidates
+            .filter_map(|rank| times[rank].last().map(|time| (rank, document.ranks[rank].worth / time)));
+        let Some((rank, density)) = densities.max_by(|left, right| left.1.total_cmp(&right.1)) else {
+            return value;
+        };
+        let taken = times[rank].pop().unwrap_or(0.0).min(room(rank));
+        used[rank] += taken;
+        value += density * taken;
     }
-    value
 }
 
 /// Latencies of the requests of one rank in a central queue that knows every slot at once: the
--- a/crates/standin/src/bench/policy.rs
+++ b/crates/standin/src/bench/policy.rs
@@ -30,6 +30,7 @@
     peer_messages: u64,
     control_cpu: Duration,
     retries: u64,
+    hedges: u64,
     peak_connections: u64,
     doubled: usize,
 }
@@ -89,7 +90,8 @@
         control_cpu: Duration::from_micros(sum_process(&cluster, |process| {
             process.control_cpu_micros.load(Ordering::Relaxed)
         })),
-        retries: count_retries(&cluster),
+        retries: count_retries(&cluster, |reason| reason != RetryReason::Hedge),
+        hedges: count_retries(&cluster, |reason| reason == RetryReason::Hedge),
         peak_connections: peak_connections(&cluster),
         doubled: cluster.ledger.doubled_keys(),
     };
@@ -104,12 +106,11 @@
     cluster.entry_vms.iter().map(|entry_vm| value(entry_vm.shared().metrics.process())).sum()
 }
 
-fn count_retries(cluster: &ClusterStandin) -> u64 {
+fn count_retries(cluster: &ClusterStandin, is_counted: impl Fn(RetryReason) -> bool) -> u64 {
     let ranks = cluster.entry_vms.iter().flat_map(|entry_vm| entry_vm.shared().metrics.all_ranks());
-    let is_retry = |reason: &&RetryReason| **reason != RetryReason::Hedge;
     ranks
         .map(|(_, counters)| {
-            let reasons = RetryReason::ALL.iter().filter(is_retry);
+            let reasons = RetryReason::ALL.iter().filter(|reason| is_counted(**reason));
             reasons.map(|reason| counters.retries[reason.index()].load(Ordering::Relaxed)).sum::<u64>()
         })
         .sum()
@@ -220,6 +221,8 @@
         plain("peer-messages-per-vm", run.peer_messages as f64 / 13.0 / span, "1/s"),
         plain("control-cpu-per-vm", run.control_cpu.as_secs_f64() / 13.0 / span * 100.0, "%core"),
         plain("retries", retry_share, "share").with_bound(BoundSide::AtMost, document.retry.retry_share),
+        plain("hedges", run.hedges as f64 / run.arrivals.len().max(1) as f64, "share")
+            .with_bound(BoundSide::AtMost, document.retry.hedge_share),
         plain("doubled", run.doubled as f64, "keys").with_bound(BoundSide::AtMost, 0.0),
         plain("peak-connections-per-target", run.peak_connections as f64, "count")
             .with_bound(BoundSide::AtMost, f64::from(document.connections_per_target)),
--- a/crates/standin/src/content.rs
+++ b/crates/standin/src/content.rs
@@ -6,6 +6,8 @@
 pub const ID_HEADER: &str = "standin-id";
 /// Header that asks for an answer body of this many bytes.
 pub const SIZE_HEADER: &str = "standin-size";
+/// Header that asks for the request's headers as the answer.
+pub const ECHO_HEADER: &str = "standin-echo";
 /// Header that gives the service time in microseconds.
 pub const TIME_HEADER: &str = "standin-micros";
 
--- a/crates/standin/src/demo.rs
+++ b/crates/standin/src/demo.rs
@@ -123,7 +123,7 @@
 async fn check_edit(cluster: &ClusterStandin) -> Result<DemoCheck> {
     let service = &cluster.spec.services[0];
     let name = &service.document.name;
-    let text = service.text.replace("hedge-percent = 5", "hedge-percent = 4");
+    let text = service.text.replace("hedge-percent = 10", "hedge-percent = 4");
     let started = Instant::now();
     // The write takes effect and its answer is lost.
     cluster.platform.control.lose_answers.store(1, Ordering::Relaxed);
--- a/crates/standin/src/target.rs
+++ b/crates/standin/src/target.rs
@@ -3,10 +3,10 @@
 //! The [`RunLedger`] counts how often each request and each idempotency key ran: it is the judge
 //! of doubled requests and of false `not-run` outcomes.
 
-use crate::content::{ID_HEADER, SIZE_HEADER, TIME_HEADER, make_content};
+use crate::content::{ECHO_HEADER, ID_HEADER, SIZE_HEADER, TIME_HEADER, make_content};
 use anyhow::Result;
 use bytes::Bytes;
-use http::{HeaderValue, Request, Response, StatusCode};
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
 use http_body::Frame;
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full, StreamBody};
@@ -244,6 +244,9 @@
         let slow = u64::from(self.control.slow_permille.load(Ordering::Relaxed));
         let micros = number(TIME_HEADER).unwrap_or(0) * slow / u64::from(NORMAL_SPEED);
         tokio::time::sleep(Duration::from_micros(micros)).await;
+        if parts.headers.contains_key(ECHO_HEADER) {
+            return Ok(self.make_answer(StatusCode::OK, full(format_headers(&parts.headers))));
+        }
         let size = number(SIZE_HEADER).unwrap_or(0) as usize;
         drop(permit);
         Ok(self.make_answer(StatusCode::OK, self.make_body(id, size)))
@@ -296,6 +299,11 @@
     }
 }
 
+fn format_headers(headers: &HeaderMap) -> String {
+    let lines = headers.iter().map(|(name, value)| format!("{name}: {}\n", value.to_str().unwrap_or("?")));
+    lines.collect()
+}
+
 fn full(content: impl Into<Bytes>) -> TargetBody {
     Full::new(content.into()).map_err(|never| match never {}).boxed_unsync()
 }
