Benches of claims, whole answers, configuration and capacity

Cause: the promises were shown by small tests only, and no slope was measured. Bytes on the wire are counted with QUIC's own.

--- a/crates/node/src/control/run.rs
+++ b/crates/node/src/control/run.rs
@@ -254,6 +254,7 @@
     let calls = state.platform.counters();
     process.platform_calls.store(calls.made.load(Ordering::Relaxed), Ordering::Relaxed);
     process.platform_failures.store(calls.failed.load(Ordering::Relaxed), Ordering::Relaxed);
+    process.peer_wire_bytes.store(state.link.wire_bytes(), Ordering::Relaxed);
     if let Some(cpu) = thread_cpu() {
         process.control_cpu_micros.store(cpu.as_micros() as u64, Ordering::Relaxed);
     }
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -66,6 +66,8 @@
     pub peer_messages_sent: AtomicU64,
     /// Bytes of these messages before QUIC framing.
     pub peer_bytes_sent: AtomicU64,
+    /// Bytes that the open connections to other entry VMs have put on the wire, QUIC included.
+    pub peer_wire_bytes: AtomicU64,
     /// Messages received from other entry VMs.
     pub peer_messages_received: AtomicU64,
     /// Bytes of these messages.
@@ -85,13 +87,14 @@
 }
 
 impl ProcessCounters {
-    fn named(&self) -> [(&'static str, &AtomicU64); 13] {
+    fn named(&self) -> [(&'static str, &AtomicU64); 14] {
         [
             ("lookups", &self.lookups),
             ("probe_calls", &self.probe_calls),
             ("probe_bytes", &self.probe_bytes),
             ("peer_messages_sent", &self.peer_messages_sent),
             ("peer_bytes_sent", &self.peer_bytes_sent),
+            ("peer_wire_bytes", &self.peer_wire_bytes),
             ("peer_messages_received", &self.peer_messages_received),
             ("peer_bytes_received", &self.peer_bytes_received),
             ("peer_messages_lost", &self.peer_messages_lost),
--- a/crates/node/src/peer/link.rs
+++ b/crates/node/src/peer/link.rs
@@ -81,6 +81,16 @@
         self.lock().blocked = addresses;
     }
 
+    /// Bytes that the open connections have put on the wire.
+    pub fn wire_bytes(&self) -> u64 {
+        let table = self.lock();
+        let open = table.links.values().filter_map(|link| match link {
+            LinkState::Open(connection) => Some(connection.stats().udp_tx.bytes),
+            LinkState::Connecting(_) => None,
+        });
+        open.sum()
+    }
+
     /// Sends a message; a failure is counted and otherwise ignored.
     pub fn send(&self, address: SocketAddr, message: &PeerMessage) {
         match encode(message) {
--- /dev/null
+++ b/crates/standin/src/bench/capacity.rs
@@ -0,0 +1,317 @@
+//! Slopes for docs/CAPACITY.md: one quantity swept at a time, on real entry VMs and sockets.
+
+use crate::bench::report::BenchFigure;
+use crate::caller::CallerStandin;
+use crate::cluster::{ClusterOptions, ClusterStandin, list_vm, put_document};
+use crate::demo::make_callers;
+use crate::deployment::{DeploymentSpec, cooperative};
+use crate::load::{RankLoad, draw_arrivals, play_arrivals};
+use anyhow::Result;
+use sniperelay_core::vm::{VmRole, VmState};
+use sniperelay_node::metrics::ProcessCounters;
+use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+/// Time over which a steady state is measured.
+const WINDOW: Duration = Duration::from_secs(8);
+/// Time between readiness and the window.
+const SETTLE: Duration = Duration::from_secs(4);
+const VM_SIZES: &[usize] = &[4, 16, 64, 128];
+const TARGET_SIZES: &[usize] = &[100, 400, 1600, 6400];
+const SERVICE_SIZES: &[usize] = &[6, 60, 180, 470];
+const CHANGE_RATES: &[u64] = &[0, 1, 4, 8];
+const CALL_RATES: &[f64] = &[250.0, 500.0, 1000.0, 2000.0];
+const TICK_SECONDS: f64 = 1e-9;
+
+/// Figures of one entry VM in a steady state.
+#[derive(Debug, Clone, Copy, Default)]
+struct NodeCost {
+    cpu_percent: f64,
+    sent_bytes: f64,
+    wire_bytes: f64,
+    messages: f64,
+    platform_calls: f64,
+    memory_mb: f64,
+}
+
+/// Sweeps everything.
+///
+/// # Errors
+///
+/// When a part cannot be started.
+pub async fn bench_capacity(seed: u64) -> Result<Vec<BenchFigure>> {
+    let mut figures = Vec::new();
+    figures.extend(sweep_entry_vms(seed).await?);
+    figures.extend(sweep_targets(seed).await?);
+    figures.extend(sweep_services(seed).await?);
+    figures.extend(sweep_changes(seed).await?);
+    figures.extend(sweep_calls(seed).await?);
+    figures.extend(measure_lookups(seed).await?);
+    Ok(figures)
+}
+
+fn small_spec(entry_vms: usize) -> DeploymentSpec {
+    let mut spec = cooperative();
+    spec.entry_vm_count = entry_vms;
+    spec.services.iter_mut().for_each(|service| service.target_count = 1);
+    spec
+}
+
+fn slow_heartbeat() -> ClusterOptions {
+    ClusterOptions { heartbeat: Duration::from_secs(1), ..ClusterOptions::default() }
+}
+
+async fn sweep_entry_vms(seed: u64) -> Result<Vec<BenchFigure>> {
+    let mut rows = Vec::new();
+    for size in VM_SIZES {
+        eprintln!("capacity: {size} entry VMs");
+        let before = resident_mb();
+        let cluster = ClusterStandin::start(small_spec(*size), slow_heartbeat()).await?;
+        rows.push((*size as f64, measure_cluster(&cluster, before).await));
+        cluster.shut_down();
+        tokio::time::sleep(Duration::from_secs(2)).await;
+    }
+    // The number of neighbours is the logarithm, so that is what the cost is fitted to.
+    let logs: Vec<(f64, NodeCost)> = rows.iter().map(|(size, cost)| (size.log2(), *cost)).collect();
+    let mut figures = print_rows("entry-vms", &rows, seed);
+    figures.extend(fit_all("entry-vms-log2", &logs, seed));
+    Ok(figures)
+}
+
+async fn sweep_targets(seed: u64) -> Result<Vec<BenchFigure>> {
+    let mut rows = Vec::new();
+    for size in TARGET_SIZES {
+        eprintln!("capacity: {size} targets");
+        let before = resident_mb();
+        let cluster = ClusterStandin::start(small_spec(2), slow_heartbeat()).await?;
+        for index in 0..*size {
+            let address = SocketAddr::from(([127, 1, (index / 250) as u8, (index % 250) as u8 + 1], 9));
+            let domain = &cluster.spec.domains[index % 4];
+            list_vm(
+                &cluster.platform,
+                VmRole::Target("rota-board".to_owned()),
+                address,
+                domain,
+                VmState::Live,
+            );
+        }
+        rows.push((*size as f64, measure_cluster(&cluster, before).await));
+        cluster.shut_down();
+    }
+    let mut figures = print_rows("targets", &rows, seed);
+    figures.extend(fit_all("targets", &rows, seed));
+    Ok(figures)
+}
+
+async fn sweep_services(seed: u64) -> Result<Vec<BenchFigure>> {
+    let mut rows = Vec::new();
+    for size in SERVICE_SIZES {
+        eprintln!("capacity: {size} services");
+        let before = resident_mb();
+        let cluster = ClusterStandin::start(small_spec(2), slow_heartbeat()).await?;
+        let text = cluster.spec.services[0].text.clone();
+        for index in 0..*size {
+            let name = format!("service-{index}");
+            put_document(
+                &cluster.platform,
+                &name,
+                &text.replace("name = rota-board", &format!("name = {name}")),
+            );
+        }
+        rows.push((*size as f64, measure_cluster(&cluster, before).await));
+        cluster.shut_down();
+    }
+    let mut figures = print_rows("services", &rows, seed);
+    figures.extend(fit_all("services", &rows, seed));
+    Ok(figures)
+}
+
+async fn sweep_changes(seed: u64) -> Result<Vec<BenchFigure>> {
+    let mut rows = Vec::new();
+    for rate in CHANGE_RATES {
+        eprintln!("capacity: {rate} changes per second");
+        let before = resident_mb();
+        let cluster = ClusterStandin::start(small_spec(16), slow_heartbeat()).await?;
+        let service = cluster.spec.services[0].clone();
+        let platform = cluster.platform.clone();
+        let rate = *rate;
+        let changes = tokio::spawn(async move {
+            let mut generation = 1;
+            while rate > 0 {
+                generation += 1;
+                put_generation(&platform, &service.document.name, &service.text, generation);
+                tokio::time::sleep(Duration::from_secs(1) / rate as u32).await;
+            }
+        });
+        rows.push((rate as f64, measure_cluster(&cluster, before).await));
+        changes.abort();
+        cluster.shut_down();
+    }
+    let mut figures = print_rows("changes-per-second", &rows, seed);
+    figures.extend(fit_all("changes-per-second", &rows, seed));
+    Ok(figures)
+}
+
+fn put_generation(platform: &crate::platform::PlatformStandin, name: &str, text: &str, generation: u64) {
+    let value = serde_json::json!({
+        "service": name, "text": text, "history": [],
+        "mark": {"edit_id": generation, "generation": generation, "author": "bench", "unix_millis": 0},
+    });
+    platform.put(&format!("config/{name}"), value.to_string());
+}
+
+/// Processor time of the traffic threads per call, by call rate, through one entry VM.
+async fn sweep_calls(seed: u64) -> Result<Vec<BenchFigure>> {
+    let spec = cooperative();
+    let services = spec.services[..1].to_vec();
+    let spec = DeploymentSpec { services, entry_vm_count: 1, ..spec };
+    let documents = vec![spec.services[0].document.clone()];
+    let cluster = ClusterStandin::start(spec, slow_heartbeat()).await?;
+    let callers = make_callers(&cluster);
+    let mut points = Vec::new();
+    let mut figures = Vec::new();
+    for rate in CALL_RATES {
+        eprintln!("capacity: {rate} calls per second");
+        let load = RankLoad {
+            service: "rota-board".to_owned(),
+            rank: 0,
+            per_second: *rate,
+            service_time: Duration::from_millis(10),
+            answer_bytes: 1000,
+            from: Duration::ZERO,
+            until: WINDOW,
+        };
+        let arrivals = draw_arrivals(&[load], &documents, seed);
+        let calls = arrivals.len() as f64;
+        let before = thread_cpu("traffic");
+        play_arrivals(arrivals, &callers).await;
+        let cpu = (thread_cpu("traffic") - before).as_secs_f64();
+        points.push((calls / WINDOW.as_secs_f64(), cpu / WINDOW.as_secs_f64() * 100.0));
+        figures.push(BenchFigure::plain(format!("calls/{rate}/cpu-per-call"), cpu / calls * 1e6, "us", seed));
+    }
+    cluster.shut_down();
+    figures.extend(fit("calls/cpu", &points, "%core", seed));
+    Ok(figures)
+}
+
+/// Lookups per second and core of one entry VM, closed loop.
+async fn measure_lookups(seed: u64) -> Result<Vec<BenchFigure>> {
+    let cluster = ClusterStandin::start(small_spec(16), slow_heartbeat()).await?;
+    let address = cluster.caller_addresses()[0];
+    let before = thread_cpu("traffic");
+    let end = Instant::now() + WINDOW / 2;
+    let mut workers = tokio::task::JoinSet::new();
+    for _ in 0..8 {
+        workers.spawn(async move {
+            let mut count = 0u64;
+            while Instant::now() < end {
+                let caller = CallerStandin::new(vec![address], None);
+                count += u64::from(!caller.addresses("rota-board").await.is_empty());
+            }
+            count
+        });
+    }
+    let lookups: u64 = workers.join_all().await.iter().sum();
+    let cpu = (thread_cpu("traffic") - before).as_secs_f64();
+    cluster.shut_down();
+    let per_lookup = cpu / lookups.max(1) as f64 * 1e6;
+    Ok(vec![BenchFigure::plain("lookups/cpu-per-lookup-with-connection", per_lookup, "us", seed)])
+}
+
+async fn measure_cluster(cluster: &ClusterStandin, memory_before: f64) -> NodeCost {
+    tokio::time::sleep(SETTLE).await;
+    let count = cluster.entry_vms.len() as f64;
+    let before = read_counters(cluster);
+    tokio::time::sleep(WINDOW).await;
+    let after = read_counters(cluster);
+    let per_vm = |index: usize| (after[index] - before[index]) / count / WINDOW.as_secs_f64();
+    NodeCost {
+        cpu_percent: per_vm(0) * 100.0,
+        sent_bytes: per_vm(1),
+        wire_bytes: per_vm(2),
+        messages: per_vm(3),
+        platform_calls: per_vm(4),
+        memory_mb: (resident_mb() - memory_before) / count,
+    }
+}
+
+/// Sums over all entry VMs: control processor time, message bytes, bytes on the wire, messages,
+/// platform calls.
+fn read_counters(cluster: &ClusterStandin) -> [f64; 5] {
+    let sum = |value: &dyn Fn(&ProcessCounters) -> u64| {
+        let values = cluster.entry_vms.iter().map(|entry_vm| value(entry_vm.shared().metrics.process()));
+        values.sum::<u64>() as f64
+    };
+    [
+        thread_cpu("control").as_secs_f64(),
+        sum(&|process| process.peer_bytes_sent.load(Ordering::Relaxed)),
+        sum(&|process| process.peer_wire_bytes.load(Ordering::Relaxed)),
+        sum(&|process| process.peer_messages_sent.load(Ordering::Relaxed)),
+        sum(&|process| process.platform_calls.load(Ordering::Relaxed)),
+    ]
+}
+
+/// Processor time of all threads of this process with a name.
+fn thread_cpu(name: &str) -> Duration {
+    let Ok(tasks) = std::fs::read_dir("/proc/self/task") else { return Duration::ZERO };
+    let nanos = tasks.filter_map(Result::ok).filter_map(|task| {
+        let comm = std::fs::read_to_string(task.path().join("comm")).ok()?;
+        let schedstat = std::fs::read_to_string(task.path().join("schedstat")).ok()?;
+        let nanos: u64 = schedstat.split_whitespace().next()?.parse().ok()?;
+        (comm.trim() == name).then_some(nanos)
+    });
+    Duration::from_secs_f64(nanos.sum::<u64>() as f64 * TICK_SECONDS)
+}
+
+fn resident_mb() -> f64 {
+    let text = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let kilobytes = line.and_then(|line| line.split_whitespace().next()?.parse::<f64>().ok());
+    kilobytes.unwrap_or(0.0) / 1024.0
+}
+
+type CostField = (&'static str, &'static str, fn(&NodeCost) -> f64);
+
+const FIELDS: &[CostField] = &[
+    ("control-cpu", "%core", |cost| cost.cpu_percent),
+    ("message-bytes", "B/s", |cost| cost.sent_bytes),
+    ("wire-bytes", "B/s", |cost| cost.wire_bytes),
+    ("messages", "1/s", |cost| cost.messages),
+    ("platform-calls", "1/s", |cost| cost.platform_calls),
+    ("memory", "MB", |cost| cost.memory_mb),
+];
+
+fn print_rows(name: &str, rows: &[(f64, NodeCost)], seed: u64) -> Vec<BenchFigure> {
+    let figures = rows.iter().flat_map(|(size, cost)| {
+        FIELDS.iter().map(move |(field, unit, value)| {
+            BenchFigure::plain(format!("{name}/{size}/{field}"), value(cost), unit, seed)
+        })
+    });
+    figures.collect()
+}
+
+fn fit_all(name: &str, rows: &[(f64, NodeCost)], seed: u64) -> Vec<BenchFigure> {
+    let fits = FIELDS.iter().flat_map(|(field, unit, value)| {
+        let points: Vec<(f64, f64)> = rows.iter().map(|(size, cost)| (*size, value(cost))).collect();
+        fit(&format!("{name}/{field}"), &points, unit, seed)
+    });
+    fits.collect()
+}
+
+/// Least squares: slope, intercept and the largest residual.
+fn fit(name: &str, points: &[(f64, f64)], unit: &'static str, seed: u64) -> Vec<BenchFigure> {
+    let count = points.len() as f64;
+    let mean_x = points.iter().map(|point| point.0).sum::<f64>() / count;
+    let mean_y = points.iter().map(|point| point.1).sum::<f64>() / count;
+    let covariance: f64 = points.iter().map(|(x, y)| (x - mean_x) * (y - mean_y)).sum();
+    let variance: f64 = points.iter().map(|(x, _)| (x - mean_x).powi(2)).sum();
+    let slope = covariance / variance;
+    let intercept = mean_y - slope * mean_x;
+    let residual = points.iter().map(|(x, y)| (y - intercept - slope * x).abs()).fold(0.0, f64::max);
+    vec![
+        BenchFigure::plain(format!("fit/{name}/slope"), slope, unit, seed),
+        BenchFigure::plain(format!("fit/{name}/intercept"), intercept, unit, seed),
+        BenchFigure::plain(format!("fit/{name}/largest-residual"), residual, unit, seed),
+    ]
+}
--- /dev/null
+++ b/crates/standin/src/bench/config.rs
@@ -0,0 +1,104 @@
+//! Time until an accepted edit is in force on every entry VM.
+
+use crate::bench::report::{BenchFigure, BoundSide};
+use crate::cluster::{ADMIN_TOKEN, ClusterOptions, ClusterStandin, ask_operator};
+use crate::deployment::{DeploymentSpec, cooperative};
+use anyhow::{Result, bail, ensure};
+use http::{Method, StatusCode};
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+const ENTRY_VMS: usize = 16;
+const EDITS: u64 = 20;
+const BOUND_MILLIS: f64 = 2000.0;
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// What happens to the platform around an edit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum PlatformCase {
+    Up,
+    DownAfterAcceptance,
+    AnswerLost,
+}
+
+/// Measures all cases on 16 entry VMs.
+///
+/// # Errors
+///
+/// When a part cannot be started or an edit is not accepted.
+pub async fn bench_config(seed: u64) -> Result<Vec<BenchFigure>> {
+    let spec = cooperative();
+    let services = spec.services[..1].to_vec();
+    let spec = DeploymentSpec { services, entry_vm_count: ENTRY_VMS, ..spec };
+    let cluster = ClusterStandin::start(spec, ClusterOptions::default()).await?;
+    let mut figures = Vec::new();
+    let mut generation = 1;
+    let cases = [
+        ("platform-up", PlatformCase::Up),
+        ("platform-down-after-acceptance", PlatformCase::DownAfterAcceptance),
+        ("answer-lost", PlatformCase::AnswerLost),
+    ];
+    for (name, case) in cases {
+        let mut times = Vec::new();
+        for _ in 0..EDITS {
+            times.push(measure_edit(&cluster, case, generation).await?);
+            generation += 1;
+        }
+        times.sort_unstable();
+        let millis = |index: usize| times[index].as_secs_f64() * 1000.0;
+        let middle = times.len() / 2;
+        let last = times.len() - 1;
+        figures.push(BenchFigure::plain(format!("config/{name}/p50"), millis(middle), "ms", seed));
+        figures.push(
+            BenchFigure::plain(format!("config/{name}/max"), millis(last), "ms", seed)
+                .with_bound(BoundSide::AtMost, BOUND_MILLIS),
+        );
+    }
+    let peak = cluster.platform.peak_calls_per_second();
+    figures.push(BenchFigure::plain("config/platform-calls-peak", peak as f64, "1/s", seed));
+    cluster.shut_down();
+    Ok(figures)
+}
+
+async fn measure_edit(cluster: &ClusterStandin, case: PlatformCase, base: u64) -> Result<Duration> {
+    let service = &cluster.spec.services[0];
+    let name = &service.document.name;
+    let worth = 1000 + base;
+    let text = service.text.replace("worth = 100", &format!("worth = {worth}"));
+    let operator = cluster.entry_vms[base as usize % cluster.entry_vms.len()].operator_address();
+    if case == PlatformCase::AnswerLost {
+        cluster.platform.control.lose_answers.store(1, Ordering::Relaxed);
+    }
+    let started = Instant::now();
+    // The status by which an entry VM knows its version is published twice a second.
+    let path = format!("/config/{name}?base={base}");
+    loop {
+        let (status, body) = ask_operator(operator, Method::PUT, &path, Some(ADMIN_TOKEN), &text).await?;
+        match status {
+            StatusCode::OK => break,
+            StatusCode::SERVICE_UNAVAILABLE if started.elapsed() < PATIENCE => {
+                tokio::time::sleep(Duration::from_millis(200)).await;
+            }
+            _ => bail!("the edit was not accepted: {status} {body}"),
+        }
+    }
+    let accepted = Instant::now();
+    if case == PlatformCase::DownAfterAcceptance {
+        cluster.platform.control.is_down.store(true, Ordering::Relaxed);
+    }
+    let is_in_force = || {
+        cluster
+            .entry_vms
+            .iter()
+            .all(|entry_vm| entry_vm.shared().services.load()[name].document.ranks[0].worth == worth as f64)
+    };
+    while !is_in_force() {
+        ensure!(accepted.elapsed() < PATIENCE, "the edit was not in force everywhere within {PATIENCE:?}");
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    let time = accepted.elapsed();
+    cluster.platform.control.is_down.store(false, Ordering::Relaxed);
+    // Every entry VM must also have published the version as its own.
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    Ok(time)
+}
--- /dev/null
+++ b/crates/standin/src/bench/promises.rs
@@ -0,0 +1,300 @@
+//! The promises under load and faults, over real sockets: claims run at most once, `not-run` is
+//! true, every answer is whole and the caller's own.
+
+use crate::bench::report::{BenchFigure, BoundSide};
+use crate::caller::{CallEnd, CallResult, CallSpec, CallerStandin};
+use crate::cluster::{ClusterOptions, ClusterStandin};
+use crate::demo::make_callers;
+use crate::deployment::{DeploymentSpec, cooperative};
+use crate::target::TargetStandin;
+use anyhow::Result;
+use http::Method;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use sniperelay_node::control::ControlEvent;
+use std::collections::{BTreeMap, HashSet};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::Duration;
+use tokio::task::JoinSet;
+
+/// Calls under way at once.
+const CONCURRENCY: u64 = 256;
+/// Time between two faults.
+const FAULT_PAUSE: Duration = Duration::from_millis(400);
+/// Answers of a thousand that break off.
+const BREAK_PERMILLE: u32 = 20;
+/// Largest answer of the whole-answer bench, in bytes.
+const MAX_ANSWER_BYTES: usize = 200_000;
+
+/// Claims through faults: entry VMs that fail and are replaced, targets that refuse, leave, fail and
+/// break off, a platform that comes and goes, entry VMs that cannot hear each other.
+///
+/// # Errors
+///
+/// When a part cannot be started.
+pub async fn bench_claims(requests: u64, seed: u64) -> Result<Vec<BenchFigure>> {
+    let call = |id: u64| CallSpec {
+        service: "claim-desk".to_owned(),
+        method: Method::POST,
+        path: "/claims".to_owned(),
+        id,
+        service_time: Duration::from_micros(id % 3000),
+        answer_bytes: 100,
+        needs_key: true,
+    };
+    let run = play("claim-desk", requests, seed, call, &play_faults).await?;
+    let mut figures = judge("claims", &run, seed);
+    let unknown = run.outcomes.iter().filter(|((outcome, _), _)| outcome == "unknown");
+    let unknown = unknown.map(|(_, count)| *count).sum::<u64>() + run.count(CallKind::Unanswered);
+    figures.push(BenchFigure::plain("claims/unknown", unknown as f64 / requests as f64, "share", seed));
+    Ok(figures)
+}
+
+/// Reads of differing sizes with broken, late, hedged and retried answers.
+///
+/// # Errors
+///
+/// When a part cannot be started.
+pub async fn bench_whole(requests: u64, seed: u64) -> Result<Vec<BenchFigure>> {
+    let call = |id: u64| CallSpec {
+        service: "rota-board".to_owned(),
+        method: Method::GET,
+        path: "/rota/item".to_owned(),
+        id,
+        service_time: Duration::from_micros(if id.is_multiple_of(50) { 60_000 } else { id % 2000 }),
+        answer_bytes: (id.wrapping_mul(0x9e37_79b9) % MAX_ANSWER_BYTES as u64) as usize,
+        needs_key: false,
+    };
+    let run = play("rota-board", requests, seed, call, &play_breaks).await?;
+    Ok(judge("whole", &run, seed))
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum CallKind {
+    Whole,
+    Mixed,
+    Broken,
+    Refused,
+    TargetError,
+    Unanswered,
+}
+
+#[derive(Debug, Default)]
+struct PromiseRun {
+    requests: u64,
+    kinds: BTreeMap<CallKind, u64>,
+    outcomes: BTreeMap<(String, String), u64>,
+    doubled: usize,
+    false_not_run: u64,
+    faults: u64,
+}
+
+impl PromiseRun {
+    fn count(&self, kind: CallKind) -> u64 {
+        self.kinds.get(&kind).copied().unwrap_or(0)
+    }
+
+    fn record(&mut self, result: &CallResult) {
+        let kind = match &result.end {
+            CallEnd::Whole => CallKind::Whole,
+            CallEnd::Mixed => CallKind::Mixed,
+            CallEnd::Broken => CallKind::Broken,
+            CallEnd::TargetError(_) => CallKind::TargetError,
+            CallEnd::Unanswered => CallKind::Unanswered,
+            CallEnd::Refused { outcome, reason } => {
+                *self.outcomes.entry((outcome.clone(), reason.clone())).or_default() += 1;
+                CallKind::Refused
+            }
+        };
+        *self.kinds.entry(kind).or_default() += 1;
+    }
+}
+
+type FaultPlay = dyn AsyncFaults;
+
+/// Plays faults on a cluster until told to stop; returns their number.
+trait AsyncFaults: Sync {
+    fn play<'a>(
+        &'a self,
+        cluster: &'a mut ClusterStandin,
+        rng: &'a mut SmallRng,
+        is_over: &'a AtomicBool,
+    ) -> std::pin::Pin<Box<dyn Future<Output = Result<u64>> + Send + 'a>>;
+}
+
+impl<F> AsyncFaults for F
+where
+    F: for<'a> Fn(
+            &'a mut ClusterStandin,
+            &'a mut SmallRng,
+            &'a AtomicBool,
+        ) -> std::pin::Pin<Box<dyn Future<Output = Result<u64>> + Send + 'a>>
+        + Sync,
+{
+    fn play<'a>(
+        &'a self,
+        cluster: &'a mut ClusterStandin,
+        rng: &'a mut SmallRng,
+        is_over: &'a AtomicBool,
+    ) -> std::pin::Pin<Box<dyn Future<Output = Result<u64>> + Send + 'a>> {
+        self(cluster, rng, is_over)
+    }
+}
+
+async fn play(
+    service: &str,
+    requests: u64,
+    seed: u64,
+    make_call: impl Fn(u64) -> CallSpec + Clone + Send + 'static,
+    faults: &FaultPlay,
+) -> Result<PromiseRun> {
+    let spec = cooperative();
+    let services = spec.services.iter().filter(|known| known.document.name == service).cloned().collect();
+    let spec = DeploymentSpec { services, entry_vm_count: 6, ..spec };
+    let mut cluster = ClusterStandin::start(spec, ClusterOptions::default()).await?;
+    let callers = make_callers(&cluster);
+    let ledger = cluster.ledger.clone();
+    let is_over = Arc::new(AtomicBool::new(false));
+    let over = is_over.clone();
+    let load = tokio::spawn(async move {
+        let results = run_calls(requests, callers, make_call).await;
+        over.store(true, Ordering::Relaxed);
+        results
+    });
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let fault_count = faults.play(&mut cluster, &mut rng, &is_over).await?;
+    let results = load.await?;
+    let mut run = PromiseRun { requests, faults: fault_count, ..PromiseRun::default() };
+    for (id, result) in &results {
+        run.record(result);
+        let is_not_run = matches!(&result.end, CallEnd::Refused { outcome, .. } if outcome == "not-run");
+        run.false_not_run += u64::from(is_not_run && ledger.runs_of_id(*id) > 0);
+    }
+    run.doubled = ledger.doubled_keys();
+    cluster.shut_down();
+    Ok(run)
+}
+
+async fn run_calls(
+    requests: u64,
+    callers: Vec<Arc<CallerStandin>>,
+    make_call: impl Fn(u64) -> CallSpec + Clone + Send + 'static,
+) -> Vec<(u64, CallResult)> {
+    let next = Arc::new(AtomicU64::new(1));
+    let mut workers = JoinSet::new();
+    for worker in 0..CONCURRENCY {
+        let caller = callers[worker as usize % callers.len()].clone();
+        let (next, make_call) = (next.clone(), make_call.clone());
+        workers.spawn(async move {
+            let mut results = Vec::new();
+            loop {
+                let id = next.fetch_add(1, Ordering::Relaxed);
+                if id > requests {
+                    return results;
+                }
+                let result = caller.call(&make_call(id)).await;
+                let is_refused = matches!(result.end, CallEnd::Refused { .. });
+                results.push((id, result));
+                if is_refused {
+                    tokio::time::sleep(Duration::from_millis(20)).await;
+                }
+            }
+        });
+    }
+    workers.join_all().await.concat()
+}
+
+fn play_faults<'a>(
+    cluster: &'a mut ClusterStandin,
+    rng: &'a mut SmallRng,
+    is_over: &'a AtomicBool,
+) -> std::pin::Pin<Box<dyn Future<Output = Result<u64>> + Send + 'a>> {
+    Box::pin(async move {
+        let mut count = 0;
+        while !is_over.load(Ordering::Relaxed) {
+            play_fault(cluster, rng).await?;
+            count += 1;
+            tokio::time::sleep(FAULT_PAUSE).await;
+        }
+        Ok(count)
+    })
+}
+
+async fn play_fault(cluster: &mut ClusterStandin, rng: &mut SmallRng) -> Result<()> {
+    let targets: Vec<Arc<TargetStandin>> = cluster.targets.values().flatten().cloned().collect();
+    let target = &targets[rng.random_range(0..targets.len())];
+    let flip = |flag: &AtomicBool| flag.fetch_xor(true, Ordering::Relaxed);
+    match rng.random_range(0..7) {
+        0 => {
+            let index = rng.random_range(0..cluster.entry_vms.len());
+            cluster.entry_vms.remove(index).kill();
+            cluster.start_entry_vm()?;
+        }
+        1 => drop(flip(&target.control.is_refusing)),
+        2 => drop(flip(&target.control.is_failing)),
+        3 => target.control.break_permille.store(BREAK_PERMILLE * 5, Ordering::Relaxed),
+        4 => drop(flip(&cluster.platform.control.is_down)),
+        5 => cut_links(cluster, rng),
+        _ => targets.iter().for_each(|target| {
+            target.control.is_refusing.store(false, Ordering::Relaxed);
+            target.control.is_failing.store(false, Ordering::Relaxed);
+            target.control.break_permille.store(0, Ordering::Relaxed);
+        }),
+    }
+    Ok(())
+}
+
+/// Cuts a random entry VM off from the others, or heals all cuts.
+fn cut_links(cluster: &ClusterStandin, rng: &mut SmallRng) {
+    let cut = rng.random_range(0..cluster.entry_vms.len() * 2);
+    let alone = cluster.entry_vms.get(cut).map(|entry_vm| entry_vm.peer_address());
+    for entry_vm in &cluster.entry_vms {
+        let is_alone = Some(entry_vm.peer_address()) == alone;
+        let all = cluster.entry_vms.iter().map(|other| other.peer_address());
+        let blocked: HashSet<_> = if is_alone { all.collect() } else { alone.into_iter().collect() };
+        entry_vm.control().send(ControlEvent::BlockPeers(blocked));
+    }
+}
+
+fn play_breaks<'a>(
+    cluster: &'a mut ClusterStandin,
+    rng: &'a mut SmallRng,
+    is_over: &'a AtomicBool,
+) -> std::pin::Pin<Box<dyn Future<Output = Result<u64>> + Send + 'a>> {
+    Box::pin(async move {
+        let targets: Vec<Arc<TargetStandin>> = cluster.targets.values().flatten().cloned().collect();
+        targets
+            .iter()
+            .for_each(|target| target.control.break_permille.store(BREAK_PERMILLE, Ordering::Relaxed));
+        let mut count = 0;
+        while !is_over.load(Ordering::Relaxed) {
+            let target = &targets[rng.random_range(0..targets.len())];
+            target.control.slow_permille.store(rng.random_range(500..8000), Ordering::Relaxed);
+            count += 1;
+            tokio::time::sleep(FAULT_PAUSE / 4).await;
+        }
+        Ok(count)
+    })
+}
+
+fn judge(name: &str, run: &PromiseRun, seed: u64) -> Vec<BenchFigure> {
+    let figure =
+        |label: &str, value: f64, unit| BenchFigure::plain(format!("{name}/{label}"), value, unit, seed);
+    let none = |label: &str, value: f64| figure(label, value, "count").with_bound(BoundSide::AtMost, 0.0);
+    let mut figures = vec![
+        figure("requests", run.requests as f64, "count"),
+        figure("faults", run.faults as f64, "count"),
+        none("doubled", run.doubled as f64),
+        none("false-not-run", run.false_not_run as f64),
+        none("mixed-or-falsely-whole", run.count(CallKind::Mixed) as f64),
+        figure("whole", run.count(CallKind::Whole) as f64, "count"),
+        figure("visibly-broken", run.count(CallKind::Broken) as f64, "count"),
+        figure("target-errors", run.count(CallKind::TargetError) as f64, "count"),
+        figure("unanswered", run.count(CallKind::Unanswered) as f64, "count"),
+    ];
+    for ((outcome, reason), count) in &run.outcomes {
+        figures.push(figure(&format!("refused/{outcome}/{reason}"), *count as f64, "count"));
+    }
+    figures
+}
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -28,7 +28,7 @@
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "bench")]
 struct BenchArgs {
-    /// policy, latency or decision
+    /// policy, latency, decision, claims, whole, config or capacity
     #[argh(positional)]
     name: String,
     /// scenario of the policy bench, or all
@@ -46,11 +46,16 @@
     /// number of seeds, from --seed on
     #[argh(option, default = "1")]
     seeds: u64,
+    /// requests of the benches claims and whole
+    #[argh(option, default = "100_000")]
+    requests: u64,
     /// print one JSON object a line
     #[argh(switch)]
     json: bool,
 }
 
+const BENCH_NAMES: &str = "policy, latency, decision, claims, whole, config or capacity";
+
 async fn run_bench(args: &BenchArgs) -> Result<bool> {
     let mut all_hold = true;
     for seed in args.seed..args.seed + args.seeds.max(1) {
@@ -58,7 +63,11 @@
             "policy" => run_policies(args, seed).await?,
             "latency" => bench::latency::bench_latency(seed).await?,
             "decision" => bench::decision::bench_decision(seed),
-            other => bail!("unknown bench '{other}', must be policy, latency or decision"),
+            "claims" => bench::promises::bench_claims(args.requests, seed).await?,
+            "whole" => bench::promises::bench_whole(args.requests, seed).await?,
+            "config" => bench::config::bench_config(seed).await?,
+            "capacity" => bench::capacity::bench_capacity(seed).await?,
+            other => bail!("unknown bench '{other}', must be {BENCH_NAMES}"),
         };
         all_hold &= bench::report::print_figures(&figures, args.json);
     }
