--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -237,6 +237,11 @@
         self.flights.is_empty() && self.waiting.is_empty()
     }
 
+    /// Whether a tick would do nothing.
+    pub fn needs_no_tick(&self) -> bool {
+        self.is_idle() && !self.targets.has_timers()
+    }
+
     /// Ends the ejection of a target that answered a probe, and starts what can be started.
     pub fn readmit(&mut self, address: SocketAddr, now: Instant, actions: &mut Vec<DispatchAction>) {
         if let Some(key) = self.targets.find(address) {
--- a/crates/core/src/target.rs
+++ b/crates/core/src/target.rs
@@ -92,6 +92,8 @@
     ejected_until: Option<Instant>,
     shunned_until: Option<Instant>,
     list_position: Option<usize>,
+    /// Whether the target stands in the table's list of running timers.
+    is_timed: bool,
 }
 
 impl TargetState {
@@ -137,6 +139,11 @@
         self.borrowed.len()
     }
 
+    fn has_timer(&self) -> bool {
+        let has_loan = !self.lent.is_empty() || !self.borrowed.is_empty();
+        has_loan || self.foreign_at.is_some() || self.ejected_until.is_some() || self.shunned_until.is_some()
+    }
+
     /// Whether another request may start here now.
     pub fn has_free_slot(&self) -> bool {
         self.is_usable() && self.in_flight < self.limit()
@@ -162,6 +169,8 @@
     by_address: HashMap<SocketAddr, TargetKey>,
     /// Targets with a free slot: index 0 for the own failure domain, 1 for the others.
     free_lists: [Vec<TargetKey>; 2],
+    /// Targets with a report, loan, ejection or shun that will expire.
+    timed: Vec<TargetKey>,
     suspended: usize,
 }
 
@@ -169,7 +178,14 @@
     /// An empty table.
     pub fn new(settings: TargetSettings) -> Self {
         let free_lists = [Vec::new(), Vec::new()];
-        Self { settings, targets: SlotMap::with_key(), by_address: HashMap::new(), free_lists, suspended: 0 }
+        Self {
+            settings,
+            targets: SlotMap::with_key(),
+            by_address: HashMap::new(),
+            free_lists,
+            timed: Vec::new(),
+            suspended: 0,
+        }
     }
 
     /// Replaces the set of targets; known ones keep their state, and those that are gone are kept
@@ -213,6 +229,7 @@
             ejected_until: None,
             shunned_until: None,
             list_position: None,
+            is_timed: false,
         };
         let key = self.targets.insert(state);
         self.by_address.insert(spec.address, key);
@@ -325,7 +342,11 @@
             target.foreign = (report.busy + report.queued).saturating_sub(known);
             target.foreign_at = Some(now);
         }
+        let is_slow = target.slowness > STRAGGLER_RATIO && target.shunned_until.is_none();
         self.refresh(key);
+        if is_slow {
+            self.shun(key, now);
+        }
     }
 
     /// Accounts for a failed attempt; ejects the target when failures repeat.
@@ -347,7 +368,9 @@
         if let Some(target) = self.targets.get_mut(key) {
             target.ejected_until = target.ejected_until.map(|_| now);
         }
-        self.tick_target(key, now);
+        if self.targets.contains_key(key) {
+            self.tick_target(key, now);
+        }
     }
 
     /// Gives a target no work for a short time because it is slower than its peers.
@@ -403,14 +426,21 @@
 
     /// Ends what has expired by `now`: reports, loans, ejections and shuns; drops gone targets.
     pub fn tick(&mut self, now: Instant) {
-        let keys: Vec<TargetKey> = self.targets.keys().collect();
-        for key in keys {
-            self.tick_target(key, now);
+        for key in std::mem::take(&mut self.timed) {
+            if let Some(target) = self.targets.get_mut(key) {
+                target.is_timed = false;
+                self.tick_target(key, now);
+            }
         }
     }
 
+    /// Whether something will expire.
+    pub fn has_timers(&self) -> bool {
+        !self.timed.is_empty()
+    }
+
     fn tick_target(&mut self, key: TargetKey, now: Instant) {
-        let Some(target) = self.targets.get_mut(key) else { return };
+        let target = &mut self.targets[key];
         if target.foreign_at.is_some_and(|at| now.saturating_duration_since(at) > REPORT_LIFETIME) {
             target.foreign = 0;
             target.foreign_at = None;
@@ -430,11 +460,7 @@
             target.is_on_trial = true;
             self.suspended -= 1;
         }
-        let is_slow = target.slowness > STRAGGLER_RATIO && target.shunned_until.is_none();
         self.refresh(key);
-        if is_slow {
-            self.shun(key, now);
-        }
     }
 
     /// At most a third of the targets are ejected or shunned at once.
@@ -443,6 +469,11 @@
     }
 
     fn refresh(&mut self, key: TargetKey) {
+        let target = &mut self.targets[key];
+        if target.has_timer() && !target.is_timed {
+            target.is_timed = true;
+            self.timed.push(key);
+        }
         let target = &self.targets[key];
         let is_free = self.is_free(target);
         match (is_free, target.list_position) {
--- /dev/null
+++ b/crates/core/tests/measuring.rs
@@ -0,0 +1,62 @@
+//! The probe schedule: no second holds more probes than the budget, whatever each holder believes.
+
+use sniperelay_core::measuring::{ProbeBudget, RIGHT_COUNT, open_window};
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+fn probe_times(budget: ProbeBudget, target: SocketAddr, offset_of: impl Fn(u64) -> i64) -> Vec<u64> {
+    let mut done = HashSet::new();
+    let mut times = Vec::new();
+    for millis in 100_000u64..160_000 {
+        for right in 0..RIGHT_COUNT {
+            let clock = Duration::from_millis(millis.saturating_add_signed(offset_of(right)));
+            let window = open_window(right, target, clock, budget);
+            if window.is_some_and(|window| done.insert((right, window))) {
+                times.push(millis);
+            }
+        }
+    }
+    times
+}
+
+fn most_in_a_second(times: &[u64]) -> usize {
+    let in_second = |from: &u64| times.iter().filter(|at| (*from..*from + 1000).contains(at)).count();
+    times.iter().map(in_second).max().unwrap_or(0)
+}
+
+#[test]
+fn the_budget_holds_in_every_second_and_is_used() {
+    let targets: [SocketAddr; 3] =
+        ["10.0.0.1:80", "10.0.0.2:80", "10.9.9.9:8080"].map(|text| text.parse().unwrap());
+    // Each row: calls per second, bytes per second, allowed calls.
+    for (calls, bytes, allowed) in [(1, 100_000, 1), (2, 100_000, 2), (10, 100_000, 10), (10, 1024, 2)] {
+        let budget = ProbeBudget { calls_per_second: calls, bytes_per_second: bytes, bytes_per_call: 512 };
+        for target in targets {
+            let times = probe_times(budget, target, |_| 0);
+            assert!(most_in_a_second(&times) <= allowed, "{budget:?}: {}", most_in_a_second(&times));
+            assert!(times.len() * 2 >= allowed * 60, "{budget:?}: only {} probes in a minute", times.len());
+        }
+    }
+}
+
+#[test]
+fn clock_offsets_up_to_the_guard_do_not_break_the_budget() {
+    let budget = ProbeBudget { calls_per_second: 2, bytes_per_second: 100_000, bytes_per_call: 512 };
+    let target = "10.0.0.1:80".parse().unwrap();
+    // The guard is a tenth of the period at each side: 50 ms at 2 calls per second.
+    for seed in 0..20u64 {
+        let offset = |right: u64| ((right * 37 + seed * 13) % 101) as i64 - 50;
+        let times = probe_times(budget, target, offset);
+        assert!(most_in_a_second(&times) <= 2, "seed {seed}: {}", most_in_a_second(&times));
+    }
+}
+
+#[test]
+fn nothing_is_probed_without_a_budget() {
+    let target = "10.0.0.1:80".parse().unwrap();
+    for (calls, bytes) in [(0, 1000), (1, 0), (1, 511)] {
+        let budget = ProbeBudget { calls_per_second: calls, bytes_per_second: bytes, bytes_per_call: 512 };
+        assert_eq!(probe_times(budget, target, |_| 0), [0u64; 0]);
+    }
+}
--- a/crates/node/src/control/plan.rs
+++ b/crates/node/src/control/plan.rs
@@ -1,6 +1,7 @@
 //! Builds and publishes the plan: services, homes and owners from documents, members and VM list.
 
 use crate::control::state::ControlState;
+use crate::control::status::publish_status;
 use crate::gate::{ServiceEntry, ServiceGate};
 use crate::shared::{MemberSnapshot, ServiceMap};
 use sniperelay_core::dispatch::DispatchSettings;
@@ -38,6 +39,7 @@
     state.flags.is_watcher.store(is_watcher, Ordering::Relaxed);
     state.flags.has_editions.store(!state.documents.is_empty(), Ordering::Relaxed);
     state.shared.members.store(Arc::new(snapshot));
+    publish_status(state);
 }
 
 fn forget_old_words(state: &mut ControlState, now: Instant) {
--- a/crates/node/src/control/platform_sync.rs
+++ b/crates/node/src/control/platform_sync.rs
@@ -8,6 +8,7 @@
 use sniperelay_core::vm::{VmList, VmRecord};
 use sniperelay_platform::api::{EventList, ObjectList};
 use sniperelay_platform::{PlatformApi, PlatformError};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -22,25 +23,62 @@
 /// Pause between two looks at whether this entry VM has to watch.
 const IDLE_PAUSE: Duration = Duration::from_millis(500);
 
-/// Reads the list of VMs again and again.
+/// Reads the list of VMs once and then its changes by a watch, which costs one waiting call and only
+/// the bytes of what changed.
 pub async fn follow_vm_list(
     platform: Arc<impl PlatformApi>,
     events: UnboundedSender<ControlEvent>,
-    interval: Duration,
+    pause: Duration,
 ) {
+    let mut records: Option<VmTable> = None;
+    let mut revision = 0;
     loop {
-        match platform.list(VM_PREFIX).await {
-            Ok(list) => {
-                let records = list.items.iter().filter_map(|item| parse_vm(&item.key, &item.value)).collect();
-                let list = VmList { revision: list.revision, records };
-                if events.send(ControlEvent::VmList(list)).is_err() {
+        let changed = match &mut records {
+            None => read_vm_list(&*platform).await.map(|(list_revision, table)| {
+                records = Some(table);
+                (list_revision, true)
+            }),
+            Some(table) => read_vm_changes(&*platform, revision, table).await,
+        };
+        match changed {
+            Ok((latest, is_changed)) => {
+                revision = latest;
+                let table = records.iter().flatten();
+                let list = VmList { revision, records: table.map(|(_, record)| record.clone()).collect() };
+                if is_changed && events.send(ControlEvent::VmList(list)).is_err() {
                     return;
                 }
             }
-            Err(error) => log::debug!("cannot list VMs: {error}"),
+            Err(PlatformError::WatchTooOld) => records = None,
+            Err(error) => log::debug!("cannot follow the list of VMs: {error}"),
+        }
+        tokio::time::sleep(jittered(pause)).await;
+    }
+}
+
+/// VMs by object key.
+type VmTable = BTreeMap<String, VmRecord>;
+
+async fn read_vm_list(platform: &impl PlatformApi) -> Result<(u64, VmTable), PlatformError> {
+    let list = platform.list(VM_PREFIX).await?;
+    let parsed =
+        list.items.iter().filter_map(|item| Some((item.key.clone(), parse_vm(&item.key, &item.value)?)));
+    Ok((list.revision, parsed.collect()))
+}
+
+async fn read_vm_changes(
+    platform: &impl PlatformApi,
+    since: u64,
+    table: &mut VmTable,
+) -> Result<(u64, bool), PlatformError> {
+    let changes = platform.watch(VM_PREFIX, since, WATCH_WAIT).await?;
+    for change in &changes.events {
+        match change.value.as_ref().and_then(|value| parse_vm(&change.key, value)) {
+            Some(record) => drop(table.insert(change.key.clone(), record)),
+            None => drop(table.remove(&change.key)),
         }
-        tokio::time::sleep(jittered(interval)).await;
     }
+    Ok((changes.revision, !changes.events.is_empty()))
 }
 
 /// Reads the documents and watches their changes, if this entry VM is chosen to or is alone.
--- a/crates/node/src/control/run.rs
+++ b/crates/node/src/control/run.rs
@@ -196,7 +196,7 @@
 fn run_tick(state: &mut ControlState, tick: u64) {
     let now = Instant::now();
     for entry in state.shared.services.load().values() {
-        entry.gate.upkeep(tick);
+        entry.gate.upkeep();
     }
     if tick.is_multiple_of(MEMBER_TICKS) {
         let editions = state.edition_digest();
--- a/crates/node/src/control/status.rs
+++ b/crates/node/src/control/status.rs
@@ -44,6 +44,13 @@
     pub ranks: BTreeMap<String, RankStatus>,
 }
 
+impl ServiceStatus {
+    fn has_work(&self) -> bool {
+        let had_work = |rank: &RankStatus| rank.on_time + rank.late > 0 || !rank.refusals.is_empty();
+        self.in_flight > 0 || self.ranks.values().any(had_work)
+    }
+}
+
 /// Status of one entry VM.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
 pub struct NodeStatus {
@@ -63,7 +70,9 @@
     pub claim_keys: usize,
     /// Time of this status, in milliseconds since the Unix epoch.
     pub unix_ms: u64,
-    /// Services by name.
+    /// Version in force of every service.
+    pub versions: BTreeMap<String, u64>,
+    /// Services of which it is a home or for which it had work, by name.
     pub services: BTreeMap<String, ServiceStatus>,
 }
 
@@ -86,7 +95,13 @@
         available_members: members.candidates.len(),
         claim_keys: shared.claims().key_count(),
         unix_ms: wall_clock::unix_millis(),
-        services: state.documents.keys().map(|name| (name.clone(), make_service(state, name))).collect(),
+        services: state
+            .documents
+            .keys()
+            .map(|name| (name.clone(), make_service(state, name)))
+            .filter(|(_, service)| service.is_home || service.has_work())
+            .collect(),
+        versions: state.documents.iter().map(|(name, forced)| (name.clone(), forced.generation)).collect(),
     }
 }
 
--- a/crates/node/src/entry_vm.rs
+++ b/crates/node/src/entry_vm.rs
@@ -14,10 +14,14 @@
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::sync::Arc;
 use std::thread::JoinHandle;
+use std::time::Duration;
 use tokio::runtime::Runtime;
 use tokio::sync::mpsc::unbounded_channel;
 use tokio::sync::{Notify, watch};
 
+/// Time for which other entry VMs may still name one that has announced its stop.
+const ANNOUNCE_TIME: Duration = Duration::from_secs(1);
+
 /// A running entry VM.
 #[derive(Debug)]
 pub struct EntryVm {
@@ -127,8 +131,9 @@
         log::info!("planned stop: leaving the lookup answers");
         let withdrawn = self.life.withdraw();
         self.control.announce(StopStage::Withdraw).await;
-        // Callers keep a lookup answer for its time; those made just before this moment included.
-        tokio::time::sleep(self.shared.settings.entry.lookup_keep).await;
+        // Callers keep a lookup answer for its time, and peers hand this address out until they have
+        // heard the announcement.
+        tokio::time::sleep(self.shared.settings.entry.lookup_keep + ANNOUNCE_TIME).await;
         log::info!("planned stop: finishing requests in flight");
         let draining = withdrawn.drain();
         let _ = self.drain.send(true);
--- a/crates/node/src/gate.rs
+++ b/crates/node/src/gate.rs
@@ -21,9 +21,6 @@
 use std::time::{Duration, Instant};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 
-/// Ticks between two passes over an idle dispatcher.
-const IDLE_TICKS: u64 = 10;
-
 /// A message for another entry VM.
 pub type PeerOutgoing = (IncarnationId, PeerMessage);
 
@@ -115,10 +112,9 @@
         view(&self.lock().dispatcher)
     }
 
-    /// Runs the periodic pass; an idle dispatcher is looked at in every tenth tick only.
-    pub fn upkeep(self: &Arc<Self>, tick: u64) {
-        let is_due = tick.is_multiple_of(IDLE_TICKS) || !self.read(ServiceDispatcher::is_idle);
-        if is_due {
+    /// Runs the periodic pass if it would do anything.
+    pub fn upkeep(self: &Arc<Self>) {
+        if !self.read(ServiceDispatcher::needs_no_tick) {
             self.run(|dispatcher, now, actions| dispatcher.tick(now, actions));
         }
     }
--- a/crates/node/src/operator/config.rs
+++ b/crates/node/src/operator/config.rs
@@ -112,7 +112,7 @@
 
 fn current_generation(desk: &OperatorDesk, service: &str) -> u64 {
     let status = desk.shared.status.load();
-    status["services"][service]["generation"].as_u64().unwrap_or(0)
+    status["versions"][service].as_u64().unwrap_or(0)
 }
 
 fn answer_result(desk: &OperatorDesk, result: EditResult) -> Response<AnswerBody> {
--- a/crates/standin/src/bench/capacity.rs
+++ b/crates/standin/src/bench/capacity.rs
@@ -137,11 +137,10 @@
         let platform = cluster.platform.clone();
         let rate = *rate;
         let changes = tokio::spawn(async move {
-            let mut generation = 1;
-            while rate > 0 {
-                generation += 1;
+            let pause = Duration::from_secs(1).checked_div(rate as u32).unwrap_or(Duration::MAX);
+            for generation in 2.. {
+                tokio::time::sleep(pause).await;
                 put_generation(&platform, &service.document.name, &service.text, generation);
-                tokio::time::sleep(Duration::from_secs(1) / rate as u32).await;
             }
         });
         rows.push((rate as f64, measure_cluster(&cluster, before).await));
