--- a/crates/node/src/gate.rs
+++ b/crates/node/src/gate.rs
@@ -163,9 +163,14 @@
                 (request, GateSignal::Refuse { reason, retry_after })
             }
             DispatchAction::Abandon { request, target } => (request, GateSignal::Abandon { target }),
-            DispatchAction::AskSlots { peer, count } => {
+            DispatchAction::AskSlots { peer, need } => {
                 let sender = self.own_incarnation;
-                self.send_peer(peer, PeerMessage::SlotAsk { sender, service: self.service.clone(), count });
+                self.send_peer(peer, PeerMessage::SlotAsk { sender, service: self.service.clone(), need });
+                return;
+            }
+            DispatchAction::LendSlot { peer, address } => {
+                let (sender, service) = (self.own_incarnation, self.service.clone());
+                self.send_peer(peer, PeerMessage::SlotLoan { sender, service, targets: vec![address] });
                 return;
             }
             DispatchAction::ReturnSlot { peer, address } => {
