--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -15,7 +15,7 @@
 mod loan;
 mod upkeep;
 
-use crate::borrow::{AskBook, BorrowPlan, SlotNeed};
+use crate::borrow::BorrowPlan;
 use crate::budget::AttemptBudget;
 use crate::document::ServiceDocument;
 use crate::estimate::{MeanEstimate, QuantileEstimate};
@@ -86,15 +86,8 @@
     AskSlots {
         /// The peer.
         peer: IncarnationId,
-        /// How urgently.
-        need: SlotNeed,
-    },
-    /// Lend a slot to a peer that asked for it earlier.
-    LendSlot {
-        /// The peer.
-        peer: IncarnationId,
-        /// The target.
-        address: SocketAddr,
+        /// Slots wanted.
+        count: u32,
     },
     /// Tell a peer that a slot it lent is free again.
     ReturnSlot {
@@ -195,7 +188,6 @@
     waiting: HashMap<RequestId, (RankId, QueuedKey)>,
     flights: HashMap<RequestId, FlightState>,
     borrow_plan: BorrowPlan,
-    ask_book: AskBook,
     turn: usize,
     rng: SmallRng,
 }
@@ -218,7 +210,6 @@
             waiting: HashMap::new(),
             flights: HashMap::new(),
             borrow_plan: BorrowPlan::default(),
-            ask_book: AskBook::default(),
             turn: 0,
             rng,
             document,
--- a/crates/core/src/dispatch/bind.rs
+++ b/crates/core/src/dispatch/bind.rs
@@ -12,9 +12,6 @@
     /// Starts waiting requests while there are free slots.
     pub(super) fn bind_waiting(&mut self, now: Instant, actions: &mut Vec<DispatchAction>) {
         while self.has_free_target() {
-            if self.lend_to_standing(now, actions) {
-                continue;
-            }
             let Some(rank) = self.next_rank() else { return };
             let Some(queued) = self.ranks[rank].queue.pop_front() else { return };
             self.waiting.remove(&queued.request);
--- a/crates/core/src/dispatch/loan.rs
+++ b/crates/core/src/dispatch/loan.rs
@@ -1,7 +1,7 @@
 //! Slots lent to and borrowed from the other entry VMs of the service.
 
 use super::{DispatchAction, ServiceDispatcher};
-use crate::borrow::{LOAN_TIME, MAX_LOAN, SlotNeed};
+use crate::borrow::{LOAN_TIME, MAX_LOAN};
 use crate::ids::{IncarnationId, TargetKey};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -15,41 +15,13 @@
         self.borrow_plan.replace_lenders(peers);
     }
 
-    /// Lends free slots to a peer that asks; what cannot be met at once stands for a short time.
-    pub fn lend_slots(&mut self, borrower: IncarnationId, need: SlotNeed, now: Instant) -> Vec<SocketAddr> {
-        if self.settings.policy.is_baseline() {
+    /// Lends up to `count` free slots; none while requests wait here.
+    pub fn lend_slots(&mut self, count: u32, now: Instant) -> Vec<SocketAddr> {
+        if !self.waiting.is_empty() || self.settings.policy.is_baseline() {
             return Vec::new();
         }
-        let count = if self.waiting.is_empty() { need.count.min(MAX_LOAN) } else { 0 };
         let expires = now + LOAN_TIME;
-        let lent: Vec<SocketAddr> = (0..count).map_while(|_| self.targets.lend_slot(expires)).collect();
-        let left = need.count.min(MAX_LOAN) - lent.len() as u32;
-        self.ask_book.note(borrower, SlotNeed { count: left, ..need }, now);
-        lent
-    }
-
-    /// Lends a free slot to a standing ask that goes before what waits here. Returns whether one
-    /// was lent.
-    pub(super) fn lend_to_standing(&mut self, now: Instant, actions: &mut Vec<DispatchAction>) -> bool {
-        if self.ask_book.is_empty() {
-            return false;
-        }
-        let own = self.own_need(now);
-        if own.is_some_and(|own| self.shares.is_owed(own.rank)) || !self.targets.has_lendable() {
-            return false;
-        }
-        let Some(peer) = self.ask_book.take_before(own, now) else { return false };
-        let Some(address) = self.targets.lend_slot(now + LOAN_TIME) else { return false };
-        actions.push(DispatchAction::LendSlot { peer, address });
-        true
-    }
-
-    /// How urgently slots are wanted here.
-    fn own_need(&self, now: Instant) -> Option<SlotNeed> {
-        let rank = self.next_rank()?;
-        let oldest = self.ranks[rank].queue.front()?;
-        let waited = now.saturating_duration_since(oldest.queued_at);
-        Some(SlotNeed { count: self.waiting.len() as u32, rank, waited_millis: waited.as_millis() as u32 })
+        (0..count.min(MAX_LOAN)).map_while(|_| self.targets.lend_slot(expires)).collect()
     }
 
     /// Takes over slots lent by `peer` and starts what can be started; returns what is not needed.
@@ -85,10 +57,9 @@
         if self.waiting.is_empty() || self.settings.policy.is_baseline() {
             return;
         }
-        let Some(need) = self.own_need(now) else { return };
         if let Some(peer) = self.borrow_plan.next_ask(now) {
-            let count = need.count.min(MAX_LOAN);
-            actions.push(DispatchAction::AskSlots { peer, need: SlotNeed { count, ..need } });
+            let count = (self.waiting.len() as u32).min(MAX_LOAN);
+            actions.push(DispatchAction::AskSlots { peer, count });
         }
     }
 
--- a/crates/core/src/share.rs
+++ b/crates/core/src/share.rs
@@ -29,15 +29,10 @@
     /// The rank to serve next among those with waiting requests.
     pub fn next_rank(&self, is_waiting: impl Fn(RankId) -> bool) -> Option<RankId> {
         let waiting = || (0..self.balances.len()).filter(|rank| is_waiting(*rank));
-        let owed = waiting().find(|rank| self.is_owed(*rank));
+        let owed = waiting().find(|rank| self.balances[*rank] >= 0.0 && self.kept_shares[*rank] > 0.0);
         owed.or_else(|| waiting().next())
     }
 
-    /// Whether a rank is owed slot time.
-    pub fn is_owed(&self, rank: RankId) -> bool {
-        self.balances[rank] >= 0.0 && self.kept_shares[rank] > 0.0
-    }
-
     /// Accounts for a started request of `rank` that is expected to hold a slot for `cost`.
     pub fn charge(&mut self, rank: RankId, cost: Duration, is_waiting: impl Fn(RankId) -> bool) {
         let cost = cost.as_secs_f64();
--- a/crates/core/src/target.rs
+++ b/crates/core/src/target.rs
@@ -387,11 +387,6 @@
         self.refresh(key);
     }
 
-    /// Whether a slot that is owned here is free.
-    pub fn has_lendable(&self) -> bool {
-        self.free_lists.iter().flatten().any(|key| self.targets[*key].owned_slots > 0)
-    }
-
     /// Lends one free slot until `expires`; only slots that are owned here are lent.
     pub fn lend_slot(&mut self, expires: Instant) -> Option<SocketAddr> {
         let lists = self.free_lists.iter().rev().flatten();
--- a/crates/node/src/control/messages.rs
+++ b/crates/node/src/control/messages.rs
@@ -4,7 +4,6 @@
 use crate::shared::TrafficNews;
 use crate::wall_clock;
 use sniperelay_config::parse_document;
-use sniperelay_core::borrow::SlotNeed;
 use sniperelay_core::edition::{ConfigEdition, EditionNote, EditionVerdict, note_of};
 use sniperelay_core::ids::{IncarnationId, ServiceName};
 use sniperelay_core::member::{MemberMessage, MemberMessageKind};
@@ -42,7 +41,7 @@
             }
         }
         PeerMessage::VmList(list) => adopt_vm_list(state, list),
-        PeerMessage::SlotAsk { sender, service, need } => lend_slots(state, sender, service, need),
+        PeerMessage::SlotAsk { sender, service, count } => lend_slots(state, sender, service, count),
         PeerMessage::SlotLoan { sender, service, targets } => {
             if let Some(entry) = state.shared.services.load().get(&service) {
                 entry
@@ -135,10 +134,10 @@
     state.vm_list = list;
 }
 
-fn lend_slots(state: &ControlState, borrower: IncarnationId, service: ServiceName, need: SlotNeed) {
+fn lend_slots(state: &ControlState, borrower: IncarnationId, service: ServiceName, count: u32) {
     let services = state.shared.services.load();
     let Some(entry) = services.get(&service) else { return };
-    let targets = entry.gate.run(|dispatcher, now, _| dispatcher.lend_slots(borrower, need, now));
+    let targets = entry.gate.run(|dispatcher, now, _| dispatcher.lend_slots(count, now));
     let sender = state.shared.incarnation;
     state.send_member(borrower, &PeerMessage::SlotLoan { sender, service, targets });
 }
--- a/crates/node/src/gate.rs
+++ b/crates/node/src/gate.rs
@@ -163,14 +163,9 @@
                 (request, GateSignal::Refuse { reason, retry_after })
             }
             DispatchAction::Abandon { request, target } => (request, GateSignal::Abandon { target }),
-            DispatchAction::AskSlots { peer, need } => {
+            DispatchAction::AskSlots { peer, count } => {
                 let sender = self.own_incarnation;
-                self.send_peer(peer, PeerMessage::SlotAsk { sender, service: self.service.clone(), need });
-                return;
-            }
-            DispatchAction::LendSlot { peer, address } => {
-                let (sender, service) = (self.own_incarnation, self.service.clone());
-                self.send_peer(peer, PeerMessage::SlotLoan { sender, service, targets: vec![address] });
+                self.send_peer(peer, PeerMessage::SlotAsk { sender, service: self.service.clone(), count });
                 return;
             }
             DispatchAction::ReturnSlot { peer, address } => {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -3,7 +3,6 @@
 //! A message of another version or beyond the limit is refused before it is decoded.
 
 use serde::{Deserialize, Serialize};
-use sniperelay_core::borrow::SlotNeed;
 use sniperelay_core::edition::{ConfigEdition, EditionNote};
 use sniperelay_core::ids::{IncarnationId, ServiceName};
 use sniperelay_core::member::MemberMessage;
@@ -76,8 +75,8 @@
         sender: IncarnationId,
         /// The service.
         service: ServiceName,
-        /// How urgently.
-        need: SlotNeed,
+        /// Slots wanted.
+        count: u32,
     },
     /// Lends slots; an empty list is a refusal.
     SlotLoan {
