--- a/crates/standin/src/bench/report.rs
+++ b/crates/standin/src/bench/report.rs
@@ -75,5 +75,5 @@
         Some(false) => "DOES NOT HOLD",
         None => "",
     };
-    println!("{:<62}{:>14.3} {:<8}{bound:<18}{holds}", figure.name, figure.value, figure.unit);
+    println!("{:<62}{:>16.6} {:<8}{bound:<18}{holds}", figure.name, figure.value, figure.unit);
 }
--- a/crates/standin/src/caller.rs
+++ b/crates/standin/src/caller.rs
@@ -13,12 +13,15 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
 
 type Sender = http1::SendRequest<Full<Bytes>>;
 
+/// Entry VMs that callers may ask for lookups.
+pub type SeedList = Arc<Mutex<Vec<SocketAddr>>>;
+
 /// Addresses that a caller tries for one call.
 const MAX_TRIES: usize = 3;
 
@@ -84,10 +87,11 @@
 #[derive(Debug)]
 pub struct CallerStandin {
     domain: Option<String>,
-    seeds: Vec<SocketAddr>,
+    seeds: SeedList,
     lookups: Mutex<HashMap<String, KeptLookup>>,
     idle: Mutex<HashMap<SocketAddr, Vec<Sender>>>,
     next_suffix: AtomicU64,
+    next_lookup: AtomicU64,
     /// Address to call without a lookup.
     direct: Option<SocketAddr>,
 }
@@ -95,8 +99,22 @@
 impl CallerStandin {
     /// A caller that knows these entry VMs.
     pub fn new(seeds: Vec<SocketAddr>, domain: Option<String>) -> Self {
+        Self::with_seed_list(Arc::new(Mutex::new(seeds)), domain)
+    }
+
+    /// A caller whose list of entry VMs others may change.
+    pub fn with_seed_list(seeds: SeedList, domain: Option<String>) -> Self {
         let next_suffix = AtomicU64::new(1);
-        Self { domain, seeds, lookups: Mutex::default(), idle: Mutex::default(), next_suffix, direct: None }
+        let next_lookup = AtomicU64::new(0);
+        Self {
+            domain,
+            seeds,
+            lookups: Mutex::default(),
+            idle: Mutex::default(),
+            next_suffix,
+            next_lookup,
+            direct: None,
+        }
     }
 
     /// A caller that calls one target directly, without an entry VM.
@@ -141,14 +159,12 @@
         if let Some(kept) = self.kept_lookup(service) {
             return kept;
         }
-        for seed in self
-            .seeds
-            .iter()
-            .cycle()
-            .skip(self.next_suffix.load(Ordering::Relaxed) as usize % 7)
-            .take(self.seeds.len())
-        {
-            let Some(answer) = self.look_up(*seed, service).await else { continue };
+        let mut seeds = self.seeds.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        let turn = self.next_lookup.fetch_add(1, Ordering::Relaxed) as usize;
+        let count = seeds.len().max(1);
+        seeds.rotate_left(turn % count);
+        for seed in seeds {
+            let Some(answer) = self.look_up(seed, service).await else { continue };
             let until = Instant::now() + Duration::from_millis(answer.keep_ms);
             let kept = KeptLookup { addresses: answer.addresses, until };
             let mut lookups = self.lookups.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/standin/src/cluster.rs
+++ b/crates/standin/src/cluster.rs
@@ -1,5 +1,6 @@
 //! Platform, targets and entry VMs of one deployment together in one process, on real sockets.
 
+use crate::caller::SeedList;
 use crate::certificates::{DeploymentFiles, Validity, make_files};
 use crate::deployment::DeploymentSpec;
 use crate::platform::PlatformStandin;
@@ -12,8 +13,8 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, PoisonError};
 use std::time::{Duration, Instant};
 
 /// Time within which a cluster must be ready.
@@ -62,6 +63,8 @@
     pub ledger: Arc<RunLedger>,
     /// Entry VMs that run.
     pub entry_vms: Vec<EntryVm>,
+    /// Entry VMs that callers may ask, kept up to date.
+    pub caller_seeds: SeedList,
     options: ClusterOptions,
     files: DeploymentFiles,
     directory: PathBuf,
@@ -85,6 +88,7 @@
             targets: BTreeMap::new(),
             ledger: Arc::default(),
             entry_vms: Vec::new(),
+            caller_seeds: SeedList::default(),
             options,
             files,
             directory,
@@ -141,6 +145,7 @@
         let address = entry_vm.caller_address();
         list_vm(&self.platform, VmRole::EntryVm, entry_vm.peer_address(), &domain, VmState::Live);
         self.entry_vms.push(entry_vm);
+        *self.caller_seeds.lock().unwrap_or_else(PoisonError::into_inner) = self.caller_addresses();
         Ok(address)
     }
 
--- a/crates/standin/src/demo.rs
+++ b/crates/standin/src/demo.rs
@@ -91,12 +91,10 @@
 
 /// Callers spread over the failure domains.
 pub fn make_callers(cluster: &ClusterStandin) -> Vec<Arc<CallerStandin>> {
-    let addresses = cluster.caller_addresses();
     let domains = &cluster.spec.domains;
     let caller = |index: usize| {
-        let mut seeds = addresses.clone();
-        seeds.rotate_left(index % addresses.len());
-        Arc::new(CallerStandin::new(seeds, Some(domains[index % domains.len()].clone())))
+        let domain = domains[index % domains.len()].clone();
+        Arc::new(CallerStandin::with_seed_list(cluster.caller_seeds.clone(), Some(domain)))
     };
     (0..CALLER_COUNT).map(caller).collect()
 }
