Stronger edit model; membership and targets split by pass; slow callers

Cause: with the look at an edit's history or at its own id removed on purpose, the edit model stayed green: both editors started from nothing, so that no edit was ever overwritten, and a superseded result was not held against the log. Change: the model also lets the second editor start from what the first one writes, and checks that a superseded edit is not the latest. Both removals now go red. Tests of slow callers, of callers that do not read, and of the connection limit. member.rs and target.rs are split: records, judging, spreading, merging; one target's state.

--- a/crates/core/src/member.rs
+++ b/crates/core/src/member.rs
@@ -6,98 +6,28 @@
 //! partitioned member that returns learns from the first answer that it counts as dead, and
 //! refutes it. Nothing that must be safe depends on this table: it only steers.
 
+mod judge;
+mod merge;
+mod record;
+mod spread;
+
 use crate::digest::{BucketDigest, is_in_mask};
-use crate::ids::{DomainName, IncarnationId};
+use crate::ids::IncarnationId;
 use crate::overlay;
-use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use judge::{DEATH_INTERVALS, SUSPECT_INTERVALS};
+pub use record::{MemberHealth, MemberMessage, MemberMessageKind, MemberRecord};
+
 /// Records that one message carries as rumours.
 pub const MAX_RUMOURS: usize = 12;
 /// Members that a table holds; more are refused.
 pub const MAX_MEMBERS: usize = 4096;
-/// Silence after which a neighbour is suspected, in heartbeat intervals.
-const SUSPECT_INTERVALS: u32 = 3;
-/// Time from suspicion to death, in heartbeat intervals.
-const DEATH_INTERVALS: u32 = 4;
-/// Time for which dead members are remembered and retried, in heartbeat intervals.
-const TOMBSTONE_INTERVALS: u32 = 600;
-/// Heartbeat intervals between two attempts to reach a dead member or a seed.
-const REJOIN_INTERVALS: u32 = 5;
 /// Heartbeat intervals between two full comparisons with the same difference.
 const SYNC_INTERVALS: u32 = 2;
 
-/// Health of a member as rumoured.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-pub enum MemberHealth {
-    /// Answers heartbeats.
-    Alive,
-    /// Has not answered a neighbour for a while.
-    Suspect,
-    /// Counts as gone.
-    Dead,
-}
-
-/// What is known of one member.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct MemberRecord {
-    /// Process run.
-    pub incarnation: IncarnationId,
-    /// Start of the process, in milliseconds since the Unix epoch.
-    pub started_millis: u64,
-    /// Address for messages between entry VMs.
-    pub peer_address: SocketAddr,
-    /// Address for callers.
-    pub caller_address: SocketAddr,
-    /// Failure domain.
-    pub domain: DomainName,
-    /// Raised by the member itself to refute a suspicion.
-    pub epoch: u32,
-    /// Health within the epoch.
-    pub health: MemberHealth,
-    /// Whether the member has announced its stop; never taken back.
-    pub is_leaving: bool,
-}
-
-impl MemberRecord {
-    /// Whether callers may be sent to the member.
-    pub fn is_available(&self) -> bool {
-        self.health != MemberHealth::Dead && !self.is_leaving
-    }
-}
-
-/// Kind of a membership message.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub enum MemberMessageKind {
-    /// Asks for an answer.
-    Heartbeat,
-    /// Answers a heartbeat.
-    Answer,
-    /// Carries news only.
-    Rumour,
-    /// Asks for the records in the buckets of the mask.
-    SyncRequest(u8),
-    /// Carries records of a comparison.
-    SyncAnswer,
-}
-
-/// Message between two members.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct MemberMessage {
-    /// What the message is for.
-    pub kind: MemberMessageKind,
-    /// The sender's own record.
-    pub sender: MemberRecord,
-    /// Records of others.
-    pub rumours: Vec<MemberRecord>,
-    /// Digest of the sender's table.
-    pub digest: BucketDigest,
-    /// Digest of the sender's configuration editions.
-    pub editions: BucketDigest,
-}
-
 /// A message to send.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct MemberSend {
@@ -279,61 +209,6 @@
         sends
     }
 
-    /// After a pause of this process, silence proves nothing about the others.
-    fn forgive_own_pause(&mut self, now: Instant) {
-        let gap = self.last_tick.map_or(Duration::ZERO, |last| now.saturating_duration_since(last));
-        self.last_tick = Some(now);
-        if gap > self.settings.interval * 2 {
-            self.entries.values_mut().for_each(|entry| {
-                entry.watched_since = entry.watched_since.map(|_| now);
-                entry.heard_at = entry.heard_at.map(|_| now);
-            });
-        }
-    }
-
-    fn judge_members(&mut self, now: Instant) {
-        let interval = self.settings.interval;
-        let suspects: Vec<IncarnationId> = self
-            .entries
-            .iter()
-            .filter(|(_, entry)| is_silent(entry, now, interval * SUSPECT_INTERVALS))
-            .map(|(incarnation, _)| *incarnation)
-            .collect();
-        suspects.into_iter().for_each(|incarnation| self.worsen(incarnation, MemberHealth::Suspect, now));
-        let has_expired = |entry: &MemberEntry, health, limit| {
-            entry.record.health == health && now.saturating_duration_since(entry.changed_at) > limit
-        };
-        let dead: Vec<IncarnationId> = self
-            .entries
-            .iter()
-            .filter(|(_, entry)| has_expired(entry, MemberHealth::Suspect, interval * DEATH_INTERVALS))
-            .map(|(incarnation, _)| *incarnation)
-            .collect();
-        dead.into_iter().for_each(|incarnation| self.worsen(incarnation, MemberHealth::Dead, now));
-        let forgotten: Vec<IncarnationId> = self
-            .entries
-            .iter()
-            .filter(|(_, entry)| has_expired(entry, MemberHealth::Dead, interval * TOMBSTONE_INTERVALS))
-            .map(|(incarnation, _)| *incarnation)
-            .collect();
-        forgotten.into_iter().for_each(|incarnation| self.forget(incarnation));
-    }
-
-    fn worsen(&mut self, incarnation: IncarnationId, health: MemberHealth, now: Instant) {
-        let Some(entry) = self.entries.get(&incarnation) else { return };
-        let mut record = entry.record.clone();
-        record.health = health;
-        self.merge(record, now);
-    }
-
-    fn forget(&mut self, incarnation: IncarnationId) {
-        let Some(entry) = self.entries.remove(&incarnation) else { return };
-        toggle(&mut self.digest, &entry.record);
-        if self.by_peer_address.get(&entry.record.peer_address) == Some(&incarnation) {
-            self.by_peer_address.remove(&entry.record.peer_address);
-        }
-    }
-
     fn rebuild_overlay(&mut self, now: Instant) {
         if !std::mem::take(&mut self.is_overlay_stale) {
             return;
@@ -347,55 +222,6 @@
         }
     }
 
-    fn send_rumours(&mut self, editions: BucketDigest) -> Vec<MemberSend> {
-        let news: Vec<MemberRecord> = self
-            .entries
-            .values_mut()
-            .filter(|entry| entry.rumour_rounds > 0)
-            .take(MAX_RUMOURS)
-            .map(|entry| {
-                entry.rumour_rounds -= 1;
-                entry.record.clone()
-            })
-            .collect();
-        if news.is_empty() {
-            return Vec::new();
-        }
-        let mut message = self.compose(MemberMessageKind::Rumour, editions);
-        message.rumours = news;
-        self.to_neighbours(&message)
-    }
-
-    fn send_heartbeats(&mut self, now: Instant, editions: BucketDigest) -> Vec<MemberSend> {
-        if self.next_heartbeat.is_some_and(|at| now < at) {
-            return Vec::new();
-        }
-        self.next_heartbeat = Some(now + self.settings.interval);
-        let message = self.compose(MemberMessageKind::Heartbeat, editions);
-        self.to_neighbours(&message)
-    }
-
-    /// Now and then contacts one seed or dead member, so that partitions heal.
-    fn send_rejoin(&mut self, now: Instant, editions: BucketDigest) -> Vec<MemberSend> {
-        if self.next_rejoin.is_some_and(|at| now < at) {
-            return Vec::new();
-        }
-        let is_alone = self.neighbours.is_empty();
-        let pause = if is_alone { self.settings.interval } else { self.settings.interval * REJOIN_INTERVALS };
-        self.next_rejoin = Some(now + pause);
-        let dead = self.others().filter(|record| record.health == MemberHealth::Dead && !record.is_leaving);
-        let mut places: Vec<SocketAddr> = dead.map(|record| record.peer_address).collect();
-        let unknown = self.settings.seeds.iter().filter(|seed| !self.by_peer_address.contains_key(seed));
-        places.extend(unknown.filter(|seed| **seed != self.own.peer_address));
-        if places.is_empty() {
-            return Vec::new();
-        }
-        self.rejoin_turn = self.rejoin_turn.wrapping_add(1);
-        let address = places[self.rejoin_turn % places.len()];
-        let message = self.compose(MemberMessageKind::Heartbeat, editions);
-        vec![MemberSend { address, message }]
-    }
-
     fn request_sync(
         &mut self,
         sender: &MemberRecord,
@@ -421,67 +247,6 @@
         selected.cloned().collect()
     }
 
-    /// Merges one record: newer epochs win, then worse health.
-    fn merge(&mut self, record: MemberRecord, now: Instant) {
-        if record.incarnation == self.own.incarnation {
-            self.refute(&record);
-            return;
-        }
-        let rounds = self.rumour_budget();
-        match self.entries.get_mut(&record.incarnation) {
-            None => self.insert(record, rounds, now),
-            Some(entry) => {
-                let merged = merged_record(&entry.record, &record);
-                if merged == entry.record {
-                    return;
-                }
-                toggle(&mut self.digest, &entry.record);
-                toggle(&mut self.digest, &merged);
-                entry.record = merged;
-                entry.changed_at = now;
-                entry.rumour_rounds = rounds;
-                self.note_change();
-            }
-        }
-    }
-
-    fn insert(&mut self, record: MemberRecord, rumour_rounds: u32, now: Instant) {
-        if self.entries.len() >= MAX_MEMBERS {
-            return;
-        }
-        self.replace_predecessor(&record, now);
-        toggle(&mut self.digest, &record);
-        let incarnation = record.incarnation;
-        let entry =
-            MemberEntry { record, heard_at: None, watched_since: None, changed_at: now, rumour_rounds };
-        self.entries.insert(incarnation, entry);
-        self.note_change();
-    }
-
-    /// A later start at the same address proves that the earlier process is gone.
-    fn replace_predecessor(&mut self, record: &MemberRecord, now: Instant) {
-        let previous = self.by_peer_address.get(&record.peer_address).copied();
-        let earlier = previous.and_then(|incarnation| self.get(incarnation).cloned());
-        match earlier {
-            Some(old) if old.started_millis > record.started_millis => {}
-            Some(old) => {
-                self.by_peer_address.insert(record.peer_address, record.incarnation);
-                self.worsen(old.incarnation, MemberHealth::Dead, now);
-            }
-            None => {
-                self.by_peer_address.insert(record.peer_address, record.incarnation);
-            }
-        }
-    }
-
-    fn refute(&mut self, rumoured: &MemberRecord) {
-        let is_wrong = rumoured.health > self.own.health && rumoured.epoch >= self.own.epoch;
-        if is_wrong {
-            let epoch = rumoured.epoch + 1;
-            self.change_own(|own| own.epoch = epoch);
-        }
-    }
-
     fn change_own(&mut self, change: impl FnOnce(&mut MemberRecord)) {
         self.toggle_own();
         change(&mut self.own);
@@ -520,20 +285,6 @@
     }
 }
 
-fn is_silent(entry: &MemberEntry, now: Instant, limit: Duration) -> bool {
-    let Some(since) = entry.watched_since else { return false };
-    let last = entry.heard_at.map_or(since, |heard| heard.max(since));
-    entry.record.health == MemberHealth::Alive && now.saturating_duration_since(last) > limit
-}
-
-fn merged_record(known: &MemberRecord, offered: &MemberRecord) -> MemberRecord {
-    let known_order = (known.epoch, known.health);
-    let offered_order = (offered.epoch, offered.health);
-    let mut merged = if offered_order > known_order { offered.clone() } else { known.clone() };
-    merged.is_leaving = known.is_leaving || offered.is_leaving;
-    merged
-}
-
 fn toggle(digest: &mut BucketDigest, record: &MemberRecord) {
     let mut content = record.epoch.to_le_bytes().to_vec();
     content.push(record.health as u8);
--- /dev/null
+++ b/crates/core/src/member/judge.rs
@@ -0,0 +1,75 @@
+//! Judges members by their silence: suspicion, death, and the end of tombstones.
+
+use super::{MemberEntry, MemberHealth, MemberTable, toggle};
+use crate::ids::IncarnationId;
+use std::time::{Duration, Instant};
+
+/// Silence after which a neighbour is suspected, in heartbeat intervals.
+pub(super) const SUSPECT_INTERVALS: u32 = 3;
+/// Time from suspicion to death, in heartbeat intervals.
+pub(super) const DEATH_INTERVALS: u32 = 4;
+/// Time for which dead members are remembered and retried, in heartbeat intervals.
+const TOMBSTONE_INTERVALS: u32 = 600;
+
+impl MemberTable {
+    /// After a pause of this process, silence proves nothing about the others.
+    pub(super) fn forgive_own_pause(&mut self, now: Instant) {
+        let gap = self.last_tick.map_or(Duration::ZERO, |last| now.saturating_duration_since(last));
+        self.last_tick = Some(now);
+        if gap > self.settings.interval * 2 {
+            self.entries.values_mut().for_each(|entry| {
+                entry.watched_since = entry.watched_since.map(|_| now);
+                entry.heard_at = entry.heard_at.map(|_| now);
+            });
+        }
+    }
+
+    pub(super) fn judge_members(&mut self, now: Instant) {
+        let interval = self.settings.interval;
+        let suspects: Vec<IncarnationId> = self
+            .entries
+            .iter()
+            .filter(|(_, entry)| is_silent(entry, now, interval * SUSPECT_INTERVALS))
+            .map(|(incarnation, _)| *incarnation)
+            .collect();
+        suspects.into_iter().for_each(|incarnation| self.worsen(incarnation, MemberHealth::Suspect, now));
+        let has_expired = |entry: &MemberEntry, health, limit| {
+            entry.record.health == health && now.saturating_duration_since(entry.changed_at) > limit
+        };
+        let dead: Vec<IncarnationId> = self
+            .entries
+            .iter()
+            .filter(|(_, entry)| has_expired(entry, MemberHealth::Suspect, interval * DEATH_INTERVALS))
+            .map(|(incarnation, _)| *incarnation)
+            .collect();
+        dead.into_iter().for_each(|incarnation| self.worsen(incarnation, MemberHealth::Dead, now));
+        let forgotten: Vec<IncarnationId> = self
+            .entries
+            .iter()
+            .filter(|(_, entry)| has_expired(entry, MemberHealth::Dead, interval * TOMBSTONE_INTERVALS))
+            .map(|(incarnation, _)| *incarnation)
+            .collect();
+        forgotten.into_iter().for_each(|incarnation| self.forget(incarnation));
+    }
+
+    pub(super) fn worsen(&mut self, incarnation: IncarnationId, health: MemberHealth, now: Instant) {
+        let Some(entry) = self.entries.get(&incarnation) else { return };
+        let mut record = entry.record.clone();
+        record.health = health;
+        self.merge(record, now);
+    }
+
+    pub(super) fn forget(&mut self, incarnation: IncarnationId) {
+        let Some(entry) = self.entries.remove(&incarnation) else { return };
+        toggle(&mut self.digest, &entry.record);
+        if self.by_peer_address.get(&entry.record.peer_address) == Some(&incarnation) {
+            self.by_peer_address.remove(&entry.record.peer_address);
+        }
+    }
+}
+
+fn is_silent(entry: &MemberEntry, now: Instant, limit: Duration) -> bool {
+    let Some(since) = entry.watched_since else { return false };
+    let last = entry.heard_at.map_or(since, |heard| heard.max(since));
+    entry.record.health == MemberHealth::Alive && now.saturating_duration_since(last) > limit
+}
--- /dev/null
+++ b/crates/core/src/member/merge.rs
@@ -0,0 +1,75 @@
+//! Merges records: newer epochs win, then worse health; a leaving flag stays.
+
+use super::{MAX_MEMBERS, MemberEntry, MemberHealth, MemberRecord, MemberTable, toggle};
+use std::time::Instant;
+
+impl MemberTable {
+    /// Merges one record: newer epochs win, then worse health.
+    pub(super) fn merge(&mut self, record: MemberRecord, now: Instant) {
+        if record.incarnation == self.own.incarnation {
+            self.refute(&record);
+            return;
+        }
+        let rounds = self.rumour_budget();
+        match self.entries.get_mut(&record.incarnation) {
+            None => self.insert(record, rounds, now),
+            Some(entry) => {
+                let merged = merged_record(&entry.record, &record);
+                if merged == entry.record {
+                    return;
+                }
+                toggle(&mut self.digest, &entry.record);
+                toggle(&mut self.digest, &merged);
+                entry.record = merged;
+                entry.changed_at = now;
+                entry.rumour_rounds = rounds;
+                self.note_change();
+            }
+        }
+    }
+
+    pub(super) fn insert(&mut self, record: MemberRecord, rumour_rounds: u32, now: Instant) {
+        if self.entries.len() >= MAX_MEMBERS {
+            return;
+        }
+        self.replace_predecessor(&record, now);
+        toggle(&mut self.digest, &record);
+        let incarnation = record.incarnation;
+        let entry =
+            MemberEntry { record, heard_at: None, watched_since: None, changed_at: now, rumour_rounds };
+        self.entries.insert(incarnation, entry);
+        self.note_change();
+    }
+
+    /// A later start at the same address proves that the earlier process is gone.
+    pub(super) fn replace_predecessor(&mut self, record: &MemberRecord, now: Instant) {
+        let previous = self.by_peer_address.get(&record.peer_address).copied();
+        let earlier = previous.and_then(|incarnation| self.get(incarnation).cloned());
+        match earlier {
+            Some(old) if old.started_millis > record.started_millis => {}
+            Some(old) => {
+                self.by_peer_address.insert(record.peer_address, record.incarnation);
+                self.worsen(old.incarnation, MemberHealth::Dead, now);
+            }
+            None => {
+                self.by_peer_address.insert(record.peer_address, record.incarnation);
+            }
+        }
+    }
+
+    pub(super) fn refute(&mut self, rumoured: &MemberRecord) {
+        let is_wrong = rumoured.health > self.own.health && rumoured.epoch >= self.own.epoch;
+        if is_wrong {
+            let epoch = rumoured.epoch + 1;
+            self.change_own(|own| own.epoch = epoch);
+        }
+    }
+}
+
+fn merged_record(known: &MemberRecord, offered: &MemberRecord) -> MemberRecord {
+    let known_order = (known.epoch, known.health);
+    let offered_order = (offered.epoch, offered.health);
+    let mut merged = if offered_order > known_order { offered.clone() } else { known.clone() };
+    merged.is_leaving = known.is_leaving || offered.is_leaving;
+    merged
+}
--- a/crates/core/src/target.rs
+++ b/crates/core/src/target.rs
@@ -5,12 +5,16 @@
 //! Targets with free slots stand in two index lists (own failure domain, others), kept up to date
 //! on every change, so that picking one does not depend on the number of targets.
 
+mod state;
+
 use crate::ids::{DomainName, TargetKey};
 use slotmap::SlotMap;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+pub use state::{LoadReport, SlotLoan, TargetLife, TargetSpec, TargetState};
+
 /// Age beyond which a load report says nothing any more.
 const REPORT_LIFETIME: Duration = Duration::from_millis(100);
 /// Successive failures after which a target is ejected.
@@ -28,128 +32,6 @@
 /// Weight of a new latency sample.
 const SLOWNESS_WEIGHT: f64 = 0.25;
 
-/// Life cycle of a target as reported by the platform, the target or a peer.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum TargetLife {
-    /// Takes new work.
-    Live,
-    /// Finishes what it has and takes no new work.
-    Leaving,
-}
-
-/// A target as the control thread describes it.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct TargetSpec {
-    /// Address to connect to.
-    pub address: SocketAddr,
-    /// Its failure domain.
-    pub domain: DomainName,
-    /// Whether it takes new work.
-    pub life: TargetLife,
-    /// Slots that this entry VM owns there.
-    pub owned_slots: u32,
-}
-
-/// Load that a target reported with an answer.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct LoadReport {
-    /// Requests being served.
-    pub busy: u32,
-    /// Requests waiting at the target.
-    pub queued: u32,
-}
-
-/// A loan of one slot, given or taken.
-#[derive(Debug, Clone, Copy)]
-pub struct SlotLoan {
-    /// End of the loan.
-    pub expires: Instant,
-}
-
-/// One target.
-#[derive(Debug)]
-pub struct TargetState {
-    /// Address to connect to.
-    pub address: SocketAddr,
-    /// Whether it takes new work.
-    pub life: TargetLife,
-    /// Whether it is in this entry VM's failure domain.
-    pub is_local: bool,
-    /// Requests in flight from this entry VM.
-    pub in_flight: u32,
-    /// Latency relative to all targets of the service; 1 is average.
-    pub slowness: f64,
-    owned_slots: u32,
-    ramp_limit: f64,
-    is_on_trial: bool,
-    foreign: u32,
-    foreign_at: Option<Instant>,
-    lent: Vec<SlotLoan>,
-    borrowed: Vec<SlotLoan>,
-    answered_at: Option<Instant>,
-    failures: u32,
-    ejections: u32,
-    ejected_until: Option<Instant>,
-    shunned_until: Option<Instant>,
-    list_position: Option<usize>,
-    /// Whether the target stands in the table's list of running timers.
-    is_timed: bool,
-}
-
-impl TargetState {
-    /// Requests that this entry VM may have in flight here.
-    pub fn limit(&self) -> u32 {
-        let granted = self.owned_slots + self.borrowed.len() as u32;
-        let used = self.foreign + self.lent.len() as u32;
-        granted.saturating_sub(used).min(self.ramp_limit as u32)
-    }
-
-    /// Whether neither ejected, shunned nor leaving.
-    pub fn is_usable(&self) -> bool {
-        self.life == TargetLife::Live && self.ejected_until.is_none() && self.shunned_until.is_none()
-    }
-
-    /// Whether answers of this target keep failing.
-    pub fn is_ejected(&self) -> bool {
-        self.ejected_until.is_some()
-    }
-
-    /// Whether it gets no work because it is slower than its peers.
-    pub fn is_shunned(&self) -> bool {
-        self.shunned_until.is_some()
-    }
-
-    /// Whether it was slower than its peers and has not shown since that it no longer is.
-    pub fn is_on_trial(&self) -> bool {
-        self.is_on_trial
-    }
-
-    /// Whether it has given no answer after `since`.
-    pub fn is_silent_since(&self, since: Instant) -> bool {
-        self.answered_at.is_none_or(|at| at <= since)
-    }
-
-    /// Slots that this entry VM owns here.
-    pub fn owned_slots(&self) -> u32 {
-        self.owned_slots
-    }
-
-    /// Slots borrowed from the owner.
-    pub fn borrowed_count(&self) -> usize {
-        self.borrowed.len()
-    }
-
-    fn has_timer(&self) -> bool {
-        let has_loan = !self.lent.is_empty() || !self.borrowed.is_empty();
-        has_loan || self.foreign_at.is_some() || self.ejected_until.is_some() || self.shunned_until.is_some()
-    }
-
-    /// Whether another request may start here now.
-    pub fn has_free_slot(&self) -> bool {
-        self.is_usable() && self.in_flight < self.limit()
-    }
-}
-
 /// Settings of a target table.
 #[derive(Debug, Clone)]
 pub struct TargetSettings {
--- a/crates/core/tests/edit_model.rs
+++ b/crates/core/tests/edit_model.rs
@@ -34,8 +34,12 @@
 }
 
 impl ModelState {
-    fn new() -> Self {
-        let editors = (1..=2).map(|edit_id| (EditSession::new(request(edit_id)), EditStep::Read)).collect();
+    /// Two editors that start from these versions.
+    fn new(bases: [u64; 2]) -> Self {
+        let session = |(index, base): (usize, u64)| {
+            EditSession::new(EditRequest { base, ..request(index as u128 + 1) })
+        };
+        let editors = bases.into_iter().enumerate().map(|editor| (session(editor), EditStep::Read)).collect();
         Self { version: 0, stored: None, log: Vec::new(), delayed: Vec::new(), editors, faults: 0 }
     }
 
@@ -100,8 +104,11 @@
             assert!(took_effect <= 1, "edit {edit_id} took effect twice");
             let EditStep::Finished(result) = step else { continue };
             match result {
-                EditResult::Accepted(_) | EditResult::Superseded(_) => {
-                    assert_eq!(took_effect, 1, "{result:?}")
+                EditResult::Accepted(_) => assert_eq!(took_effect, 1, "{result:?}"),
+                EditResult::Superseded(_) => {
+                    assert_eq!(took_effect, 1, "{result:?}");
+                    let latest = self.log.last().map(|edition| edition.mark.edit_id);
+                    assert_ne!(latest, Some(edit_id), "superseded by itself");
                 }
                 EditResult::Conflict(_) | EditResult::NotTried => assert_eq!(took_effect, 0, "{result:?}"),
                 EditResult::Open => {}
@@ -125,7 +132,10 @@
 #[test]
 fn every_result_is_true_under_all_orders_of_faults() {
     let mut counts = [0u64; 2];
-    explore(&ModelState::new(), 0, &mut counts);
+    // Both start from nothing, or the second one from what the first one writes.
+    for bases in [[0, 0], [0, 1]] {
+        explore(&ModelState::new(bases), 0, &mut counts);
+    }
     println!("{} states, {} ends explored", counts[0], counts[1]);
     assert!(counts[1] > 1000, "only {} ends: the model does not move", counts[1]);
 }
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -13,10 +13,19 @@
 
 /// A cluster of the Cooperative's services with few targets.
 pub async fn start_cluster(entry_vms: usize, targets: usize) -> ClusterStandin {
+    start_limited_cluster(entry_vms, targets, "").await
+}
+
+/// The same with keys of the settings' section `[limits]`.
+pub async fn start_limited_cluster(entry_vms: usize, targets: usize, limits: &str) -> ClusterStandin {
     let mut spec: DeploymentSpec = cooperative();
     spec.entry_vm_count = entry_vms;
     spec.services.iter_mut().for_each(|service| service.target_count = targets);
-    let options = ClusterOptions { lookup_keep: Duration::from_millis(500), ..ClusterOptions::default() };
+    let options = ClusterOptions {
+        lookup_keep: Duration::from_millis(500),
+        limits: limits.to_owned(),
+        ..ClusterOptions::default()
+    };
     ClusterStandin::start(spec, options).await.unwrap()
 }
 
--- a/crates/node/tests/http.rs
+++ b/crates/node/tests/http.rs
@@ -2,8 +2,10 @@
 
 mod common;
 
-use common::{header_of, raw_exchange, start_cluster, status_of};
+use common::{header_of, raw_exchange, start_cluster, start_limited_cluster, status_of, wait_until};
 use std::sync::atomic::Ordering;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 
 /// Each row: request, expected status, expected outcome, expected reason.
 const CASES: &[(&str, u16, &str, &str)] = &[
@@ -180,3 +182,44 @@
     }
     cluster.shut_down();
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn slow_callers_hold_no_slot() {
+    let cluster = start_limited_cluster(1, 1, "caller-patience-ms = 300").await;
+    let address = cluster.caller_addresses()[0];
+    let target = cluster.targets["rota-board"][0].clone();
+    // A body that stops in the middle is refused before a target is asked.
+    let request = "GET /rota/x HTTP/1.1\r\nHost: rota-board\r\nContent-Length: 10\r\n\r\nabc";
+    let answer = raw_exchange(address, request).await;
+    assert_eq!(header_of(&answer, "sniperelay-reason"), Some("slow-caller"), "{answer}");
+    assert_eq!(target.control.accepted.load(Ordering::Relaxed), 0);
+    // A caller that does not read its answer loses the slot after its patience.
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    let request = "GET /rota/x HTTP/1.1\r\nHost: rota-board\r\nstandin-size: 30000000\r\n\r\n";
+    stream.write_all(request.as_bytes()).await.unwrap();
+    wait_until("the request runs", || target.control.accepted.load(Ordering::Relaxed) == 1).await;
+    let shared = cluster.entry_vms[0].shared().clone();
+    let in_flight = || shared.services.load()["rota-board"].gate.read(|dispatcher| dispatcher.flight_count());
+    wait_until("the slot is free again", || in_flight() == 0).await;
+    drop(stream);
+    cluster.shut_down();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn connections_beyond_the_limit_are_closed_and_counted() {
+    use sniperelay_core::reason::RefusalReason;
+    let cluster = start_limited_cluster(1, 1, "caller-connections = 2").await;
+    let address = cluster.caller_addresses()[0];
+    let first = TcpStream::connect(address).await.unwrap();
+    let second = TcpStream::connect(address).await.unwrap();
+    let mut third = TcpStream::connect(address).await.unwrap();
+    let mut bytes = Vec::new();
+    let _ = third.read_to_end(&mut bytes).await;
+    assert!(bytes.is_empty());
+    let metrics = &cluster.entry_vms[0].shared().metrics;
+    let refused =
+        metrics.rank("-", "-").refusals[RefusalReason::ConnectionLimit.index()].load(Ordering::Relaxed);
+    assert_eq!(refused, 1);
+    drop((first, second));
+    cluster.shut_down();
+}
--- a/crates/standin/src/cluster.rs
+++ b/crates/standin/src/cluster.rs
@@ -37,6 +37,8 @@
     pub lookup_keep: Duration,
     /// Traffic threads per entry VM.
     pub traffic_threads: usize,
+    /// Keys of the section `[limits]`, as INI.
+    pub limits: String,
 }
 
 impl Default for ClusterOptions {
@@ -46,6 +48,7 @@
             heartbeat: Duration::from_millis(200),
             lookup_keep: Duration::from_millis(1500),
             traffic_threads: 1,
+            limits: String::new(),
         }
     }
 }
@@ -158,7 +161,7 @@
              operator-address = 127.0.0.1:0\ntraffic-threads = {}\nlookup-keep-ms = {}\n\
              [platform]\naddress = {}\nlist-interval-ms = 500\nstatus-interval-ms = 2000\n\
              [peers]\nseeds = {}\nheartbeat-ms = {}\nca-file = {}\ncertificate-file = {}\nkey-file = {}\n\
-             [routing]\npolicy = {}\n[operators]\nadmin = {ADMIN_TOKEN}\n[log]\nlevel = warn\n",
+             [limits]\n{}\n[routing]\npolicy = {}\n[operators]\nadmin = {ADMIN_TOKEN}\n[log]\nlevel = warn\n",
             options.traffic_threads,
             options.lookup_keep.as_millis(),
             self.platform.address(),
@@ -167,6 +170,7 @@
             self.files.ca.display(),
             self.files.certificate.display(),
             self.files.key.display(),
+            options.limits,
             options.policy,
         )
     }
