Tests that go red when a mechanism is removed on purpose

Change: the stand-in breaks off after a pause and can announce a length; callers of the stop test use only the first address they were told; the last check is tested with an end that has passed by either clock; a peer with a certificate of another deployment that trusts ours is refused.

--- /dev/null
+++ b/crates/node/tests/attempt.rs
@@ -0,0 +1,36 @@
+//! The last check before a request is written: what is overdue by either clock is not sent.
+
+use bytes::Bytes;
+use http::Request;
+use sniperelay_node::traffic::attempt::{AttemptEnd, AttemptLimit, run_attempt};
+use sniperelay_node::traffic::body::full_body;
+use sniperelay_node::traffic::pool::TargetPool;
+use sniperelay_node::wall_clock;
+use sniperelay_standin::target::{RunLedger, TargetStandin};
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+const MINUTE: Duration = Duration::from_secs(60);
+
+#[tokio::test]
+async fn what_is_overdue_by_either_clock_is_not_sent() {
+    let target = TargetStandin::start(1, 8, Arc::new(RunLedger::default())).await.unwrap();
+    let (now, wall) = (Instant::now(), wall_clock::since_epoch());
+    // Each row: end by the monotonic clock, end by the wall clock, whether it is sent.
+    let rows = [
+        (now + MINUTE, wall + MINUTE, true),
+        (now + MINUTE, wall - Duration::from_millis(1), false),
+        (now, wall + MINUTE, false),
+        (now, wall, false),
+    ];
+    for (end, wall_end, is_sent) in rows {
+        let before = target.control.accepted.load(Ordering::Relaxed);
+        let request =
+            Request::get("/rota/x").header("host", "rota-board").body(full_body(Bytes::new())).unwrap();
+        let limit = AttemptLimit { end, wall_end };
+        let attempt = run_attempt(TargetPool::default(), target.address(), request, limit, None, None).await;
+        assert_eq!(matches!(attempt, AttemptEnd::Answered { .. }), is_sent);
+        assert_eq!(target.control.accepted.load(Ordering::Relaxed) - before, u64::from(is_sent));
+    }
+}
--- a/crates/node/tests/http.rs
+++ b/crates/node/tests/http.rs
@@ -109,15 +109,18 @@
     let address = cluster.caller_addresses()[0];
     cluster.targets["rota-board"][0].control.break_permille.store(1000, Ordering::Relaxed);
     for size in [1000, 50_000, 300_000] {
-        let request = format!(
-            "GET /rota/x HTTP/1.1\r\nHost: rota-board\r\nstandin-id: 7\r\nstandin-size: {size}\r\n\
-             Connection: close\r\n\r\n"
-        );
-        let answer = raw_exchange(address, &request).await;
-        // Either a visible error status, or a chunked body without its last chunk.
-        let is_refused = status_of(&answer) >= 500;
-        let has_clean_end = answer.ends_with("0\r\n\r\n");
-        assert!(is_refused || !has_clean_end, "a broken body of {size} bytes ended cleanly");
+        for length in ["", "standin-length: 1\r\n"] {
+            let request = format!(
+                "GET /rota/x HTTP/1.1\r\nHost: rota-board\r\nstandin-id: 7\r\nstandin-size: {size}\r\n{length}\
+                 Connection: close\r\n\r\n"
+            );
+            let answer = raw_exchange(address, &request).await;
+            assert_eq!(status_of(&answer), 200, "the answer began before it broke off");
+            let announced = header_of(&answer, "content-length").and_then(|text| text.parse::<usize>().ok());
+            assert_eq!(announced, (!length.is_empty()).then_some(size));
+            // Chunked, the last chunk is missing; with a length, bytes are.
+            assert!(!answer.ends_with("0\r\n\r\n"), "a broken body of {size} bytes ended cleanly");
+        }
     }
     cluster.shut_down();
 }
--- a/crates/node/tests/keys.rs
+++ b/crates/node/tests/keys.rs
@@ -70,7 +70,10 @@
     let own = make_files(&directory("own"), Validity::Current).unwrap();
     let other = make_files(&directory("other"), Validity::Current).unwrap();
     let expired = make_files(&directory("expired"), Validity::Expired).unwrap();
-    let rows: [(&str, &DeploymentFiles, &DeploymentFiles, bool); 4] = [
+    // Trusts the deployment, but its own certificate is another deployment's.
+    let intruder = DeploymentFiles { ca: own.ca.clone(), ..other.clone() };
+    let rows: [(&str, &DeploymentFiles, &DeploymentFiles, bool); 5] = [
+        ("intruder", &intruder, &own, true),
         ("same deployment", &own, &own, false),
         ("other deployment calls", &other, &own, true),
         ("other deployment is called", &own, &other, true),
--- a/crates/node/tests/promises.rs
+++ b/crates/node/tests/promises.rs
@@ -189,8 +189,10 @@
     let mut cluster = start_cluster(4, 3).await;
     cluster.platform.control.is_down.store(true, Ordering::Relaxed);
     let addresses = cluster.caller_addresses();
-    let callers: Vec<Arc<CallerStandin>> =
-        (0..8).map(|_| Arc::new(CallerStandin::new(addresses.clone(), None))).collect();
+    // These callers use the first address that they were told and nothing else. They look up at an
+    // entry VM that stays.
+    let caller = |_| Arc::new(CallerStandin::new(vec![addresses[1]], None).without_fallback());
+    let callers: Vec<Arc<CallerStandin>> = (0..8).map(caller).collect();
     let is_over = Arc::new(std::sync::atomic::AtomicBool::new(false));
     let mut tasks = tokio::task::JoinSet::new();
     for (index, caller) in callers.into_iter().enumerate() {
--- a/crates/standin/src/caller.rs
+++ b/crates/standin/src/caller.rs
@@ -94,6 +94,8 @@
     next_lookup: AtomicU64,
     /// Address to call without a lookup.
     direct: Option<SocketAddr>,
+    /// Addresses of a lookup answer that are tried.
+    max_tries: usize,
 }
 
 impl CallerStandin {
@@ -114,6 +116,7 @@
             next_suffix,
             next_lookup,
             direct: None,
+            max_tries: MAX_TRIES,
         }
     }
 
@@ -122,6 +125,12 @@
         Self { direct: Some(address), ..Self::new(vec![address], None) }
     }
 
+    /// Makes the caller use the first address of a lookup answer only.
+    pub fn without_fallback(mut self) -> Self {
+        self.max_tries = 1;
+        self
+    }
+
     /// Performs a call.
     pub async fn call(&self, spec: &CallSpec) -> CallResult {
         let started = Instant::now();
@@ -129,7 +138,7 @@
         let addresses = self.addresses(&spec.service).await;
         // A key is made once: a repeated request keeps the key, wherever it goes.
         let mut key = None;
-        for address in addresses.iter().take(MAX_TRIES) {
+        for address in addresses.iter().take(self.max_tries) {
             result.tries += 1;
             let Some(sender) = self.connect(address.address).await else {
                 // Nothing was sent; the next entry VM gets a key of its own.
--- a/crates/standin/src/content.rs
+++ b/crates/standin/src/content.rs
@@ -10,6 +10,8 @@
 pub const ECHO_HEADER: &str = "standin-echo";
 /// Header that asks for the size of the request's body as the answer.
 pub const BODY_SIZE_HEADER: &str = "standin-body-size";
+/// Header that asks for an answer that announces its length.
+pub const LENGTH_HEADER: &str = "standin-length";
 /// Header that gives the service time in microseconds.
 pub const TIME_HEADER: &str = "standin-micros";
 
--- a/crates/standin/src/target.rs
+++ b/crates/standin/src/target.rs
@@ -3,7 +3,9 @@
 //! The [`RunLedger`] counts how often each request and each idempotency key ran: it is the judge
 //! of doubled requests and of false `not-run` outcomes.
 
-use crate::content::{BODY_SIZE_HEADER, ECHO_HEADER, ID_HEADER, SIZE_HEADER, TIME_HEADER, make_content};
+use crate::content::{
+    BODY_SIZE_HEADER, ECHO_HEADER, ID_HEADER, LENGTH_HEADER, SIZE_HEADER, TIME_HEADER, make_content,
+};
 use anyhow::Result;
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
@@ -31,6 +33,8 @@
 /// Slow factor of a target at normal speed, in thousandths.
 pub const NORMAL_SPEED: u32 = 1000;
 const CHUNK_BYTES: usize = 16 * 1024;
+/// Time between the first part of a broken body and its end.
+const BREAK_PAUSE: Duration = Duration::from_millis(20);
 
 #[derive(Debug, Default)]
 struct LedgerState {
@@ -252,7 +256,11 @@
         }
         let size = number(SIZE_HEADER).unwrap_or(0) as usize;
         drop(permit);
-        Ok(self.make_answer(StatusCode::OK, self.make_body(id, size)))
+        let mut answer = self.make_answer(StatusCode::OK, self.make_body(id, size));
+        if parts.headers.contains_key(LENGTH_HEADER) {
+            answer.headers_mut().insert(http::header::CONTENT_LENGTH, HeaderValue::from(size));
+        }
+        Ok(answer)
     }
 
     async fn wait_for_slot(&self) -> Result<tokio::sync::SemaphorePermit<'_>, BodyError> {
@@ -278,8 +286,16 @@
             let length = CHUNK_BYTES.min(end - offset);
             Ok(Frame::data(make_content(id, offset, length)))
         });
-        let tail = is_broken.then(|| Err(BodyError::from("broken on purpose")));
-        StreamBody::new(futures_util::stream::iter(chunks.chain(tail))).boxed_unsync()
+        let chunks = futures_util::stream::iter(chunks);
+        if !is_broken {
+            return StreamBody::new(chunks).boxed_unsync();
+        }
+        // What was sent before must have left, so that the body breaks off in its middle.
+        let tail = futures_util::stream::once(async {
+            tokio::time::sleep(BREAK_PAUSE).await;
+            Err(BodyError::from("broken on purpose"))
+        });
+        StreamBody::new(futures_util::StreamExt::chain(chunks, tail)).boxed_unsync()
     }
 
     fn refuse(&self, reason: &'static str) -> Response<TargetBody> {
