--- a/crates/node/src/control/status.rs
+++ b/crates/node/src/control/status.rs
@@ -53,13 +53,6 @@
     pub since_unix_ms: u64,
 }
 
-impl ServiceStatus {
-    fn has_work(&self) -> bool {
-        let had_work = |rank: &RankStatus| rank.on_time + rank.late > 0 || !rank.refusals.is_empty();
-        self.in_flight > 0 || self.ranks.values().any(had_work)
-    }
-}
-
 /// Status of one entry VM.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
 pub struct NodeStatus {
@@ -107,8 +100,8 @@
         services: state
             .documents
             .keys()
+            .filter(|name| is_home(state, name) || had_work(state, name))
             .map(|name| (name.clone(), make_service(state, name)))
-            .filter(|(_, service)| service.is_home || service.has_work())
             .collect(),
         versions: state.documents.iter().map(make_version).collect(),
     }
@@ -119,16 +112,23 @@
     (name.clone(), version)
 }
 
+fn is_home(state: &ControlState, name: &str) -> bool {
+    let members = state.shared.members.load();
+    let own = state.shared.incarnation;
+    members.homes.get(name).is_some_and(|homes| homes.iter().any(|home| home.incarnation == own))
+}
+
+fn had_work(state: &ControlState, name: &str) -> bool {
+    let services = state.shared.services.load();
+    services.get(name).is_some_and(|entry| entry.counters.iter().any(|counters| counters.has_counted()))
+}
+
 fn make_service(state: &ControlState, name: &str) -> ServiceStatus {
     let forced = &state.documents[name];
-    let members = state.shared.members.load();
-    let homes = members.homes.get(name);
-    let is_home =
-        homes.is_some_and(|homes| homes.iter().any(|home| home.incarnation == state.shared.incarnation));
     let mut status = ServiceStatus {
         generation: forced.generation,
         since_unix_ms: forced.since_millis,
-        is_home,
+        is_home: is_home(state, name),
         ..ServiceStatus::default()
     };
     let services = state.shared.services.load();
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -35,6 +35,12 @@
 }
 
 impl RankCounters {
+    /// Whether anything was counted.
+    pub fn has_counted(&self) -> bool {
+        let is_set = |counter: &AtomicU64| counter.load(Ordering::Relaxed) > 0;
+        is_set(&self.on_time) || is_set(&self.late) || self.refusals.iter().any(is_set)
+    }
+
     /// Counts an answer that was passed on.
     pub fn count_answer(&self, latency: Duration, is_on_time: bool) {
         let counter = if is_on_time { &self.on_time } else { &self.late };
--- a/crates/standin/src/bench/capacity.rs
+++ b/crates/standin/src/bench/capacity.rs
@@ -6,7 +6,7 @@
 use crate::demo::make_callers;
 use crate::deployment::{DeploymentSpec, cooperative};
 use crate::load::{RankLoad, draw_arrivals, play_arrivals};
-use anyhow::Result;
+use anyhow::{Result, ensure};
 use sniperelay_core::vm::{VmRole, VmState};
 use sniperelay_node::metrics::ProcessCounters;
 use std::net::SocketAddr;
@@ -17,9 +17,11 @@
 const WINDOW: Duration = Duration::from_secs(8);
 /// Time between readiness and the window.
 const SETTLE: Duration = Duration::from_secs(4);
+const SWEEPS: &[&str] = &["entry-vms", "targets", "services", "changes", "calls"];
 const VM_SIZES: &[usize] = &[4, 16, 64, 128];
 const TARGET_SIZES: &[usize] = &[100, 400, 1600, 6400];
 const SERVICE_SIZES: &[usize] = &[6, 60, 180, 470];
+const SERVICE_VM_COUNTS: &[usize] = &[2, 32];
 const CHANGE_RATES: &[u64] = &[0, 1, 4, 8];
 const CALL_RATES: &[f64] = &[250.0, 500.0, 1000.0, 2000.0];
 const TICK_SECONDS: f64 = 1e-9;
@@ -35,19 +37,34 @@
     memory_mb: f64,
 }
 
-/// Sweeps everything.
+/// Sweeps one quantity, or all of them.
 ///
 /// # Errors
 ///
-/// When a part cannot be started.
-pub async fn bench_capacity(seed: u64) -> Result<Vec<BenchFigure>> {
+/// When a part cannot be started or the quantity is unknown.
+pub async fn bench_capacity(quantity: &str, seed: u64) -> Result<Vec<BenchFigure>> {
+    let is_wanted = |name: &str| quantity == "all" || quantity == name;
+    ensure!(
+        quantity == "all" || SWEEPS.contains(&quantity),
+        "unknown sweep '{quantity}', must be all or one of {SWEEPS:?}"
+    );
     let mut figures = Vec::new();
-    figures.extend(sweep_entry_vms(seed).await?);
-    figures.extend(sweep_targets(seed).await?);
-    figures.extend(sweep_services(seed).await?);
-    figures.extend(sweep_changes(seed).await?);
-    figures.extend(sweep_calls(seed).await?);
-    figures.extend(measure_lookups(seed).await?);
+    if is_wanted("entry-vms") {
+        figures.extend(sweep_entry_vms(seed).await?);
+    }
+    if is_wanted("targets") {
+        figures.extend(sweep_targets(seed).await?);
+    }
+    if is_wanted("services") {
+        figures.extend(sweep_services(seed).await?);
+    }
+    if is_wanted("changes") {
+        figures.extend(sweep_changes(seed).await?);
+    }
+    if is_wanted("calls") {
+        figures.extend(sweep_calls(seed).await?);
+        figures.extend(measure_lookups(seed).await?);
+    }
     Ok(figures)
 }
 
@@ -104,26 +121,28 @@
     Ok(figures)
 }
 
+/// Services on two entry VMs, which are homes of all, and on more, which are homes of few.
 async fn sweep_services(seed: u64) -> Result<Vec<BenchFigure>> {
-    let mut rows = Vec::new();
-    for size in SERVICE_SIZES {
-        eprintln!("capacity: {size} services");
-        let before = resident_mb();
-        let cluster = ClusterStandin::start(small_spec(2), slow_heartbeat()).await?;
-        let text = cluster.spec.services[0].text.clone();
-        for index in 0..*size {
-            let name = format!("service-{index}");
-            put_document(
-                &cluster.platform,
-                &name,
-                &text.replace("name = rota-board", &format!("name = {name}")),
-            );
+    let mut figures = Vec::new();
+    for entry_vms in SERVICE_VM_COUNTS {
+        let mut rows = Vec::new();
+        for size in SERVICE_SIZES {
+            eprintln!("capacity: {size} services on {entry_vms} entry VMs");
+            let before = resident_mb();
+            let cluster = ClusterStandin::start(small_spec(*entry_vms), slow_heartbeat()).await?;
+            let text = cluster.spec.services[0].text.clone();
+            for index in 0..*size {
+                let name = format!("service-{index}");
+                let text = text.replace("name = rota-board", &format!("name = {name}"));
+                put_document(&cluster.platform, &name, &text);
+            }
+            rows.push((*size as f64, measure_cluster(&cluster, before).await));
+            cluster.shut_down();
         }
-        rows.push((*size as f64, measure_cluster(&cluster, before).await));
-        cluster.shut_down();
+        let name = format!("services-on-{entry_vms}-entry-vms");
+        figures.extend(print_rows(&name, &rows, seed));
+        figures.extend(fit_all(&name, &rows, seed));
     }
-    let mut figures = print_rows("services", &rows, seed);
-    figures.extend(fit_all("services", &rows, seed));
     Ok(figures)
 }
 
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -46,6 +46,9 @@
     /// number of seeds, from --seed on
     #[argh(option, default = "1")]
     seeds: u64,
+    /// sweep of the bench capacity: entry-vms, targets, services, changes, calls or all
+    #[argh(option, default = "\"all\".to_owned()")]
+    sweep: String,
     /// requests of the benches claims and whole
     #[argh(option, default = "100_000")]
     requests: u64,
@@ -66,7 +69,7 @@
             "claims" => bench::promises::bench_claims(args.requests, seed).await?,
             "whole" => bench::promises::bench_whole(args.requests, seed).await?,
             "config" => bench::config::bench_config(seed).await?,
-            "capacity" => bench::capacity::bench_capacity(seed).await?,
+            "capacity" => bench::capacity::bench_capacity(&args.sweep, seed).await?,
             other => bail!("unknown bench '{other}', must be {BENCH_NAMES}"),
         };
         all_hold &= bench::report::print_figures(&figures, args.json);
