--- a/crates/node/src/control/plan.rs
+++ b/crates/node/src/control/plan.rs
@@ -31,6 +31,7 @@
         return;
     }
     state.planned_revision = Some(state.members.revision());
+    state.planned_at = Some(now);
     state.is_plan_stale = false;
     let snapshot = make_members(state, is_connected);
     publish_services(state, &snapshot);
--- a/crates/node/src/control/run.rs
+++ b/crates/node/src/control/run.rs
@@ -33,6 +33,8 @@
 const MEMBER_TICKS: u64 = 10;
 /// Upkeep passes between two status snapshots and other slow work.
 const STATUS_TICKS: u64 = 100;
+/// Shortest time between two plans.
+const PLAN_INTERVAL: Duration = Duration::from_millis(25);
 /// Messages of other entry VMs that may wait for the loop.
 const INBOX_SIZE: usize = 4096;
 /// Time for which the last messages are given a chance to leave.
@@ -139,6 +141,7 @@
         flags: flags.clone(),
         events: inputs.event_sender.clone(),
         planned_revision: None,
+        planned_at: None,
         is_plan_stale: true,
         shared: shared.clone(),
     };
@@ -187,9 +190,17 @@
                 run_tick(&mut state, tick);
             }
         }
-        if state.is_plan_stale {
-            publish_plan(&mut state, Instant::now());
-        }
+        publish_stale_plan(&mut state);
+    }
+}
+
+/// Publishes a stale plan at once, unless one was published just before: many changes in a row, as
+/// after a start, then share one plan.
+fn publish_stale_plan(state: &mut ControlState) {
+    let now = Instant::now();
+    let is_recent = state.planned_at.is_some_and(|at| now.saturating_duration_since(at) < PLAN_INTERVAL);
+    if state.is_plan_stale && !is_recent {
+        publish_plan(state, now);
     }
 }
 
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -65,6 +65,8 @@
     pub events: UnboundedSender<ControlEvent>,
     /// Membership revision of the published plan.
     pub planned_revision: Option<u64>,
+    /// When the last plan was published.
+    pub planned_at: Option<Instant>,
     /// Whether documents or targets have changed since the plan was published.
     pub is_plan_stale: bool,
 }
--- a/crates/node/src/gate.rs
+++ b/crates/node/src/gate.rs
@@ -16,7 +16,7 @@
 use sniperelay_wire::PeerMessage;
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
@@ -63,6 +63,8 @@
 pub struct ServiceGate {
     service: ServiceName,
     inner: Mutex<GateInner>,
+    /// Whether a tick would do nothing; looked at without the lock.
+    is_quiet: AtomicBool,
     next_request: AtomicU64,
     peers: UnboundedSender<PeerOutgoing>,
     own_incarnation: IncarnationId,
@@ -79,7 +81,14 @@
         let service = document.name.clone();
         let dispatcher = ServiceDispatcher::new(document, settings);
         let inner = Mutex::new(GateInner { dispatcher, signals: HashMap::new(), actions: Vec::new() });
-        Arc::new(Self { service, inner, next_request: AtomicU64::new(1), peers, own_incarnation })
+        Arc::new(Self {
+            service,
+            inner,
+            is_quiet: AtomicBool::new(true),
+            next_request: AtomicU64::new(1),
+            peers,
+            own_incarnation,
+        })
     }
 
     /// Asks for admission of a request; signals follow through the pass.
@@ -114,7 +123,7 @@
 
     /// Runs the periodic pass if it would do anything.
     pub fn upkeep(self: &Arc<Self>) {
-        if !self.read(ServiceDispatcher::needs_no_tick) {
+        if !self.is_quiet.load(Ordering::Acquire) {
             self.run(|dispatcher, now, actions| dispatcher.tick(now, actions));
         }
     }
@@ -138,6 +147,7 @@
     ) -> R {
         let inner = &mut *guard;
         let result = pass(&mut inner.dispatcher, Instant::now(), &mut inner.actions);
+        self.is_quiet.store(inner.dispatcher.needs_no_tick(), Ordering::Release);
         let mut undelivered = Vec::new();
         for action in inner.actions.drain(..) {
             self.deliver(&inner.signals, action, &mut undelivered);
--- a/crates/standin/src/bench/capacity.rs
+++ b/crates/standin/src/bench/capacity.rs
@@ -18,6 +18,8 @@
 /// Time between readiness and the window.
 const SETTLE: Duration = Duration::from_secs(4);
 const SWEEPS: &[&str] = &["entry-vms", "targets", "services", "changes", "calls"];
+/// Time within which all documents must have spread.
+const SPREAD_LIMIT: Duration = Duration::from_secs(60);
 const VM_SIZES: &[usize] = &[4, 16, 64, 128];
 const TARGET_SIZES: &[usize] = &[100, 400, 1600, 6400];
 const SERVICE_SIZES: &[usize] = &[6, 60, 180, 470];
@@ -126,6 +128,7 @@
     let mut figures = Vec::new();
     for entry_vms in SERVICE_VM_COUNTS {
         let mut rows = Vec::new();
+        let mut spread_times = Vec::new();
         for size in SERVICE_SIZES {
             eprintln!("capacity: {size} services on {entry_vms} entry VMs");
             let before = resident_mb();
@@ -136,16 +139,31 @@
                 let text = text.replace("name = rota-board", &format!("name = {name}"));
                 put_document(&cluster.platform, &name, &text);
             }
+            spread_times.push((*size as f64, wait_for_services(&cluster, *size).await?.as_secs_f64()));
             rows.push((*size as f64, measure_cluster(&cluster, before).await));
             cluster.shut_down();
         }
         let name = format!("services-on-{entry_vms}-entry-vms");
         figures.extend(print_rows(&name, &rows, seed));
+        figures.extend(spread_times.iter().map(|(size, seconds)| {
+            BenchFigure::plain(format!("{name}/{size}/spread-of-all"), *seconds, "s", seed)
+        }));
         figures.extend(fit_all(&name, &rows, seed));
     }
     Ok(figures)
 }
 
+/// Waits until every entry VM has this many more documents than at the start.
+async fn wait_for_services(cluster: &ClusterStandin, count: usize) -> Result<Duration> {
+    let started = Instant::now();
+    let wanted = count + cluster.spec.services.len();
+    while !cluster.entry_vms.iter().all(|entry_vm| entry_vm.shared().services.load().len() >= wanted) {
+        ensure!(started.elapsed() < SPREAD_LIMIT, "the documents did not spread within {SPREAD_LIMIT:?}");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    Ok(started.elapsed())
+}
+
 async fn sweep_changes(seed: u64) -> Result<Vec<BenchFigure>> {
     let mut rows = Vec::new();
     for rate in CHANGE_RATES {
