Targets of other owners are used without a loan only while the owners are silent

And whenever requests had waited 25 ms, as in any flood, targets of owners that did answer were used beyond their slots. Change: the safe share depends on the owners' silence, not on the wait; it starts with one request per target and grows by one each 100 ms.

--- a/crates/core/src/borrow.rs
+++ b/crates/core/src/borrow.rs
@@ -34,6 +34,8 @@
     lenders: Vec<LenderState>,
     next: usize,
     last_ask: Option<Instant>,
+    /// First ask after the latest answer.
+    unanswered_since: Option<Instant>,
     owners: HashMap<SocketAddr, IncarnationId>,
 }
 
@@ -61,12 +63,14 @@
             (0..count).map(|step| (start + step) % count).find(|index| ready(&self.lenders[*index]))?;
         self.next = found + 1;
         self.last_ask = Some(now);
+        self.unanswered_since.get_or_insert(now);
         self.lenders[found].ask_after = Some(now + ANSWER_TIME);
         Some(self.lenders[found].peer)
     }
 
     /// Accounts for an answer to an ask.
     pub fn record_answer(&mut self, peer: IncarnationId, loans: &[SocketAddr], now: Instant) {
+        self.unanswered_since = None;
         if let Some(lender) = self.lenders.iter_mut().find(|lender| lender.peer == peer) {
             lender.ask_after = loans.is_empty().then(|| now + EMPTY_TIME);
         }
@@ -75,6 +79,15 @@
         }
     }
 
+    /// For how long the lenders have answered nothing although they were asked; without lenders,
+    /// for ever.
+    pub fn silence(&self, now: Instant) -> Duration {
+        if self.lenders.is_empty() {
+            return Duration::MAX;
+        }
+        self.unanswered_since.map_or(Duration::ZERO, |since| now.saturating_duration_since(since))
+    }
+
     /// Who lent a slot of this target.
     pub fn owner_of(&self, address: SocketAddr) -> Option<IncarnationId> {
         self.owners.get(&address).copied()
--- a/crates/core/src/dispatch/upkeep.rs
+++ b/crates/core/src/dispatch/upkeep.rs
@@ -10,8 +10,10 @@
 /// Age of an attempt, relative to the time within which nine in ten answers begin, from which it
 /// is overdue.
 const OVERDUE_RATIO: f64 = 1.15;
-/// Wait after which a request may use a target whose owner lends nothing.
+/// Silence of the owners after which their targets are used without a loan.
 const OWNER_SILENCE: Duration = Duration::from_millis(25);
+/// Silence after which one more request may run at each of these targets.
+const SHARE_STEP: Duration = Duration::from_millis(100);
 
 impl ServiceDispatcher {
     /// Runs the periodic pass.
@@ -85,21 +87,27 @@
         has_time && (is_overdue || is_at_straggler)
     }
 
-    /// Uses targets of silent owners with at most one request in flight each, so that work goes
-    /// on in a partition.
+    /// Uses targets whose owners do not answer, so that work goes on in a partition: one request
+    /// each at first, and more while the silence lasts. The targets' own queues take the rest.
     fn use_safe_share(&mut self, now: Instant, actions: &mut Vec<DispatchAction>) {
+        let silence = self.borrow_plan.silence(now);
+        if silence < OWNER_SILENCE {
+            return;
+        }
+        let steps = silence.as_millis() / SHARE_STEP.as_millis();
+        let limit = u32::try_from(steps).unwrap_or(u32::MAX).saturating_add(1);
+        let limit = limit.min(self.document.slots_per_target);
         while let Some(rank) = self.next_rank() {
-            let has_waited = |queued: &crate::queue::QueuedRequest| queued.queued_at + OWNER_SILENCE <= now;
-            let Some(target) = self.idle_foreign_target() else { return };
-            let Some(queued) = self.ranks[rank].queue.pop_front_if(has_waited) else { return };
+            let Some(target) = self.spare_foreign_target(limit) else { return };
+            let Some(queued) = self.ranks[rank].queue.pop_front() else { return };
             self.waiting.remove(&queued.request);
             self.start_queued(rank, &queued, target, now, actions);
         }
     }
 
-    fn idle_foreign_target(&self) -> Option<TargetKey> {
-        let idle =
-            |target: &TargetState| target.is_usable() && target.owned_slots() == 0 && target.in_flight == 0;
-        self.targets.iter().filter(|(_, target)| idle(target)).map(|(key, _)| key).next()
+    fn spare_foreign_target(&self, limit: u32) -> Option<TargetKey> {
+        let is_spare = |target: &TargetState| target.is_usable() && target.owned_slots() == 0;
+        let spare = self.targets.iter().filter(|(_, target)| is_spare(target) && target.in_flight < limit);
+        spare.min_by_key(|(_, target)| target.in_flight).map(|(key, _)| key)
     }
 }
--- a/crates/core/tests/dispatch.rs
+++ b/crates/core/tests/dispatch.rs
@@ -270,6 +270,27 @@
     assert_eq!(fleet.dispatcher.queue_length(0), 0);
 }
 
+#[test]
+fn targets_of_owners_are_used_without_a_loan_only_while_the_owners_are_silent() {
+    // Each row: whether the lender answers (with nothing), least and most starts within half a second.
+    for (is_answering, least, most) in [(true, 0, 0), (false, 12, 12)] {
+        let mut fleet = FakeFleet::new(document(), &specs(3, 0));
+        fleet.service_times = (0..3).map(|index| (address(index), Duration::from_secs(5))).collect();
+        fleet.dispatcher.replace_lenders(&[9]);
+        (0..20).for_each(|_| _ = fleet.submit(2));
+        for _ in 0..100 {
+            fleet.run_until(fleet.now + Duration::from_millis(5));
+            if is_answering {
+                let now = fleet.now;
+                fleet.dispatcher.receive_loans(9, &[], now, &mut fleet.actions);
+                fleet.carry_out();
+            }
+        }
+        let starts: u64 = fleet.starts.values().sum();
+        assert!((least..=most).contains(&starts), "answering {is_answering}: {starts} starts");
+    }
+}
+
 /// Each row: failure, whether idempotent, whether a layer above may retry, whether a retry follows.
 const RETRY_RULES: &[(AttemptFailure, bool, bool, bool)] = &[
     (AttemptFailure::Connect, true, false, true),
