--- a/crates/node/src/control/run.rs
+++ b/crates/node/src/control/run.rs
@@ -76,6 +76,8 @@
     pub events: UnboundedReceiver<ControlEvent>,
     /// Sender of events, for the loop's own tasks.
     pub event_sender: UnboundedSender<ControlEvent>,
+    /// Socket for messages between entry VMs.
+    pub peer_socket: std::net::UdpSocket,
     /// Socket for operators.
     pub operator_listener: std::net::TcpListener,
     /// Own membership record.
@@ -125,7 +127,7 @@
     let settings = &shared.settings;
     let configs = load_configs(&settings.peers)?;
     let counters = shared.metrics.process().clone();
-    let link = PeerLink::bind(settings.entry.peer_address, configs, inbox_sender, counters)?;
+    let link = PeerLink::start(inputs.peer_socket, configs, inbox_sender, counters)?;
     let platform = Arc::new(HttpPlatform::new(settings.platform.address, settings.platform.calls_per_second));
     let flags = Arc::new(SyncFlags::default());
     let member_settings =
--- a/crates/node/src/entry_vm.rs
+++ b/crates/node/src/entry_vm.rs
@@ -47,7 +47,8 @@
         let operator_listener = bind_listener(settings.entry.operator_address, "operator-address")?;
         settings.entry.caller_address = caller_listener.local_addr()?;
         settings.entry.operator_address = operator_listener.local_addr()?;
-        settings.entry.peer_address = choose_peer_address(settings.entry.peer_address)?;
+        let peer_socket = bind_peer_socket(settings.entry.peer_address)?;
+        settings.entry.peer_address = peer_socket.local_addr()?;
         let caller_address = settings.entry.caller_address;
         let traffic = start_traffic_runtime(settings.entry.traffic_threads)?;
         let (life, view) = ServingLife::begin();
@@ -65,6 +66,7 @@
             news,
             events,
             event_sender: event_sender.clone(),
+            peer_socket,
             operator_listener,
             own_record,
             stop_request: stop_request.clone(),
@@ -162,13 +164,8 @@
     Ok(listener)
 }
 
-/// Replaces port 0 by a port that is free now.
-fn choose_peer_address(address: SocketAddr) -> Result<SocketAddr> {
-    if address.port() != 0 {
-        return Ok(address);
-    }
-    let socket = UdpSocket::bind(address).with_context(|| format!("cannot bind peer-address {address}"))?;
-    Ok(socket.local_addr()?)
+fn bind_peer_socket(address: SocketAddr) -> Result<UdpSocket> {
+    UdpSocket::bind(address).with_context(|| format!("cannot bind peer-address {address}"))
 }
 
 fn start_traffic_runtime(threads: usize) -> Result<Runtime> {
--- a/crates/node/src/peer/link.rs
+++ b/crates/node/src/peer/link.rs
@@ -6,10 +6,10 @@
 use crate::metrics::ProcessCounters;
 use crate::peer::tls::{PEER_NAME, PeerConfigs};
 use anyhow::{Context, Result};
-use quinn::{Connection, Endpoint};
+use quinn::{Connection, Endpoint, EndpointConfig};
 use sniperelay_wire::{MAX_MESSAGE_BYTES, PeerMessage, decode, encode};
 use std::collections::{HashMap, HashSet};
-use std::net::SocketAddr;
+use std::net::{SocketAddr, UdpSocket};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use tokio::sync::mpsc::Sender;
@@ -42,19 +42,20 @@
 }
 
 impl PeerLink {
-    /// Binds the address and starts to accept peers on the current runtime.
+    /// Starts to accept peers on a bound socket, on the current runtime.
     ///
     /// # Errors
     ///
-    /// When the address cannot be bound.
-    pub fn bind(
-        address: SocketAddr,
+    /// When the socket cannot be used.
+    pub fn start(
+        socket: UdpSocket,
         configs: PeerConfigs,
         inbox: Sender<PeerMessage>,
         counters: Arc<ProcessCounters>,
     ) -> Result<Self> {
-        let mut endpoint = Endpoint::server(configs.server, address)
-            .with_context(|| format!("cannot bind UDP {address}"))?;
+        let runtime = Arc::new(quinn::TokioRuntime);
+        let mut endpoint = Endpoint::new(EndpointConfig::default(), Some(configs.server), socket, runtime)
+            .context("cannot use the peer socket")?;
         endpoint.set_default_client_config(configs.client);
         let link = Self { endpoint, table: Arc::default(), inbox, counters };
         tokio::spawn(link.clone().accept_peers());
--- a/crates/node/tests/keys.rs
+++ b/crates/node/tests/keys.rs
@@ -35,7 +35,8 @@
     let (sender, inbox) = channel(16);
     let counters = Arc::new(ProcessCounters::default());
     let configs = load_configs(&settings_of(files)).unwrap();
-    let link = PeerLink::bind("127.0.0.1:0".parse().unwrap(), configs, sender, counters.clone()).unwrap();
+    let socket = std::net::UdpSocket::bind("127.0.0.1:0").unwrap();
+    let link = PeerLink::start(socket, configs, sender, counters.clone()).unwrap();
     LinkEnd { link, inbox, counters }
 }
 
