A leaving word holds until the platform's list has caught up

Cause: read in review: the word of a target that it is leaving was forgotten after 30 s, so that a list that lagged longer brought it back for a request every 30 s. Change: the word holds until the list shows the target as leaving or no more (at most 10 minutes); from then on the list tells when it takes work again. The status names targets listed as leaving. Measured: the test of a leaving target now also sees it used again after the list has shown it as leaving and then as live.

--- a/crates/core/src/vm.rs
+++ b/crates/core/src/vm.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 
 /// What a VM does.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum VmRole {
     /// It serves requests of a service.
--- a/crates/node/src/control/plan.rs
+++ b/crates/node/src/control/plan.rs
@@ -11,15 +11,16 @@
 use sniperelay_core::member::MemberHealth;
 use sniperelay_core::target::{TargetLife, TargetSpec};
 use sniperelay_core::vm::{VmRecord, VmRole};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 /// Entry VMs that watch the documents in the platform.
 const WATCHER_COUNT: usize = 3;
-/// Time for which a word that a target is leaving outweighs the platform's list.
-const WORD_LIFETIME: Duration = Duration::from_secs(30);
+/// Longest time for which a word that a target is leaving outweighs the platform's list.
+const WORD_LIFETIME: Duration = Duration::from_secs(600);
 
 /// Publishes a new plan if anything that it depends on has changed.
 pub fn publish_plan(state: &mut ControlState, now: Instant) {
@@ -43,9 +44,19 @@
     publish_status(state);
 }
 
+/// Forgets words that a target is leaving once the list has caught up: from then on the list tells
+/// when a target at that address takes work again.
 fn forget_old_words(state: &mut ControlState, now: Instant) {
     let count = state.leaving_words.len();
-    state.leaving_words.retain(|_, since| now.saturating_duration_since(*since) < WORD_LIFETIME);
+    if count == 0 {
+        return;
+    }
+    let live = state.vm_list.records.iter().filter(|record| record.life() == TargetLife::Live);
+    let live: HashSet<(&VmRole, SocketAddr)> = live.map(|record| (&record.role, record.address)).collect();
+    state.leaving_words.retain(|(service, address), since| {
+        let is_fresh = now.saturating_duration_since(*since) < WORD_LIFETIME;
+        is_fresh && live.contains(&(&VmRole::Target(service.clone()), *address))
+    });
     state.is_plan_stale |= state.leaving_words.len() != count;
 }
 
--- a/crates/node/src/control/status.rs
+++ b/crates/node/src/control/status.rs
@@ -4,6 +4,7 @@
 use crate::wall_clock;
 use serde::{Deserialize, Serialize};
 use sniperelay_core::reason::{RefusalReason, RetryReason};
+use sniperelay_core::target::TargetLife;
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicU64, Ordering};
 
@@ -72,6 +73,8 @@
     pub claim_keys: usize,
     /// Time of this status, in milliseconds since the Unix epoch.
     pub unix_ms: u64,
+    /// Targets that the platform lists as leaving.
+    pub listed_leaving: Vec<String>,
     /// Version in force of every service.
     pub versions: BTreeMap<String, VersionStatus>,
     /// Services of which it is a home or for which it had work, by name.
@@ -103,10 +106,16 @@
             .filter(|name| is_home(state, name) || had_work(state, name))
             .map(|name| (name.clone(), make_service(state, name)))
             .collect(),
+        listed_leaving: listed_leaving(state),
         versions: state.documents.iter().map(make_version).collect(),
     }
 }
 
+fn listed_leaving(state: &ControlState) -> Vec<String> {
+    let leaving = state.vm_list.records.iter().filter(|record| record.life() == TargetLife::Leaving);
+    leaving.map(|record| record.address.to_string()).collect()
+}
+
 fn make_version((name, forced): (&String, &ForcedDocument)) -> (String, VersionStatus) {
     let version = VersionStatus { generation: forced.generation, since_unix_ms: forced.since_millis };
     (name.clone(), version)
--- a/crates/node/tests/promises.rs
+++ b/crates/node/tests/promises.rs
@@ -181,9 +181,36 @@
         assert_eq!(result.end, CallEnd::Whole);
     }
     assert_eq!(leaver.control.accepted.load(Ordering::Relaxed), accepted, "new work after the word spread");
+    // The list catches up; a target at the same address that is listed as live later is used again.
+    leaver.control.is_leaving.store(false, Ordering::Relaxed);
+    let role = sniperelay_core::vm::VmRole::Target("rota-board".to_owned());
+    let list = |state| {
+        sniperelay_standin::cluster::list_vm(
+            &cluster.platform,
+            role.clone(),
+            leaver.address(),
+            "erie-shore",
+            state,
+        );
+    };
+    list(sniperelay_core::vm::VmState::Leaving);
+    // The word is forgotten with the list that shows the state; the next list is read after that.
+    wait_until("all entry VMs have the list", || {
+        cluster.entry_vms.iter().all(|entry_vm| is_listed_leaving(entry_vm, leaver.address()))
+    })
+    .await;
+    list(sniperelay_core::vm::VmState::Live);
+    wait_until("the target is used again", || !cluster.entry_vms.iter().any(knows)).await;
     cluster.shut_down();
 }
 
+fn is_listed_leaving(entry_vm: &EntryVm, target: SocketAddr) -> bool {
+    let status = entry_vm.shared().status.load();
+    status["listed_leaving"]
+        .as_array()
+        .is_some_and(|listed| listed.iter().any(|item| *item == target.to_string()))
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn planned_stops_cut_no_request() {
     let mut cluster = start_cluster(4, 3).await;
