Standard terms: suspended targets, leaving reports

Cause: a newcomer's reading found metaphors (targets that are shunned, words that a target is leaving). Change: names only: suspend for stragglers beside eject for failures, leaving reports. Measured: no behaviour changes; all tests green.

--- a/crates/core/src/dispatch/upkeep.rs
+++ b/crates/core/src/dispatch/upkeep.rs
@@ -20,7 +20,7 @@
     pub fn tick(&mut self, now: Instant, actions: &mut Vec<DispatchAction>) {
         self.targets.tick(now);
         if !self.settings.policy.is_baseline() {
-            self.shun_stragglers(now);
+            self.suspend_stragglers(now);
             self.expire_waiting(now, actions);
             self.bind_waiting(now, actions);
             self.use_safe_share(now, actions);
@@ -29,9 +29,9 @@
         self.ask_for_slots(now, actions);
     }
 
-    /// Shuns targets with an overdue attempt and no answer for as long as that attempt runs: a
+    /// Suspends targets with an overdue attempt and no answer for as long as that attempt runs: a
     /// healthy target answers others meanwhile.
-    fn shun_stragglers(&mut self, now: Instant) {
+    fn suspend_stragglers(&mut self, now: Instant) {
         let mut overdue: HashMap<TargetKey, Instant> = HashMap::new();
         for flight in self.flights.values().filter(|flight| !flight.is_answered) {
             let limit = self.overdue_age(flight);
@@ -43,7 +43,7 @@
         for (key, oldest) in overdue {
             let is_silent = |target: &TargetState| target.is_silent_since(oldest) && target.in_flight > 1;
             if self.targets.get(key).is_some_and(is_silent) {
-                self.targets.shun(key, now);
+                self.targets.suspend(key, now);
             }
         }
     }
@@ -81,7 +81,7 @@
         if !flight.is_idempotent || flight.attempt_count >= self.document.retry.max_attempts {
             return false;
         }
-        let is_at_straggler = self.targets.get(attempt.target).is_some_and(TargetState::is_shunned);
+        let is_at_straggler = self.targets.get(attempt.target).is_some_and(TargetState::is_suspended);
         let is_overdue = attempt.started + self.overdue_age(flight) < now;
         let has_time = now + self.ranks[flight.rank].typical_head.value() < flight.deadline;
         has_time && (is_overdue || is_at_straggler)
--- a/crates/core/src/target.rs
+++ b/crates/core/src/target.rs
@@ -24,7 +24,7 @@
 /// Longest ejection time.
 const MAX_EJECTION: Duration = Duration::from_secs(5);
 /// Time for which a straggler gets no work.
-const SHUN_TIME: Duration = Duration::from_millis(60);
+const SUSPEND_TIME: Duration = Duration::from_millis(60);
 /// Latency relative to peers above which a target is a straggler.
 const STRAGGLER_RATIO: f64 = 3.0;
 /// Requests by which the limit of a new target grows with each answer in normal time.
@@ -51,9 +51,9 @@
     by_address: HashMap<SocketAddr, TargetKey>,
     /// Targets with a free slot: index 0 for the own failure domain, 1 for the others.
     free_lists: [Vec<TargetKey>; 2],
-    /// Targets with a report, loan, ejection or shun that will expire.
+    /// Targets with a report, loan, ejection or suspension that will expire.
     timed: Vec<TargetKey>,
-    suspended: usize,
+    excluded: usize,
 }
 
 impl TargetTable {
@@ -66,7 +66,7 @@
             by_address: HashMap::new(),
             free_lists,
             timed: Vec::new(),
-            suspended: 0,
+            excluded: 0,
         }
     }
 
@@ -109,7 +109,7 @@
             failures: 0,
             ejections: 0,
             ejected_until: None,
-            shunned_until: None,
+            suspended_until: None,
             list_position: None,
             is_timed: false,
         };
@@ -224,23 +224,23 @@
             target.foreign = (report.busy + report.queued).saturating_sub(known);
             target.foreign_at = Some(now);
         }
-        let is_slow = target.slowness > STRAGGLER_RATIO && target.shunned_until.is_none();
+        let is_slow = target.slowness > STRAGGLER_RATIO && target.suspended_until.is_none();
         self.refresh(key);
         if is_slow {
-            self.shun(key, now);
+            self.suspend(key, now);
         }
     }
 
     /// Accounts for a failed attempt; ejects the target when failures repeat.
     pub fn record_failure(&mut self, key: TargetKey, now: Instant) {
-        let may_suspend = self.may_suspend();
+        let may_exclude = self.may_exclude();
         let Some(target) = self.targets.get_mut(key) else { return };
         target.failures += 1;
-        if target.failures >= EJECT_FAILURES && target.ejected_until.is_none() && may_suspend {
+        if target.failures >= EJECT_FAILURES && target.ejected_until.is_none() && may_exclude {
             let pause = FIRST_EJECTION * 2u32.pow(target.ejections.min(8));
             target.ejected_until = Some(now + pause.min(MAX_EJECTION));
             target.ejections += 1;
-            self.suspended += 1;
+            self.excluded += 1;
         }
         self.refresh(key);
     }
@@ -256,16 +256,16 @@
     }
 
     /// Gives a target no work for a short time because it is slower than its peers.
-    pub fn shun(&mut self, key: TargetKey, now: Instant) {
-        let may_suspend = self.may_suspend();
+    pub fn suspend(&mut self, key: TargetKey, now: Instant) {
+        let may_exclude = self.may_exclude();
         let Some(target) = self.targets.get_mut(key) else { return };
-        if target.shunned_until.is_none() {
-            if !may_suspend {
+        if target.suspended_until.is_none() {
+            if !may_exclude {
                 return;
             }
-            self.suspended += 1;
+            self.excluded += 1;
         }
-        target.shunned_until = Some(now + SHUN_TIME);
+        target.suspended_until = Some(now + SUSPEND_TIME);
         self.refresh(key);
     }
 
@@ -306,7 +306,7 @@
         Some(address)
     }
 
-    /// Ends what has expired by `now`: reports, loans, ejections and shuns; drops gone targets.
+    /// Ends what has expired by `now`: reports, loans, ejections and suspensions; drops gone targets.
     pub fn tick(&mut self, now: Instant) {
         for key in std::mem::take(&mut self.timed) {
             if let Some(target) = self.targets.get_mut(key) {
@@ -333,21 +333,21 @@
             target.ejected_until = None;
             target.failures = EJECT_FAILURES - 1;
             target.ramp_limit = 1.0;
-            self.suspended -= 1;
+            self.excluded -= 1;
         }
-        if target.shunned_until.is_some_and(|until| until <= now) {
-            target.shunned_until = None;
+        if target.suspended_until.is_some_and(|until| until <= now) {
+            target.suspended_until = None;
             target.slowness = 1.0;
             target.ramp_limit = 1.0;
             target.is_on_trial = true;
-            self.suspended -= 1;
+            self.excluded -= 1;
         }
         self.refresh(key);
     }
 
-    /// At most a third of the targets are ejected or shunned at once.
-    fn may_suspend(&self) -> bool {
-        (self.suspended + 1) * 3 <= self.targets.len()
+    /// At most a third of the targets are ejected or suspended at once.
+    fn may_exclude(&self) -> bool {
+        (self.excluded + 1) * 3 <= self.targets.len()
     }
 
     fn refresh(&mut self, key: TargetKey) {
--- a/crates/node/src/control/messages.rs
+++ b/crates/node/src/control/messages.rs
@@ -146,7 +146,7 @@
     if let Some(entry) = state.shared.services.load().get(&service) {
         entry.gate.run(|dispatcher, _, _| dispatcher.mark_leaving(target));
     }
-    let is_news = state.leaving_words.insert((service.clone(), target), now).is_none();
+    let is_news = state.leaving_reports.insert((service.clone(), target), now).is_none();
     if is_news {
         state.is_plan_stale = true;
         state.send_neighbours(&PeerMessage::TargetLeaving { service, target });
--- a/crates/node/src/control/plan.rs
+++ b/crates/node/src/control/plan.rs
@@ -19,12 +19,12 @@
 
 /// Entry VMs that watch the documents in the platform.
 const WATCHER_COUNT: usize = 3;
-/// Longest time for which a word that a target is leaving outweighs the platform's list.
-const WORD_LIFETIME: Duration = Duration::from_secs(600);
+/// Longest time for which a report that a target is leaving outweighs the platform's list.
+const LEAVING_REPORT_LIFETIME: Duration = Duration::from_secs(600);
 
 /// Publishes a new plan if anything that it depends on has changed.
 pub fn publish_plan(state: &mut ControlState, now: Instant) {
-    forget_old_words(state, now);
+    drop_confirmed_reports(state, now);
     let is_connected = state.members.is_connected(now);
     let is_reconnected = state.flags.is_connected.swap(is_connected, Ordering::Relaxed) != is_connected;
     let is_current = state.planned_revision == Some(state.members.revision());
@@ -44,20 +44,20 @@
     publish_status(state);
 }
 
-/// Forgets words that a target is leaving once the list has caught up: from then on the list tells
+/// Drops reports that a target is leaving once the list has caught up: from then on the list tells
 /// when a target at that address takes work again.
-fn forget_old_words(state: &mut ControlState, now: Instant) {
-    let count = state.leaving_words.len();
+fn drop_confirmed_reports(state: &mut ControlState, now: Instant) {
+    let count = state.leaving_reports.len();
     if count == 0 {
         return;
     }
     let live = state.vm_list.records.iter().filter(|record| record.life() == TargetLife::Live);
     let live: HashSet<(&VmRole, SocketAddr)> = live.map(|record| (&record.role, record.address)).collect();
-    state.leaving_words.retain(|(service, address), since| {
-        let is_fresh = now.saturating_duration_since(*since) < WORD_LIFETIME;
+    state.leaving_reports.retain(|(service, address), since| {
+        let is_fresh = now.saturating_duration_since(*since) < LEAVING_REPORT_LIFETIME;
         is_fresh && live.contains(&(&VmRole::Target(service.clone()), *address))
     });
-    state.is_plan_stale |= state.leaving_words.len() != count;
+    state.is_plan_stale |= state.leaving_reports.len() != count;
 }
 
 fn make_members(state: &ControlState, is_connected: bool) -> MemberSnapshot {
@@ -145,7 +145,7 @@
     homes: &[HomeCandidate],
     records: &[&VmRecord],
 ) -> Vec<TargetSpec> {
-    let life = |record: &VmRecord| match is_said_to_leave(state, &document.name, record) {
+    let life = |record: &VmRecord| match is_reported_leaving(state, &document.name, record) {
         true => TargetLife::Leaving,
         false => record.life(),
     };
@@ -164,6 +164,7 @@
     records.iter().map(make).collect()
 }
 
-fn is_said_to_leave(state: &ControlState, service: &ServiceName, record: &VmRecord) -> bool {
-    !state.leaving_words.is_empty() && state.leaving_words.contains_key(&(service.clone(), record.address))
+fn is_reported_leaving(state: &ControlState, service: &ServiceName, record: &VmRecord) -> bool {
+    !state.leaving_reports.is_empty()
+        && state.leaving_reports.contains_key(&(service.clone(), record.address))
 }
--- a/crates/node/src/control/run.rs
+++ b/crates/node/src/control/run.rs
@@ -137,7 +137,7 @@
         editions: EditionTable::default(),
         documents: HashMap::new(),
         vm_list: VmList::default(),
-        leaving_words: HashMap::new(),
+        leaving_reports: HashMap::new(),
         link,
         platform: platform.clone(),
         flags: flags.clone(),
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -54,7 +54,7 @@
     /// The platform's list of VMs.
     pub vm_list: VmList,
     /// Targets said to be leaving by themselves or a peer, and when; they outweigh the list.
-    pub leaving_words: HashMap<(ServiceName, SocketAddr), Instant>,
+    pub leaving_reports: HashMap<(ServiceName, SocketAddr), Instant>,
     /// Messages to other entry VMs.
     pub link: PeerLink,
     /// The platform.
--- a/crates/node/tests/promises.rs
+++ b/crates/node/tests/promises.rs
@@ -180,7 +180,7 @@
         let result = callers[id as usize % 3].call(&read_call(id, Duration::ZERO)).await;
         assert_eq!(result.end, CallEnd::Whole);
     }
-    assert_eq!(leaver.control.accepted.load(Ordering::Relaxed), accepted, "new work after the word spread");
+    assert_eq!(leaver.control.accepted.load(Ordering::Relaxed), accepted, "new work after the report spread");
     // The list catches up; a target at the same address that is listed as live later is used again.
     leaver.control.is_leaving.store(false, Ordering::Relaxed);
     let role = sniperelay_core::vm::VmRole::Target("rota-board".to_owned());
@@ -194,7 +194,7 @@
         );
     };
     list(sniperelay_core::vm::VmState::Leaving);
-    // The word is forgotten with the list that shows the state; the next list is read after that.
+    // The report is dropped with the list that shows the state; the next list is read after that.
     wait_until("all entry VMs have the list", || {
         cluster.entry_vms.iter().all(|entry_vm| is_listed_leaving(entry_vm, leaver.address()))
     })
