The pause test also asks that no overdue claim reaches a target

Cause: with our three checks of the deadline removed (admission, before the write, limit of the exchange) the test stayed green: the target's own check of the deadline still refused the claim. Change: the number of requests that the target accepted must not rise.

--- a/crates/cli/tests/process.rs
+++ b/crates/cli/tests/process.rs
@@ -236,6 +236,7 @@
     let mut interim = [0; 25];
     stream.read_exact(&mut interim).await.unwrap();
     assert!(interim.starts_with(b"HTTP/1.1 100"));
+    let accepted = process.target.control.accepted.load(Ordering::Relaxed);
     process.signal("-STOP");
     stream.write_all(b"x").await.unwrap();
     tokio::time::sleep(Duration::from_millis(1500)).await;
@@ -245,6 +246,12 @@
     let answer = String::from_utf8_lossy(&bytes);
     assert_eq!(process.ledger.key_count(), 0, "a claim ran after its deadline: {answer}");
     assert!(answer.contains("sniperelay-outcome: not-run"), "{answer}");
+    // The target would have refused it too; it must not even get there.
+    assert_eq!(
+        process.target.control.accepted.load(Ordering::Relaxed),
+        accepted,
+        "an overdue claim was sent"
+    );
 }
 
 #[tokio::test(flavor = "multi_thread")]
