--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -18,6 +18,8 @@
 pub enum Command {
     /// Runs an entry VM.
     Serve(ServeArgs),
+    /// Runs an entry VM on a hosted platform.
+    Relay(RelayArgs),
     /// Works with service documents.
     Config(ConfigArgs),
     /// Shows status.
@@ -37,6 +39,15 @@
     pub settings: PathBuf,
 }
 
+/// run an entry VM on a platform that keeps configuration and targets, until SIGTERM or SIGINT
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "relay")]
+pub struct RelayArgs {
+    /// file with the settings
+    #[argh(option)]
+    pub settings: PathBuf,
+}
+
 /// work with service documents
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "config")]
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -18,6 +18,7 @@
 
 use anyhow::{Context, Result};
 use args::{Command, ConfigCommand, SniperelayArgs};
+use std::path::Path;
 use std::process::ExitCode;
 
 /// How a command ended.
@@ -59,6 +60,7 @@
 fn run_command(command: Command) -> Result<CommandEnd> {
     match command {
         Command::Serve(serve) => run_serve(&serve),
+        Command::Relay(relay) => run_relay(&relay),
         Command::Config(config) => match config.command {
             ConfigCommand::Check(check) => config::check_files(&check),
             ConfigCommand::Get(get) => block_on(config::get_document(&get)),
@@ -73,17 +75,28 @@
 }
 
 fn run_serve(serve: &args::ServeArgs) -> Result<CommandEnd> {
-    let path = serve.settings.display();
-    let text =
-        std::fs::read_to_string(&serve.settings).with_context(|| format!("cannot read settings {path}"))?;
-    let settings = match sniperelay_config::parse_settings(&path.to_string(), &text) {
+    run_daemon(&serve.settings, sniperelay_config::parse_settings, sniperelay_node::run_until_signal)
+}
+
+fn run_relay(relay: &args::RelayArgs) -> Result<CommandEnd> {
+    run_daemon(&relay.settings, sniperelay_config::parse_relay_settings, sniperelay_relay::run_until_signal)
+}
+
+fn run_daemon<T>(
+    file: &Path,
+    parse: impl Fn(&str, &str) -> sniperelay_config::reader::Result<T>,
+    run: impl Fn(T) -> Result<bool>,
+) -> Result<CommandEnd> {
+    let path = file.display();
+    let text = std::fs::read_to_string(file).with_context(|| format!("cannot read settings {path}"))?;
+    let settings = match parse(&path.to_string(), &text) {
         Ok(settings) => settings,
         Err(findings) => {
             eprint!("{findings}");
             return Ok(CommandEnd::Invalid);
         }
     };
-    let is_clean = sniperelay_node::run_until_signal(settings)?;
+    let is_clean = run(settings)?;
     Ok(if is_clean { CommandEnd::Done } else { CommandEnd::Failed })
 }
 
--- /dev/null
+++ b/crates/config/src/relay.rs
@@ -0,0 +1,148 @@
+//! Settings of an entry VM on a hosted platform: read at start, checked whole, then frozen.
+
+use crate::reader::{IniSource, Result, SectionReader};
+use crate::settings::{LogSettings, UNSET_ADDRESS, read_log};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+const KNOWN_SECTIONS: &[&str] = &["entry-vm", "platform", "routing", "limits", "log"];
+
+/// Name, place and addresses of the process.
+#[derive(Debug, Clone)]
+pub struct RelayEntry {
+    /// Name, unique in the deployment.
+    pub name: String,
+    /// Failure domain.
+    pub failure_domain: String,
+    /// Address for requests.
+    pub caller_address: SocketAddr,
+    /// Address for readiness checks.
+    pub ready_address: SocketAddr,
+    /// Address for lookups.
+    pub lookup_address: SocketAddr,
+    /// Address for metrics.
+    pub metrics_address: SocketAddr,
+    /// Time for which callers keep a lookup answer.
+    pub lookup_keep: Duration,
+}
+
+/// The platform.
+#[derive(Debug, Clone)]
+pub struct RelayPlatform {
+    /// Address of its store.
+    pub address: SocketAddr,
+    /// Largest rate of calls to the store, per second.
+    pub calls_per_second: u32,
+    /// Bounds that it states, in its own format.
+    pub bounds: String,
+}
+
+/// How work is spread.
+#[derive(Debug, Clone)]
+pub struct RelayRouting {
+    /// Entry VMs of a failure domain that are named for one host.
+    pub homes_per_domain: usize,
+    /// Part of a target's slots that is filled, 0 to 1.
+    pub slot_fill: f64,
+}
+
+/// Limits of the process itself.
+#[derive(Debug, Clone)]
+pub struct RelayLimits {
+    /// Caller connections.
+    pub caller_connections: usize,
+    /// Bytes of request and answer bodies held at once.
+    pub body_bytes_held: usize,
+}
+
+/// All settings.
+#[derive(Debug, Clone)]
+pub struct RelaySettings {
+    /// Name, place and addresses.
+    pub entry: RelayEntry,
+    /// The platform.
+    pub platform: RelayPlatform,
+    /// How work is spread.
+    pub routing: RelayRouting,
+    /// Limits.
+    pub limits: RelayLimits,
+    /// Logging.
+    pub log: LogSettings,
+}
+
+/// Parses and checks settings; `file` names them in findings.
+///
+/// # Errors
+///
+/// All findings when there are any.
+pub fn parse_relay_settings(file: &str, text: &str) -> Result<RelaySettings> {
+    let source = IniSource::parse(file, text)?;
+    source.check_sections(KNOWN_SECTIONS, None);
+    let settings = RelaySettings {
+        entry: read_entry(source.section("entry-vm")),
+        platform: read_platform(source.section("platform")),
+        routing: read_routing(source.section("routing")),
+        limits: read_limits(source.section("limits")),
+        log: read_log(source.section("log")),
+    };
+    source.into_findings().into_result(settings)
+}
+
+fn read_entry(section: SectionReader<'_>) -> RelayEntry {
+    let address = |key| section.parsed_required(key, "an address like 10.0.0.1:8080", UNSET_ADDRESS);
+    let settings = RelayEntry {
+        name: section.required("name"),
+        failure_domain: section.required("failure-domain"),
+        caller_address: address("caller-address"),
+        ready_address: address("ready-address"),
+        lookup_address: address("lookup-address"),
+        metrics_address: address("metrics-address"),
+        lookup_keep: section.millis_or("lookup-keep-ms", Duration::from_millis(1500)),
+    };
+    let is_plain = |text: &str| text.bytes().all(|byte| byte.is_ascii_alphanumeric() || b"-_.".contains(&byte));
+    if !is_plain(&settings.name) {
+        section.report("name", "must be of letters, digits, '-', '_' and '.'");
+    }
+    if settings.lookup_keep < Duration::from_millis(100) {
+        section.report("lookup-keep-ms", "must be at least 100");
+    }
+    section.finish();
+    settings
+}
+
+fn read_platform(section: SectionReader<'_>) -> RelayPlatform {
+    let settings = RelayPlatform {
+        address: section.parsed_required("address", "an address like 10.0.0.1:9000", UNSET_ADDRESS),
+        calls_per_second: section.parsed_or("calls-per-second", "a whole number", 20),
+        bounds: section.optional("bounds").unwrap_or_default(),
+    };
+    if settings.calls_per_second == 0 {
+        section.report("calls-per-second", "must be at least 1");
+    }
+    section.finish();
+    settings
+}
+
+fn read_routing(section: SectionReader<'_>) -> RelayRouting {
+    let settings = RelayRouting {
+        homes_per_domain: section.parsed_or("homes-per-domain", "a whole number", 2),
+        slot_fill: section.percent_or("slot-fill-percent", 1.0),
+    };
+    if settings.homes_per_domain == 0 {
+        section.report("homes-per-domain", "must be at least 1");
+    }
+    if !(0.1..=1.0).contains(&settings.slot_fill) {
+        section.report("slot-fill-percent", "must be 10 to 100");
+    }
+    section.finish();
+    settings
+}
+
+fn read_limits(section: SectionReader<'_>) -> RelayLimits {
+    let settings = RelayLimits {
+        caller_connections: section.parsed_or("caller-connections", "a whole number", 3000),
+        body_bytes_held: section.parsed_or("body-bytes-held", "a whole number", 96 * 1024 * 1024),
+    };
+    section.finish();
+    settings
+}
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 const KNOWN_SECTIONS: &[&str] = &["entry-vm", "platform", "peers", "limits", "routing", "operators", "log"];
-const UNSET_ADDRESS: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0);
+pub(crate) const UNSET_ADDRESS: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0);
 /// Name of the operator team that may perform operations on an entry VM and edit any document.
 pub const ADMIN_TEAM: &str = "admin";
 
@@ -232,7 +232,7 @@
     entries.into_iter().collect()
 }
 
-fn read_log(section: SectionReader<'_>) -> LogSettings {
+pub(crate) fn read_log(section: SectionReader<'_>) -> LogSettings {
     let settings = LogSettings {
         level: section.optional("level").unwrap_or_else(|| "info".to_owned()),
         is_json: section.flag_or("json", false),
--- a/crates/core/src/budget.rs
+++ b/crates/core/src/budget.rs
@@ -8,17 +8,24 @@
 pub struct AttemptBudget {
     share: f64,
     saved: f64,
+    max_saved: f64,
 }
 
 impl AttemptBudget {
     /// A budget that allows `share` extra attempts per first attempt, and none before the first.
     pub fn new(share: f64) -> Self {
-        Self { share, saved: 0.0 }
+        Self { share, saved: 0.0, max_saved: MAX_SAVED }
+    }
+
+    /// Limits the extra attempts that are saved up.
+    pub fn set_reserve(&mut self, attempts: f64) {
+        self.max_saved = attempts;
+        self.saved = self.saved.min(attempts);
     }
 
     /// Accounts for a first attempt.
     pub fn record_first(&mut self) {
-        self.saved = (self.saved + self.share).min(MAX_SAVED.max(self.share));
+        self.saved = (self.saved + self.share).min(self.max_saved.max(self.share));
     }
 
     /// Takes one extra attempt if the budget allows it.
--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -13,12 +13,13 @@
 mod attempt;
 mod bind;
 mod loan;
+mod shared;
 mod upkeep;
 
 use crate::borrow::BorrowPlan;
 use crate::budget::AttemptBudget;
 use crate::document::ServiceDocument;
-use crate::estimate::{MeanEstimate, QuantileEstimate};
+use crate::estimate::{MeanEstimate, QuantileEstimate, SizeEstimate};
 use crate::ids::{IncarnationId, QueuedKey, RankId, RequestId, TargetKey};
 use crate::pick::PickPolicy;
 use crate::queue::RankQueue;
@@ -150,6 +151,10 @@
     slow_head: QuantileEstimate,
     /// Time within which nearly all answers begin.
     longest_head: QuantileEstimate,
+    /// Median time until the answer begins, at a target's usual speed.
+    usual_head: QuantileEstimate,
+    /// Mean size of an answer body.
+    answer_bytes: SizeEstimate,
     /// Time for which a slot is held.
     hold: MeanEstimate,
     drain_rate: DrainRate,
@@ -287,6 +292,8 @@
         self.ranks[rank].typical_head = old.typical_head;
         self.ranks[rank].slow_head = old.slow_head;
         self.ranks[rank].longest_head = old.longest_head;
+        self.ranks[rank].usual_head = old.usual_head;
+        self.ranks[rank].answer_bytes = old.answer_bytes;
         self.ranks[rank].hold = old.hold;
         while let Some(queued) = old.queue.pop_front() {
             let request = queued.request;
@@ -311,6 +318,8 @@
             typical_head: QuantileEstimate::new(0.5, guess),
             slow_head: QuantileEstimate::new(0.9, guess),
             longest_head: QuantileEstimate::new(0.98, guess),
+            usual_head: QuantileEstimate::new(0.5, guess),
+            answer_bytes: SizeEstimate::default(),
             hold: MeanEstimate::new(guess),
             drain_rate: DrainRate::default(),
         }
--- a/crates/core/src/dispatch/attempt.rs
+++ b/crates/core/src/dispatch/attempt.rs
@@ -79,18 +79,26 @@
         let Some(attempt) = flight.attempts.iter().find(|attempt| attempt.target == target) else {
             return AnswerVerdict::Discard;
         };
-        let latency = now.saturating_duration_since(attempt.started);
+        let attempt_start = attempt.started;
+        let latency = now.saturating_duration_since(attempt_start);
         self.cancel_queued_copy(request);
         let Some(flight) = self.flights.get_mut(&request) else { return AnswerVerdict::Discard };
         let is_first = !std::mem::replace(&mut flight.is_answered, true);
         let others = flight.attempts.iter().filter(|attempt| attempt.target != target);
         actions.extend(others.map(|other| DispatchAction::Abandon { request, target: other.target }));
         let rank = &mut self.ranks[flight.rank];
-        let ratio = latency.as_secs_f64() / rank.typical_head.value().as_secs_f64();
+        let pace = self.targets.get(target).and_then(|state| state.pace_since(attempt_start, now));
+        let ratio = match pace {
+            Some(pace) => latency.as_secs_f64() / (rank.usual_head.value().as_secs_f64() * pace),
+            None => latency.as_secs_f64() / rank.typical_head.value().as_secs_f64(),
+        };
         if note.is_error {
             self.targets.record_failure(target, now);
         } else {
             rank.typical_head.record(latency);
+            if let Some(pace) = pace {
+                rank.usual_head.record(latency.div_f64(pace));
+            }
             rank.slow_head.record(latency);
             rank.longest_head.record(latency);
             self.targets.record_answer(target, ratio, note.report, now);
--- a/crates/core/src/dispatch/bind.rs
+++ b/crates/core/src/dispatch/bind.rs
@@ -2,15 +2,18 @@
 
 use super::{AttemptState, DispatchAction, ServiceDispatcher};
 use crate::ids::{RankId, TargetKey};
-use crate::pick::pick_target;
+use crate::pick::{PickPolicy, pick_target};
 use crate::queue::QueuedRequest;
 use crate::reason::RefusalReason;
 use crate::target::TargetState;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 impl ServiceDispatcher {
     /// Starts waiting requests while there are free slots.
     pub(super) fn bind_waiting(&mut self, now: Instant, actions: &mut Vec<DispatchAction>) {
+        if self.settings.policy == PickPolicy::SharedSlots {
+            return self.bind_shared(now, actions);
+        }
         while self.has_free_target() {
             let Some(rank) = self.next_rank() else { return };
             let Some(queued) = self.ranks[rank].queue.pop_front() else { return };
@@ -34,7 +37,7 @@
         }
     }
 
-    fn has_attempt_at(&self, queued: &QueuedRequest, target: TargetKey) -> bool {
+    pub(super) fn has_attempt_at(&self, queued: &QueuedRequest, target: TargetKey) -> bool {
         let flight = self.flights.get(&queued.request);
         flight.is_some_and(|flight| flight.attempts.iter().any(|attempt| attempt.target == target))
     }
@@ -52,7 +55,7 @@
             return;
         }
         for rank in 0..self.ranks.len() {
-            let service_time = self.ranks[rank].typical_head.value();
+            let service_time = self.least_time(rank);
             let is_expired =
                 |queued: &QueuedRequest| !queued.is_hedge && now + service_time > queued.deadline;
             while let Some(queued) = self.ranks[rank].queue.pop_front_if(is_expired) {
@@ -62,6 +65,14 @@
         }
     }
 
+    /// Shortest time in which an answer of `rank` may be hoped for.
+    fn least_time(&self, rank: RankId) -> Duration {
+        match self.settings.policy {
+            PickPolicy::SharedSlots => self.ranks[rank].usual_head.value(),
+            _ => self.ranks[rank].typical_head.value(),
+        }
+    }
+
     pub(super) fn has_free_target(&self) -> bool {
         self.targets.free_lists().iter().any(|list| !list.is_empty())
     }
@@ -73,17 +84,21 @@
     /// Whether the deadline leaves too little time for the answer. While others of its rank wait,
     /// a slot is better used by one of them than by a request that may well be late. A request
     /// that has not waited is given its chance: the estimate may be wrong for it.
-    fn is_hopeless(&self, rank: RankId, queued: &QueuedRequest, now: Instant) -> bool {
+    pub(super) fn is_hopeless(&self, rank: RankId, queued: &QueuedRequest, now: Instant) -> bool {
         if self.settings.policy.is_baseline() || queued.is_hedge || queued.queued_at == now {
             return false;
         }
         let state = &self.ranks[rank];
-        let needed = if state.queue.is_empty() { state.typical_head.value() } else { self.time_margin(rank) };
+        let needed = match self.settings.policy {
+            PickPolicy::SharedSlots => self.least_time(rank),
+            _ if state.queue.is_empty() => state.typical_head.value(),
+            _ => self.time_margin(rank),
+        };
         now + needed > queued.deadline
     }
 
     /// Refuses a request that was taken from its queue, unless another attempt may still answer it.
-    fn give_up(
+    pub(super) fn give_up(
         &mut self,
         rank: RankId,
         queued: &QueuedRequest,
@@ -100,7 +115,7 @@
         actions.push(DispatchAction::Refuse { request: queued.request, reason, retry_after });
     }
 
-    fn put_back(&mut self, rank: RankId, queued: QueuedRequest) {
+    pub(super) fn put_back(&mut self, rank: RankId, queued: QueuedRequest) {
         let request = queued.request;
         let key = self.ranks[rank].queue.push_front(queued);
         self.waiting.insert(request, (rank, key));
--- /dev/null
+++ b/crates/core/src/dispatch/shared.rs
@@ -0,0 +1,110 @@
+//! Late binding to targets whose slots all entry VMs share.
+//!
+//! Each target reports its load and how fast it works at this moment. A waiting request starts at
+//! the free target with the least expected time, if that lets it answer before its deadline;
+//! otherwise it waits for a better one, and less urgent ranks with more time may go before it. A
+//! request that not even a target at its usual speed could answer in time is given up at once.
+
+use super::{DispatchAction, ServiceDispatcher};
+use crate::ids::{RankId, RequestId, TargetKey};
+use crate::queue::QueuedRequest;
+use crate::target::{SharedTarget, TargetState};
+use std::time::{Duration, Instant};
+
+/// Expected time added for a target of another failure domain, relative to a request's usual time.
+const REMOTE_PENALTY: f64 = 0.05;
+/// Bytes of answer whose way between failure domains weighs as much as a request's usual time:
+/// between domains, bytes are paid for.
+const REMOTE_BYTES: f64 = 30_000.0;
+/// Expected time added for each part of a target's slots that is in use.
+const OCCUPANCY_WEIGHT: f64 = 0.5;
+
+impl ServiceDispatcher {
+    /// Replaces the targets by shared ones and starts what can be started.
+    pub fn replace_shared_targets(
+        &mut self,
+        targets: &[SharedTarget],
+        now: Instant,
+        actions: &mut Vec<DispatchAction>,
+    ) {
+        self.targets.replace_shared(targets, now);
+        self.bind_waiting(now, actions);
+    }
+
+    /// Limits further attempts that are saved up while none is needed, per budget.
+    pub fn set_attempt_reserve(&mut self, attempts: f64) {
+        self.retry_budget.set_reserve(attempts);
+        self.hedge_budget.set_reserve(attempts);
+    }
+
+    /// Takes in a target's report of speed: the time that work takes relative to usual.
+    pub fn record_pace(&mut self, target: TargetKey, pace: f64, now: Instant) {
+        self.targets.record_pace(target, pace, now);
+    }
+
+    /// Takes in the size of an answer body, in bytes.
+    pub fn record_size(&mut self, request: RequestId, bytes: usize) {
+        let Some(flight) = self.flights.get(&request) else { return };
+        self.ranks[flight.rank].answer_bytes.record(bytes as f64);
+    }
+
+    /// Starts waiting requests of each rank while a target suits them.
+    pub(super) fn bind_shared(&mut self, now: Instant, actions: &mut Vec<DispatchAction>) {
+        let mut is_skipped = vec![false; self.ranks.len()];
+        while self.has_free_target() {
+            let ranks = &self.ranks;
+            let may_start = |rank: RankId| !is_skipped[rank] && !ranks[rank].queue.is_empty();
+            let Some(rank) = self.shares.next_rank(may_start) else { return };
+            let Some(queued) = self.ranks[rank].queue.pop_front() else { return };
+            self.waiting.remove(&queued.request);
+            if self.is_hopeless(rank, &queued, now) {
+                self.give_up(rank, &queued, now, actions);
+                continue;
+            }
+            match self.pick_shared(rank, &queued, now) {
+                Some(target) => self.start_queued(rank, &queued, target, now, actions),
+                None if queued.is_hedge => {}
+                None => {
+                    self.put_back(rank, queued);
+                    is_skipped[rank] = true;
+                }
+            }
+        }
+    }
+
+    /// The free target with the least expected time, unless that is too long for the deadline.
+    fn pick_shared(&self, rank: RankId, queued: &QueuedRequest, now: Instant) -> Option<TargetKey> {
+        let remote_penalty = REMOTE_PENALTY + self.ranks[rank].answer_bytes.value() / REMOTE_BYTES;
+        let free = self.targets.free_lists().iter().flatten();
+        let candidates = free.filter_map(|key| self.targets.get(*key).map(|target| (*key, target)));
+        let others = candidates.filter(|(key, _)| !self.is_tried(queued, *key));
+        let scored = others.map(|(key, target)| {
+            let time = self.expected_factor(target, now);
+            let domain = if target.is_local { 0.0 } else { remote_penalty };
+            (key, time, time + domain + OCCUPANCY_WEIGHT * target.occupancy())
+        });
+        let (key, time, _) = scored.min_by(|left, right| left.2.total_cmp(&right.2))?;
+        let expected = self.ranks[rank].usual_head.value().mul_f64(time);
+        let is_in_time = now + expected <= queued.deadline;
+        (is_in_time || self.must_take_any(rank, queued, now)).then_some(key)
+    }
+
+    /// Whether waiting for a faster target no longer helps.
+    fn must_take_any(&self, rank: RankId, queued: &QueuedRequest, now: Instant) -> bool {
+        let usual = self.ranks[rank].usual_head.value();
+        queued.is_hedge || now + usual + PATIENCE_STEP >= queued.deadline
+    }
+
+    fn is_tried(&self, queued: &QueuedRequest, target: TargetKey) -> bool {
+        queued.avoid == Some(target) || self.has_attempt_at(queued, target)
+    }
+
+    fn expected_factor(&self, target: &TargetState, now: Instant) -> f64 {
+        target.expected_pace(self.targets.average_pace(), now) * target.slowness.max(MIN_SLOWNESS)
+    }
+}
+
+/// Time before the last possible start from which any target is taken.
+const PATIENCE_STEP: Duration = Duration::from_millis(10);
+/// Smallest factor by which measured answers make a target look faster than its peers.
+const MIN_SLOWNESS: f64 = 0.5;
--- a/crates/core/src/estimate.rs
+++ b/crates/core/src/estimate.rs
@@ -35,6 +35,25 @@
     }
 }
 
+/// Exponentially weighted mean of a size in bytes; 0 before the first sample.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct SizeEstimate {
+    bytes: f64,
+}
+
+impl SizeEstimate {
+    /// Takes in a sample.
+    pub fn record(&mut self, bytes: f64) {
+        let weight = if self.bytes == 0.0 { 1.0 } else { MEAN_WEIGHT };
+        self.bytes += weight * (bytes - self.bytes);
+    }
+
+    /// The estimate, in bytes.
+    pub fn value(self) -> f64 {
+        self.bytes
+    }
+}
+
 /// Quantile of a duration by stochastic approximation: each sample moves the estimate by a small
 /// relative step whose size depends only on which side the sample falls. A few very large samples
 /// move it no more than slightly large ones do.
--- a/crates/core/src/home.rs
+++ b/crates/core/src/home.rs
@@ -96,6 +96,11 @@
     homes
 }
 
+/// Number that stands for a name, for candidates that keep their place over restarts.
+pub fn hash_name(name: &str) -> u64 {
+    hash_text(name, 0)
+}
+
 fn hash_text(text: &str, seed: u64) -> u64 {
     xxh3_64_with_seed(text.as_bytes(), seed)
 }
--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -10,6 +10,8 @@
 pub type RankId = usize;
 /// Name of a service, as in its document.
 pub type ServiceName = String;
+/// Name of one process run of a target, as it registers itself.
+pub type InstanceName = String;
 /// Name of a failure domain.
 pub type DomainName = String;
 /// Name of a team that owns documents.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -16,6 +16,7 @@
 //! | [`target`] | targets of one service: credits, failures, latency |
 //! | [`pick`] | choice of a target |
 //! | [`dispatch`] | admission, late binding, retries and hedges of one service |
+//! | [`route`] | routes by host and prefix, and the documents that follow from them |
 //! | [`budget`] | retry and hedge budgets as a share of traffic |
 //! | [`measuring`] | wall-clock schedule that keeps probes within their budget |
 //! | [`home`] | entry VMs responsible for a service, and owners of targets |
@@ -44,6 +45,7 @@
 pub mod overlay;
 pub mod pick;
 pub mod queue;
+pub mod route;
 pub mod reason;
 pub mod share;
 pub mod target;
--- a/crates/core/src/pick.rs
+++ b/crates/core/src/pick.rs
@@ -20,6 +20,8 @@
 pub enum PickPolicy {
     /// Late binding to owned slots: the product's own policy.
     SlotCredit,
+    /// Late binding to slots shared with the other entry VMs, by reported load and speed.
+    SharedSlots,
     /// Any target, uniformly.
     Random,
     /// Targets in turn.
@@ -34,6 +36,7 @@
     /// Every policy with its name.
     pub const ALL: &'static [(&'static str, Self)] = &[
         ("slot-credit", Self::SlotCredit),
+        ("shared-slots", Self::SharedSlots),
         ("random", Self::Random),
         ("round-robin", Self::RoundRobin),
         ("least-outstanding", Self::LeastOutstanding),
@@ -42,7 +45,7 @@
 
     /// Whether requests go out at once, without ranks, queues or limits.
     pub fn is_baseline(self) -> bool {
-        self != Self::SlotCredit
+        !matches!(self, Self::SlotCredit | Self::SharedSlots)
     }
 }
 
@@ -67,7 +70,7 @@
     rng: &mut SmallRng,
 ) -> Option<TargetKey> {
     match policy {
-        PickPolicy::SlotCredit => pick_free(table, avoid, rng),
+        PickPolicy::SlotCredit | PickPolicy::SharedSlots => pick_free(table, avoid, rng),
         PickPolicy::Random => pick_random(table, rng),
         PickPolicy::RoundRobin => pick_in_turn(table, turn),
         PickPolicy::LeastOutstanding => pick_least(table),
--- a/crates/core/src/target.rs
+++ b/crates/core/src/target.rs
@@ -7,13 +7,13 @@
 
 mod state;
 
-use crate::ids::{DomainName, TargetKey};
+use crate::ids::{DomainName, InstanceName, TargetKey};
 use slotmap::SlotMap;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-pub use state::{LoadReport, SlotLoan, TargetLife, TargetSpec, TargetState};
+pub use state::{LoadReport, SharedTarget, SlotLoan, TargetLife, TargetSpec, TargetState};
 
 /// Age beyond which a load report says nothing any more.
 const REPORT_LIFETIME: Duration = Duration::from_millis(100);
@@ -31,6 +31,8 @@
 const RAMP_STEP: f64 = 0.25;
 /// Weight of a new latency sample.
 const SLOWNESS_WEIGHT: f64 = 0.25;
+/// Weight of a new report in the mean speed of a service's targets.
+const AVERAGE_PACE_WEIGHT: f64 = 0.02;
 
 /// Settings of a target table.
 #[derive(Debug, Clone)]
@@ -54,6 +56,8 @@
     /// Targets with a report, loan, ejection or suspension that will expire.
     timed: Vec<TargetKey>,
     excluded: usize,
+    /// Mean of the reported speeds, 1 being usual.
+    average_pace: f64,
 }
 
 impl TargetTable {
@@ -67,6 +71,7 @@
             free_lists,
             timed: Vec::new(),
             excluded: 0,
+            average_pace: 1.0,
         }
     }
 
@@ -78,7 +83,9 @@
             specs.iter().map(|spec| (spec.address, spec)).collect();
         let known: Vec<TargetKey> = self.targets.keys().collect();
         for key in known {
-            match wanted.get(&self.targets[key].address) {
+            let address = self.targets[key].address;
+            let is_current = self.find(address) == Some(key);
+            match wanted.get(&address).filter(|_| is_current) {
                 Some(spec) => self.update_target(key, spec),
                 None => self.retire_target(key),
             }
@@ -90,6 +97,42 @@
         }
     }
 
+    /// Replaces the set of targets by shared ones. Another instance at a known address is another
+    /// target: the earlier one keeps its requests in flight and gets no more.
+    pub fn replace_shared(&mut self, targets: &[SharedTarget], now: Instant) {
+        for target in targets {
+            self.detach_other_instance(target);
+        }
+        let specs: Vec<TargetSpec> = targets.iter().map(|target| target.spec.clone()).collect();
+        self.replace_targets(&specs);
+        for target in targets {
+            let Some(key) = self.find(target.spec.address) else { continue };
+            let state = &mut self.targets[key];
+            state.instance.clone_from(&target.instance);
+            state.warm_until = (!target.warm_up.is_zero()).then(|| now + target.warm_up);
+        }
+    }
+
+    fn detach_other_instance(&mut self, target: &SharedTarget) {
+        let Some(key) = self.find(target.spec.address) else { return };
+        if self.targets[key].instance != target.instance {
+            self.by_address.remove(&target.spec.address);
+            self.retire_target(key);
+        }
+    }
+
+    /// Takes in a report of speed: the time that work takes relative to usual.
+    pub fn record_pace(&mut self, key: TargetKey, pace: f64, now: Instant) {
+        let Some(target) = self.targets.get_mut(key) else { return };
+        target.pace = Some((pace, now));
+        self.average_pace += AVERAGE_PACE_WEIGHT * (pace - self.average_pace);
+    }
+
+    /// Mean of the reported speeds, 1 being usual.
+    pub fn average_pace(&self) -> f64 {
+        self.average_pace
+    }
+
     fn add_target(&mut self, spec: &TargetSpec, is_warm: bool) {
         let ramp_limit = if is_warm { f64::from(self.settings.slots) } else { 1.0 };
         let state = TargetState {
@@ -98,6 +141,9 @@
             is_local: spec.domain == self.settings.local_domain,
             in_flight: 0,
             slowness: 1.0,
+            instance: InstanceName::new(),
+            pace: None,
+            warm_until: None,
             owned_slots: spec.owned_slots,
             ramp_limit,
             is_on_trial: false,
@@ -133,9 +179,17 @@
         self.targets[key].life = TargetLife::Leaving;
         self.refresh(key);
         if self.targets[key].in_flight == 0 {
-            self.by_address.remove(&self.targets[key].address);
-            self.targets.remove(key);
+            self.forget_target(key);
+        }
+    }
+
+    fn forget_target(&mut self, key: TargetKey) {
+        let Some(target) = self.targets.remove(key) else { return };
+        if self.find(target.address) == Some(key) {
+            self.by_address.remove(&target.address);
         }
+        self.excluded -= usize::from(target.ejected_until.is_some());
+        self.excluded -= usize::from(target.suspended_until.is_some());
     }
 
     /// Sets the number of slots per target; owned slots follow with the next target list.
--- a/crates/core/src/target/state.rs
+++ b/crates/core/src/target/state.rs
@@ -1,8 +1,14 @@
 //! One target as an entry VM sees it.
 
-use crate::ids::DomainName;
+use crate::ids::{DomainName, InstanceName};
 use std::net::SocketAddr;
-use std::time::Instant;
+use std::time::{Duration, Instant};
+
+/// Time in which a report of speed loses all but a third of its weight: speeds change several
+/// times a second.
+const PACE_MEMORY: Duration = Duration::from_millis(250);
+/// Time that work takes at a target that still warms up, relative to usual.
+const COLD_FACTOR: f64 = 2.0;
 
 /// Life cycle of a target as reported by the platform, the target or a peer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -26,6 +32,17 @@
     pub owned_slots: u32,
 }
 
+/// A target whose slots all entry VMs share, as its registration describes it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SharedTarget {
+    /// Address, domain, life; its owned slots are those that this entry VM may fill.
+    pub spec: TargetSpec,
+    /// Names the process run behind the address; another one is another target.
+    pub instance: InstanceName,
+    /// How much longer the target is slow after its start.
+    pub warm_up: Duration,
+}
+
 /// Load that a target reported with an answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct LoadReport {
@@ -55,6 +72,11 @@
     pub in_flight: u32,
     /// Latency relative to all targets of the service; 1 is average.
     pub slowness: f64,
+    /// Names the process run behind the address; empty when targets are known by address only.
+    pub instance: InstanceName,
+    /// Time that work takes relative to the target's usual speed, as it last reported, and when.
+    pub(super) pace: Option<(f64, Instant)>,
+    pub(super) warm_until: Option<Instant>,
     pub(super) owned_slots: u32,
     pub(super) ramp_limit: f64,
     pub(super) is_on_trial: bool,
@@ -105,6 +127,33 @@
         self.answered_at.is_none_or(|at| at <= since)
     }
 
+    /// Expected time of work relative to the target's usual speed: the last report, which loses
+    /// weight with its age in favour of `average`, the mean over the service's reports.
+    pub fn expected_pace(&self, average: f64, now: Instant) -> f64 {
+        let warm_up = if self.warm_until.is_some_and(|until| now < until) { COLD_FACTOR } else { 1.0 };
+        let Some((pace, reported)) = self.pace else { return average * warm_up };
+        let age = now.saturating_duration_since(reported).as_secs_f64();
+        let weight = (-age / PACE_MEMORY.as_secs_f64()).exp();
+        (weight * pace + (1.0 - weight) * average) * warm_up
+    }
+
+    /// Speed reported since `started`, for work that ends now.
+    pub fn pace_since(&self, started: Instant, now: Instant) -> Option<f64> {
+        let (pace, reported) = self.pace?;
+        (reported >= started && reported <= now).then_some(pace)
+    }
+
+    /// Part of the granted slots that is in use here or, as last reported, elsewhere.
+    pub fn occupancy(&self) -> f64 {
+        let granted = self.owned_slots + self.borrowed.len() as u32;
+        f64::from(self.in_flight + self.foreign) / f64::from(granted.max(1))
+    }
+
+    /// Age of the last report of speed.
+    pub fn pace_age(&self, now: Instant) -> Option<Duration> {
+        self.pace.map(|(_, reported)| now.saturating_duration_since(reported))
+    }
+
     /// Slots that this entry VM owns here.
     pub fn owned_slots(&self) -> u32 {
         self.owned_slots
--- a/crates/node/src/control/run.rs
+++ b/crates/node/src/control/run.rs
@@ -219,7 +219,7 @@
     }
     if tick.is_multiple_of(STATUS_TICKS) {
         publish_status(state);
-        state.shared.pool.close_idle(now);
+        state.shared.pool.close_idle();
         record_cost(state);
     }
 }
--- a/crates/node/src/gate.rs
+++ b/crates/node/src/gate.rs
@@ -10,7 +10,7 @@
     ServiceDispatcher,
 };
 use sniperelay_core::document::ServiceDocument;
-use sniperelay_core::ids::{IncarnationId, RankId, RequestId, ServiceName, TargetKey};
+use sniperelay_core::ids::{IncarnationId, InstanceName, RankId, RequestId, ServiceName, TargetKey};
 use sniperelay_core::reason::{RefusalReason, RetryReason};
 use sniperelay_core::target::{LoadReport, TargetSpec};
 use sniperelay_wire::PeerMessage;
@@ -246,6 +246,21 @@
         self.address
     }
 
+    /// Instance behind the address; `None` when the target is gone.
+    pub fn instance(&self) -> Option<InstanceName> {
+        self.gate.read(|dispatcher| dispatcher.targets().get(self.target).map(|target| target.instance.clone()))
+    }
+
+    /// Takes in the target's report of speed: the time that work takes relative to usual.
+    pub fn record_pace(&self, pace: f64) {
+        self.gate.run(|dispatcher, now, _| dispatcher.record_pace(self.target, pace, now));
+    }
+
+    /// Takes in the size of the answer body, in bytes.
+    pub fn record_size(&self, bytes: usize) {
+        self.gate.run(|dispatcher, _, _| dispatcher.record_size(self.request, bytes));
+    }
+
     /// Accounts for the beginning of an answer.
     pub fn record_answer(&self, report: Option<LoadReport>, is_error: bool) -> AnswerVerdict {
         let note = AnswerNote { report, is_error };
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -16,8 +16,10 @@
 //! | [`metrics`] | counters and histograms |
 //! | [`life`] | life cycle of the process |
 //! | [`logs`] | logging set-up |
+//! | [`boot_clock`] | time that goes on while the machine is suspended |
 //! | [`wall_clock`] | wall-clock time |
 
+pub mod boot_clock;
 pub mod control;
 pub mod entry_vm;
 pub mod gate;
--- a/crates/node/src/traffic/pool.rs
+++ b/crates/node/src/traffic/pool.rs
@@ -4,13 +4,14 @@
 //! has ended cleanly; whatever else happens closes it.
 
 use crate::traffic::body::RequestBody;
+use crate::boot_clock::{self, BootTime};
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
@@ -27,7 +28,15 @@
 struct IdleConnection {
     sender: RequestSender,
     driver: AbortHandle,
-    since: Instant,
+    since: BootTime,
+    /// Time for which it may stay unused.
+    lifetime: Duration,
+}
+
+impl IdleConnection {
+    fn is_young(&self, now: BootTime, max_idle: Duration) -> bool {
+        now.saturating_sub(self.since) < self.lifetime.min(max_idle)
+    }
 }
 
 type IdleMap = HashMap<SocketAddr, Vec<IdleConnection>>;
@@ -56,26 +65,37 @@
     ///
     /// When no connection can be made in time.
     pub async fn take(&self, address: SocketAddr) -> io::Result<PooledConnection> {
-        if let Some(connection) = self.take_idle(address) {
+        self.take_fresh(address, IDLE_LIFETIME).await
+    }
+
+    /// An unused connection that was in use within `max_idle`, or a new one.
+    ///
+    /// # Errors
+    ///
+    /// When no connection can be made in time.
+    pub async fn take_fresh(&self, address: SocketAddr, max_idle: Duration) -> io::Result<PooledConnection> {
+        if let Some(connection) = self.take_idle(address, max_idle) {
             return Ok(connection);
         }
         self.connect(address).await
     }
 
     /// Closes connections that nobody has used for a while.
-    pub fn close_idle(&self, now: Instant) {
+    pub fn close_idle(&self) {
+        let now = boot_clock::now();
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         for connections in idle.values_mut() {
-            connections.retain(|connection| now.saturating_duration_since(connection.since) < IDLE_LIFETIME);
+            connections.retain(|connection| connection.is_young(now, IDLE_LIFETIME));
         }
         idle.retain(|_, connections| !connections.is_empty());
     }
 
-    fn take_idle(&self, address: SocketAddr) -> Option<PooledConnection> {
+    fn take_idle(&self, address: SocketAddr, max_idle: Duration) -> Option<PooledConnection> {
+        let now = boot_clock::now();
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let connections = idle.get_mut(&address)?;
         while let Some(connection) = connections.pop() {
-            if connection.sender.is_ready() {
+            if connection.sender.is_ready() && connection.is_young(now, max_idle) {
                 return Some(self.make(address, connection.sender, connection.driver, true));
             }
         }
@@ -114,9 +134,14 @@
     }
 
     /// Keeps the connection for the next request.
-    pub fn give_back(mut self) {
+    pub fn give_back(self) {
+        self.give_back_for(IDLE_LIFETIME);
+    }
+
+    /// Keeps the connection for the next request, unless that comes later than `lifetime`.
+    pub fn give_back_for(mut self, lifetime: Duration) {
         let Some(sender) = self.sender.take() else { return };
-        let connection = IdleConnection { sender, driver: self.driver.clone(), since: Instant::now() };
+        let connection = IdleConnection { sender, driver: self.driver.clone(), since: boot_clock::now(), lifetime };
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let connections = idle.entry(self.address).or_default();
         if connections.len() < MAX_IDLE {
--- a/crates/platform/src/api.rs
+++ b/crates/platform/src/api.rs
@@ -97,6 +97,11 @@
     fn get(&self, key: &str) -> impl Future<Output = Result<Option<StoredObject>>> + Send;
     /// Lists the objects under a prefix.
     fn list(&self, prefix: &str) -> impl Future<Output = Result<ObjectList>> + Send;
+    /// Lists the objects under a prefix as they were at most seconds ago, for less than a full call
+    /// where the platform offers that.
+    fn list_stale(&self, prefix: &str) -> impl Future<Output = Result<ObjectList>> + Send {
+        self.list(prefix)
+    }
     /// Writes an object if its version is `expected`; 0 expects that there is none.
     fn put(
         &self,
--- a/crates/platform/src/pace.rs
+++ b/crates/platform/src/pace.rs
@@ -27,6 +27,7 @@
     refilled_at: Option<Instant>,
     failures: u32,
     open_until: Option<Instant>,
+    max_pause: Duration,
 }
 
 impl CallPace {
@@ -38,9 +39,16 @@
             refilled_at: None,
             failures: 0,
             open_until: None,
+            max_pause: MAX_PAUSE,
         }
     }
 
+    /// Shortens the largest upper bound of the pause after failures.
+    pub fn with_max_pause(mut self, max_pause: Duration) -> Self {
+        self.max_pause = max_pause;
+        self
+    }
+
     /// Takes one call.
     ///
     /// # Errors
@@ -66,7 +74,7 @@
 
     /// Accounts for a call without an answer.
     pub fn record_failure(&mut self, now: Instant, rng: &mut impl Rng) {
-        let bound = (FIRST_PAUSE * 2u32.pow(self.failures.min(10))).min(MAX_PAUSE);
+        let bound = (FIRST_PAUSE * 2u32.pow(self.failures.min(10))).min(self.max_pause);
         self.failures += 1;
         self.open_until = Some(now + bound.mul_f64(rng.random_range(0.05..1.0)));
     }
--- /dev/null
+++ b/crates/platform/src/transport.rs
@@ -0,0 +1,166 @@
+//! Calls to the platform over HTTP/1.1: call rate, circuit breaker, time limits and counters.
+//!
+//! Each call has a connection of its own, since calls are few: whatever happens to one connection
+//! harms one call. Keep-alive probes end a connection that has gone silent while a watch waits.
+
+use crate::api::{MAX_ANSWER_BYTES, PlatformError, Result};
+use crate::pace::{CallPace, PaceRefusal};
+use bytes::Bytes;
+use http::{Request, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use socket2::{SockRef, TcpKeepalive};
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+use tokio::net::TcpStream;
+
+/// Time within which the platform must answer, beyond the wait of a watch. It answers in
+/// milliseconds, and within seconds when it is slow.
+const CALL_TIMEOUT: Duration = Duration::from_secs(3);
+/// Time within which a connection must be made: one retransmission of the opening packet.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(1200);
+/// Silence after which a connection is probed, and time between probes.
+const KEEPALIVE_TIME: Duration = Duration::from_secs(1);
+/// Unanswered probes after which a connection is given up.
+const KEEPALIVE_PROBES: u32 = 2;
+
+/// Calls to the platform, counted.
+#[derive(Debug, Default)]
+pub struct CallCounters {
+    /// Calls made.
+    pub made: AtomicU64,
+    /// Calls without a usable answer.
+    pub failed: AtomicU64,
+    /// Calls held back by the rate.
+    pub held_by_rate: AtomicU64,
+    /// Calls held back by the circuit breaker.
+    pub held_by_breaker: AtomicU64,
+    /// Bytes of request and answer bodies.
+    pub bytes: AtomicU64,
+}
+
+/// An answer of the platform.
+#[derive(Debug)]
+pub struct PlatformAnswer {
+    /// Its status.
+    pub status: StatusCode,
+    /// Its body.
+    pub body: Bytes,
+}
+
+/// Makes calls to one platform address.
+#[derive(Debug)]
+pub struct PlatformTransport {
+    address: SocketAddr,
+    pace: Mutex<CallPace>,
+    counters: CallCounters,
+}
+
+impl PlatformTransport {
+    /// A transport with this pace.
+    pub fn new(address: SocketAddr, pace: CallPace) -> Self {
+        Self { address, pace: Mutex::new(pace), counters: CallCounters::default() }
+    }
+
+    /// Address of the platform.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Counters of the calls made.
+    pub fn counters(&self) -> &CallCounters {
+        &self.counters
+    }
+
+    /// Makes one call; `wait` is the time for which the platform may hold it back.
+    ///
+    /// # Errors
+    ///
+    /// When the call was held back, refused or not answered. Answers that say `429` or `503` are
+    /// refusals.
+    pub async fn call(&self, request: Request<Full<Bytes>>, wait: Duration) -> Result<PlatformAnswer> {
+        self.take_call()?;
+        self.counters.made.fetch_add(1, Ordering::Relaxed);
+        let result = match tokio::time::timeout(wait + CALL_TIMEOUT, self.exchange(request)).await {
+            Ok(result) => result.and_then(refuse_overload),
+            Err(_) => Err(PlatformError::Unanswered("timed out".to_owned())),
+        };
+        self.record(&result);
+        result
+    }
+
+    fn take_call(&self) -> Result<()> {
+        let mut pace = self.pace.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+        pace.try_take(Instant::now()).map_err(|refusal| match refusal {
+            PaceRefusal::Rate => {
+                self.counters.held_by_rate.fetch_add(1, Ordering::Relaxed);
+                PlatformError::HeldBack("the call rate is used up")
+            }
+            PaceRefusal::Open => {
+                self.counters.held_by_breaker.fetch_add(1, Ordering::Relaxed);
+                PlatformError::HeldBack("the platform failed lately")
+            }
+        })
+    }
+
+    fn record(&self, result: &Result<PlatformAnswer>) {
+        let mut pace = self.pace.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+        match result {
+            Err(PlatformError::Unanswered(_) | PlatformError::Refused(_)) => {
+                self.counters.failed.fetch_add(1, Ordering::Relaxed);
+                pace.record_failure(Instant::now(), &mut rand::rng());
+            }
+            _ => pace.record_success(),
+        }
+    }
+
+    async fn exchange(&self, request: Request<Full<Bytes>>) -> Result<PlatformAnswer> {
+        let stream = self.connect().await?;
+        let (mut sender, connection) = http1::handshake(TokioIo::new(stream))
+            .await
+            .map_err(|error| PlatformError::Refused(error.to_string()))?;
+        let driver = AbortOnDrop(tokio::spawn(connection));
+        let unanswered = |error: &dyn std::fmt::Display| PlatformError::Unanswered(error.to_string());
+        let answer = sender.send_request(request).await.map_err(|error| unanswered(&error))?;
+        let status = answer.status();
+        let limited = Limited::new(answer.into_body(), MAX_ANSWER_BYTES);
+        let body = limited.collect().await.map_err(|error| unanswered(&error))?.to_bytes();
+        self.counters.bytes.fetch_add(body.len() as u64, Ordering::Relaxed);
+        drop(driver);
+        Ok(PlatformAnswer { status, body })
+    }
+
+    async fn connect(&self) -> Result<TcpStream> {
+        let refused = |error: std::io::Error| PlatformError::Refused(error.to_string());
+        let connect = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(self.address));
+        let timed_out = |_| PlatformError::Refused("no connection in time".to_owned());
+        let stream = connect.await.map_err(timed_out)?.map_err(refused)?;
+        let keepalive = TcpKeepalive::new()
+            .with_time(KEEPALIVE_TIME)
+            .with_interval(KEEPALIVE_TIME)
+            .with_retries(KEEPALIVE_PROBES);
+        SockRef::from(&stream).set_tcp_keepalive(&keepalive).map_err(refused)?;
+        Ok(stream)
+    }
+}
+
+/// Ends a connection's task with the call that it serves.
+struct AbortOnDrop<T>(tokio::task::JoinHandle<T>);
+
+impl<T> Drop for AbortOnDrop<T> {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+fn refuse_overload(answer: PlatformAnswer) -> Result<PlatformAnswer> {
+    match answer.status {
+        StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => {
+            Err(PlatformError::Refused(answer.status.to_string()))
+        }
+        _ => Ok(answer),
+    }
+}
--- /dev/null
+++ b/crates/relay/src/exchange.rs
@@ -0,0 +1,297 @@
+//! One request from its route to its answer.
+//!
+//! A request first asks for an answer on time. When that cannot be had, it asks once more for one
+//! that is merely late, behind all others. What is given up gets its final answer at once.
+
+use crate::attempt::{AttemptEnd, OutboundRequest, TargetAnswer, run_attempt};
+use crate::head::RequestHead;
+use crate::reply::{CallerReply, RelayRefusal};
+use crate::state::RelayState;
+use bytes::Bytes;
+use futures_util::StreamExt;
+use futures_util::future::{AbortHandle, Abortable, Aborted, BoxFuture, FutureExt};
+use futures_util::stream::FuturesUnordered;
+use http::StatusCode;
+use sniperelay_core::dispatch::{AnswerVerdict, AttemptFailure, FailureVerdict};
+use sniperelay_core::ids::{RankId, TargetKey};
+use sniperelay_core::reason::RefusalReason;
+use sniperelay_core::route::RouteSpec;
+use sniperelay_core::target::LoadReport;
+use sniperelay_hosted::headers::{self as wire, TargetReport};
+use sniperelay_node::boot_clock;
+use sniperelay_node::gate::{AttemptSlot, GatePass, GateSignal, ServiceEntry};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+type Result<T> = std::result::Result<T, RelayRefusal>;
+type AttemptFuture = BoxFuture<'static, std::result::Result<AttemptEnd, Aborted>>;
+
+/// When a caller may come back while nothing is known of a service.
+const RETRY_AFTER: Duration = Duration::from_millis(200);
+
+/// Answers one request.
+pub async fn answer_request(state: Arc<RelayState>, head: RequestHead, body: Bytes) -> CallerReply {
+    match serve_request(&state, head, body).await {
+        Ok(reply) => reply,
+        Err(refusal) => CallerReply::refusal(&refusal),
+    }
+}
+
+async fn serve_request(state: &Arc<RelayState>, head: RequestHead, body: Bytes) -> Result<CallerReply> {
+    let arrived = Instant::now();
+    let Some(routes) = state.routes.load_full() else {
+        return Err(RelayRefusal::not_run(RefusalReason::NoTarget, RETRY_AFTER));
+    };
+    let deadline = wire::read_deadline(&head.headers);
+    let deadline = deadline.map_err(|()| RelayRefusal::not_run(RefusalReason::BadRequest, RETRY_AFTER))?;
+    let route = routes.table.find(&head.host, head.path());
+    let route = route.ok_or_else(|| RelayRefusal::not_run(RefusalReason::UnknownRank, RETRY_AFTER))?;
+    let choice = route.next_choice();
+    let services = state.services.load();
+    let entry = services.get(&choice.service).cloned();
+    let entry = entry.ok_or_else(|| RelayRefusal::not_run(RefusalReason::NoTarget, RETRY_AFTER))?;
+    drop(services);
+    let spec = route.spec();
+    let limit = deadline.unwrap_or(spec.timeout).min(spec.timeout);
+    let outbound = OutboundRequest {
+        method: head.method,
+        target: head.target,
+        headers: head.headers,
+        body,
+        is_idempotent: spec.is_idempotent,
+        end: boot_clock::now() + limit,
+    };
+    let times = RequestTimes { arrived, on_time: arrived + spec.latency.min(limit), end: arrived + limit };
+    let mut exchange = Exchange::new(state.clone(), entry, outbound, times, spec);
+    match exchange.run(choice.rank, times.on_time).await {
+        Err(refusal) if exchange.may_still_be_late(&refusal) => exchange.run(choice.late_rank, times.end).await,
+        result => result,
+    }
+}
+
+/// Points in time that matter to a request.
+#[derive(Debug, Clone, Copy)]
+struct RequestTimes {
+    arrived: Instant,
+    /// Until then an answer is on time.
+    on_time: Instant,
+    /// Until then an answer is of use.
+    end: Instant,
+}
+
+/// A request on its way through the gate of its service.
+struct Exchange {
+    state: Arc<RelayState>,
+    entry: Arc<ServiceEntry>,
+    outbound: Arc<OutboundRequest>,
+    times: RequestTimes,
+    /// Whether another attempt is forbidden.
+    is_single: bool,
+    attempts: FuturesUnordered<AttemptFuture>,
+    handles: Vec<(TargetKey, AbortHandle)>,
+    /// Whether any attempt was started.
+    is_started: bool,
+    /// Whether an attempt was handed to a target connection that did not refuse it.
+    may_have_run: bool,
+    last_failure: Option<RefusalReason>,
+    /// A target's own failure that may be passed on if no later attempt does better.
+    spare_answer: Option<Box<TargetAnswer>>,
+}
+
+impl Exchange {
+    fn new(
+        state: Arc<RelayState>,
+        entry: Arc<ServiceEntry>,
+        outbound: OutboundRequest,
+        times: RequestTimes,
+        spec: &RouteSpec,
+    ) -> Self {
+        Self {
+            state,
+            entry,
+            outbound: Arc::new(outbound),
+            times,
+            is_single: spec.max_attempts < 2,
+            attempts: FuturesUnordered::new(),
+            handles: Vec::new(),
+            is_started: false,
+            may_have_run: false,
+            last_failure: None,
+            spare_answer: None,
+        }
+    }
+
+    /// Whether a request that was not started can still be answered late.
+    fn may_still_be_late(&self, refusal: &RelayRefusal) -> bool {
+        let is_too_late =
+            matches!(refusal.reason, RefusalReason::DeadlineUnreachable | RefusalReason::DeadlinePassed);
+        is_too_late && !self.is_started && Instant::now() < self.times.end
+    }
+
+    async fn run(&mut self, rank: RankId, deadline: Instant) -> Result<CallerReply> {
+        let gate = self.entry.gate.clone();
+        let mut pass = gate.admit(rank, deadline, self.outbound.is_idempotent, self.is_single);
+        let timeout = tokio::time::sleep_until(self.times.end.into());
+        tokio::pin!(timeout);
+        loop {
+            let step = tokio::select! {
+                biased;
+                Some(end) = self.attempts.next() => self.on_attempt_end(end),
+                signal = pass.next_signal() => self.on_signal(signal),
+                () = &mut timeout => Some(Err(self.timeout_refusal())),
+            };
+            if let Some(result) = step {
+                return self.finish(rank, pass, result);
+            }
+        }
+    }
+
+    fn finish(&mut self, rank: RankId, pass: GatePass, result: Result<CallerReply>) -> Result<CallerReply> {
+        let counters = &self.entry.counters[rank.min(self.entry.counters.len() - 1)];
+        match &result {
+            Ok(_) => counters.count_answer(self.times.arrived.elapsed(), Instant::now() <= self.times.on_time),
+            Err(refusal) => counters.count_refusal(refusal.reason),
+        }
+        drop(pass);
+        match (result, self.spare_answer.take()) {
+            (Err(_), Some(answer)) => Ok(make_reply(*answer)),
+            (result, _) => result,
+        }
+    }
+
+    fn on_signal(&mut self, signal: Option<GateSignal>) -> Option<Result<CallerReply>> {
+        match signal? {
+            GateSignal::Start { slot, retry, .. } => {
+                if let Some(reason) = retry {
+                    self.entry.counters[0].count_retry(reason);
+                }
+                self.start_attempt(slot);
+            }
+            GateSignal::Refuse { reason, retry_after } => {
+                let reason = self.last_failure.unwrap_or(reason);
+                return Some(Err(self.refusal(reason, retry_after)));
+            }
+            GateSignal::Abandon { target } => {
+                let abandoned = self.handles.iter().filter(|(other, _)| *other == target);
+                abandoned.for_each(|(_, handle)| handle.abort());
+            }
+        }
+        None
+    }
+
+    fn start_attempt(&mut self, slot: AttemptSlot) {
+        self.is_started = true;
+        let target = slot.target();
+        let attempt = run_attempt(self.state.clone(), self.outbound.clone(), slot);
+        let (handle, registration) = AbortHandle::new_pair();
+        self.handles.push((target, handle));
+        self.attempts.push(Abortable::new(attempt, registration).boxed());
+    }
+
+    fn on_attempt_end(
+        &mut self,
+        end: std::result::Result<AttemptEnd, Aborted>,
+    ) -> Option<Result<CallerReply>> {
+        match end {
+            Err(Aborted) => None,
+            Ok(AttemptEnd::NotSent) => Some(Err(self.refusal(RefusalReason::DeadlinePassed, RETRY_AFTER))),
+            Ok(AttemptEnd::Failed { failure, cause, report, is_gone, slot }) => {
+                log::debug!("attempt at {} failed: {cause}", slot.address());
+                record_report(&slot, report);
+                if is_gone {
+                    let address = slot.address();
+                    self.entry.gate.run(|dispatcher, _, _| dispatcher.mark_leaving(address));
+                }
+                self.on_failure(failure, slot)
+            }
+            Ok(AttemptEnd::Answered { answer, report, slot }) => self.on_answer(answer, report, slot),
+        }
+    }
+
+    fn on_failure(&mut self, failure: AttemptFailure, slot: AttemptSlot) -> Option<Result<CallerReply>> {
+        let reason = match failure {
+            AttemptFailure::Connect => RefusalReason::ConnectFailed,
+            AttemptFailure::Refused => RefusalReason::TargetRefused,
+            AttemptFailure::Lost | AttemptFailure::ServerError => RefusalReason::ConnectionLost,
+        };
+        self.may_have_run |= !failure.proves_not_run();
+        self.last_failure = Some(reason);
+        let is_final = slot.fail(failure) == FailureVerdict::Final;
+        is_final.then(|| Err(self.refusal(reason, RETRY_AFTER)))
+    }
+
+    fn on_answer(
+        &mut self,
+        answer: Box<TargetAnswer>,
+        report: Option<TargetReport>,
+        slot: AttemptSlot,
+    ) -> Option<Result<CallerReply>> {
+        self.may_have_run = true;
+        record_report(&slot, report);
+        if !answer.status.is_success() && answer.status.is_server_error() {
+            return self.on_server_error(answer, slot);
+        }
+        if promises_not_run(answer.status) {
+            // A target's word without its mark that the request did not run proves nothing.
+            return self.on_failure(AttemptFailure::ServerError, slot);
+        }
+        slot.record_size(answer.body.len());
+        let load = report.map(|report| LoadReport { busy: report.busy, queued: report.queued });
+        if slot.record_answer(load, false) == AnswerVerdict::Discard {
+            return None;
+        }
+        self.spare_answer = None;
+        Some(Ok(make_reply(*answer)))
+    }
+
+    /// A server error is passed on only when no other attempt is allowed or does better.
+    fn on_server_error(&mut self, answer: Box<TargetAnswer>, slot: AttemptSlot) -> Option<Result<CallerReply>> {
+        if wire::is_sealed(&answer.headers) && !promises_not_run(answer.status) {
+            self.spare_answer = Some(answer);
+        }
+        self.on_failure(AttemptFailure::ServerError, slot)
+    }
+
+    /// An attempt in flight may be running; a waiting request is not.
+    fn timeout_refusal(&mut self) -> RelayRefusal {
+        if self.attempts.is_empty() {
+            return self.refusal(RefusalReason::DeadlinePassed, RETRY_AFTER);
+        }
+        self.may_have_run = true;
+        self.refusal(RefusalReason::TargetTimeout, RETRY_AFTER)
+    }
+
+    fn refusal(&self, reason: RefusalReason, retry_after: Duration) -> RelayRefusal {
+        if self.may_have_run {
+            RelayRefusal::unknown(reason)
+        } else {
+            RelayRefusal::not_run(reason, retry_after)
+        }
+    }
+}
+
+/// Statuses by which an answer promises that the request has not run.
+fn promises_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+            | StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+    )
+}
+
+fn record_report(slot: &AttemptSlot, report: Option<TargetReport>) {
+    if let Some(report) = report {
+        slot.record_pace(report.pace);
+    }
+}
+
+fn make_reply(answer: TargetAnswer) -> CallerReply {
+    CallerReply {
+        status: answer.status,
+        headers: answer.headers,
+        body: answer.body,
+        stated_length: answer.stated_length,
+    }
+}
--- /dev/null
+++ b/crates/relay/src/head.rs
@@ -0,0 +1,159 @@
+//! Request heads.
+//!
+//! A head that leaves room for two readings is refused: what this process and a target read
+//! differently could smuggle a request.
+
+use bytes::{Buf, BytesMut};
+use http::header::{self, HeaderMap, HeaderName, HeaderValue};
+use http::{Method, StatusCode};
+
+/// Result of reading a request.
+pub type Result<T> = std::result::Result<T, RequestFault>;
+
+/// Headers of one request.
+const MAX_HEADERS: usize = 100;
+
+/// Why a request cannot be read. It was not passed on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RequestFault {
+    /// Not a request, or one that could be read in two ways.
+    Malformed,
+    /// The head is larger than the limit.
+    HeadTooLarge,
+    /// The body is larger than the limit.
+    BodyTooLarge,
+    /// The bodies of all requests together are larger than the process holds.
+    NoRoom,
+}
+
+impl RequestFault {
+    /// Status of the answer.
+    pub fn status(self) -> StatusCode {
+        match self {
+            Self::Malformed => StatusCode::BAD_REQUEST,
+            Self::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+            Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::NoRoom => StatusCode::SERVICE_UNAVAILABLE,
+        }
+    }
+}
+
+/// How the end of a body is found.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BodyFraming {
+    /// This many bytes; 0 without a body.
+    Length(usize),
+    /// In chunks.
+    Chunked,
+}
+
+/// A request head.
+#[derive(Debug)]
+pub struct RequestHead {
+    /// Method.
+    pub method: Method,
+    /// Path and query, as the caller sent them.
+    pub target: String,
+    /// Host without port, in lower case.
+    pub host: String,
+    /// Headers without those that concern only this connection.
+    pub headers: HeaderMap,
+    /// Framing of the body.
+    pub framing: BodyFraming,
+    /// Whether the caller wants the connection closed after the answer.
+    pub wants_close: bool,
+    /// Whether the caller waits for a word before it sends the body.
+    pub expects_continue: bool,
+}
+
+impl RequestHead {
+    /// The path without the query.
+    pub fn path(&self) -> &str {
+        self.target.split('?').next().unwrap_or(&self.target)
+    }
+}
+
+/// Takes a head from the front of `buffer`; `None` while it is incomplete.
+///
+/// # Errors
+///
+/// Why there is none and never will be.
+pub fn take_head(buffer: &mut BytesMut, max_bytes: usize) -> Result<Option<RequestHead>> {
+    while buffer.starts_with(b"\r\n") {
+        buffer.advance(2);
+    }
+    let mut storage = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut parsed = httparse::Request::new(&mut storage);
+    let length = match parsed.parse(buffer) {
+        Ok(httparse::Status::Complete(length)) => length,
+        Ok(httparse::Status::Partial) if buffer.len() > max_bytes => return Err(RequestFault::HeadTooLarge),
+        Ok(httparse::Status::Partial) => return Ok(None),
+        Err(httparse::Error::TooManyHeaders) => return Err(RequestFault::HeadTooLarge),
+        Err(_) => return Err(RequestFault::Malformed),
+    };
+    if length > max_bytes {
+        return Err(RequestFault::HeadTooLarge);
+    }
+    let head = make_head(&parsed)?;
+    buffer.advance(length);
+    Ok(Some(head))
+}
+
+fn make_head(parsed: &httparse::Request<'_, '_>) -> Result<RequestHead> {
+    let malformed = RequestFault::Malformed;
+    let method = Method::from_bytes(parsed.method.unwrap_or("").as_bytes()).map_err(|_| malformed)?;
+    let target = parsed.path.unwrap_or("").to_owned();
+    if !target.starts_with('/') || parsed.version != Some(1) || method == Method::CONNECT {
+        return Err(malformed);
+    }
+    let mut headers = HeaderMap::with_capacity(parsed.headers.len());
+    for field in parsed.headers.iter() {
+        let name = HeaderName::from_bytes(field.name.as_bytes()).map_err(|_| malformed)?;
+        let value = HeaderValue::from_bytes(field.value).map_err(|_| malformed)?;
+        headers.append(name, value);
+    }
+    let host = read_host(&headers)?;
+    let framing = read_framing(&headers)?;
+    let wants_close = names_close(&headers);
+    let expects_continue = headers.get(header::EXPECT).is_some_and(|value| value == "100-continue");
+    sniperelay_node::traffic::headers::strip_hop_by_hop(&mut headers);
+    headers.remove(header::EXPECT);
+    headers.remove(header::CONTENT_LENGTH);
+    Ok(RequestHead { method, target, host, headers, framing, wants_close, expects_continue })
+}
+
+fn read_host(headers: &HeaderMap) -> Result<String> {
+    let mut values = headers.get_all(header::HOST).iter();
+    let value = values.next().ok_or(RequestFault::Malformed)?;
+    if values.next().is_some() {
+        return Err(RequestFault::Malformed);
+    }
+    let text = value.to_str().map_err(|_| RequestFault::Malformed)?;
+    let host = text.rsplit_once(':').map_or(text, |(host, _)| host);
+    Ok(host.to_ascii_lowercase())
+}
+
+fn read_framing(headers: &HeaderMap) -> Result<BodyFraming> {
+    let lengths: Vec<&HeaderValue> = headers.get_all(header::CONTENT_LENGTH).iter().collect();
+    let codings: Vec<&HeaderValue> = headers.get_all(header::TRANSFER_ENCODING).iter().collect();
+    match (lengths.as_slice(), codings.as_slice()) {
+        ([], []) => Ok(BodyFraming::Length(0)),
+        ([length], []) => read_length(length).map(BodyFraming::Length),
+        ([], [coding]) if coding.as_bytes().eq_ignore_ascii_case(b"chunked") => Ok(BodyFraming::Chunked),
+        _ => Err(RequestFault::Malformed),
+    }
+}
+
+fn read_length(value: &HeaderValue) -> Result<usize> {
+    let text = value.to_str().map_err(|_| RequestFault::Malformed)?;
+    let is_plain = !text.is_empty() && text.bytes().all(|byte| byte.is_ascii_digit());
+    if !is_plain {
+        return Err(RequestFault::Malformed);
+    }
+    text.parse().map_err(|_| RequestFault::BodyTooLarge)
+}
+
+fn names_close(headers: &HeaderMap) -> bool {
+    let values = headers.get_all(header::CONNECTION).iter().filter_map(|value| value.to_str().ok());
+    values.flat_map(|value| value.split(',')).any(|token| token.trim().eq_ignore_ascii_case("close"))
+}
--- /dev/null
+++ b/crates/relay/src/lib.rs
@@ -0,0 +1,33 @@
+//! An entry VM on a platform that keeps configuration and targets.
+//!
+//! One thread runs everything: these machines have a fraction of a core. Entry VMs do not talk to
+//! each other, except that each checks two neighbours; what has to be agreed or kept goes through
+//! the platform's store. Routing decisions are those of `sniperelay-core`.
+//!
+//! | module | job |
+//! |---|---|
+//! | [`run`] | start, planned stop |
+//! | [`state`] | what all tasks share: routes, services, entry VMs, phase |
+//! | [`sync`] | the store's configuration, targets and entry VMs, kept up to date |
+//! | [`neighbour`] | checks of neighbours; removal of entry VMs that are gone |
+//! | [`listen`] | caller connections: reading, pipelining, answers in order |
+//! | [`head`] | request heads |
+//! | [`body`] | request bodies |
+//! | [`reply`] | answers as bytes |
+//! | [`exchange`] | one request from its route to its answer |
+//! | [`attempt`] | one attempt at one target |
+//! | [`side`] | lookups, readiness checks and metrics |
+
+pub mod attempt;
+pub mod body;
+pub mod exchange;
+pub mod head;
+pub mod listen;
+pub mod neighbour;
+pub mod reply;
+pub mod run;
+pub mod side;
+pub mod state;
+pub mod sync;
+
+pub use run::run_until_signal;
--- /dev/null
+++ b/crates/relay/src/neighbour.rs
@@ -0,0 +1,129 @@
+//! Checks of neighbours, and removal of entry VMs that are gone.
+//!
+//! Entry VMs stand in a ring by name; each asks the next two whether they are ready, over kept
+//! connections. One that stays silent is left out of lookup answers here at once, and its
+//! registration is deleted, conditionally on its version, so that all others leave it out too. One
+//! that lives on after all finds its registration gone and registers again.
+
+use crate::state::RelayState;
+use bytes::Bytes;
+use http::{Request, StatusCode};
+use http_body_util::Empty;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use sniperelay_hosted::lookup::READY_PATH;
+use sniperelay_hosted::registration::{ENTRY_VM_PREFIX, EntryVmRecord, read_entry_vm};
+use sniperelay_platform::api::PlatformApi;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+
+/// Neighbours that each entry VM checks.
+const NEIGHBOURS: usize = 2;
+/// Time between two checks.
+const CHECK_INTERVAL: Duration = Duration::from_millis(700);
+/// Time within which a neighbour must answer.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(600);
+/// Failed checks in a row from which a neighbour counts as silent.
+const SILENT_CHECKS: u32 = 2;
+/// Failed checks in a row after which its registration is deleted.
+const GONE_CHECKS: u32 = 4;
+
+/// A neighbour and the connection to it.
+#[derive(Debug, Default)]
+struct NeighbourCheck {
+    sender: Option<SendRequest<Empty<Bytes>>>,
+    failures: u32,
+}
+
+/// Checks neighbours until the process ends.
+pub async fn check_neighbours(state: Arc<RelayState>) {
+    let mut checks: HashMap<String, NeighbourCheck> = HashMap::new();
+    loop {
+        tokio::time::sleep(CHECK_INTERVAL).await;
+        let neighbours = next_neighbours(&state);
+        checks.retain(|name, _| neighbours.iter().any(|neighbour| neighbour.name == *name));
+        state.silent().retain(|name| checks.contains_key(name));
+        for neighbour in neighbours {
+            let check = checks.entry(neighbour.name.clone()).or_default();
+            check.failures = if is_answering(check, neighbour.ready_address).await { 0 } else { check.failures + 1 };
+            note_result(&state, &neighbour, check.failures).await;
+        }
+    }
+}
+
+fn next_neighbours(state: &RelayState) -> Vec<EntryVmRecord> {
+    let vms = state.entry_vms.load();
+    let own = state.settings.entry.name.clone();
+    let after = vms.range(own.clone()..).filter(|(name, _)| **name != own);
+    let before = vms.range(..own.clone());
+    after.chain(before).take(NEIGHBOURS).map(|(_, record)| record.clone()).collect()
+}
+
+async fn note_result(state: &RelayState, neighbour: &EntryVmRecord, failures: u32) {
+    if failures == 0 {
+        if state.silent().remove(&neighbour.name) {
+            log::info!(entry_vm = neighbour.name.as_str(); "neighbour answers again");
+        }
+        return;
+    }
+    if failures == SILENT_CHECKS {
+        log::warn!(entry_vm = neighbour.name.as_str(); "neighbour is silent; lookups leave it out");
+        state.silent().insert(neighbour.name.clone());
+    }
+    if failures.is_multiple_of(GONE_CHECKS) {
+        remove_registration(state, neighbour).await;
+    }
+}
+
+async fn remove_registration(state: &RelayState, neighbour: &EntryVmRecord) {
+    let key = format!("{ENTRY_VM_PREFIX}{}", neighbour.name);
+    let found = match state.store.get(&key).await {
+        Ok(Some(found)) => found,
+        Ok(None) => return,
+        Err(error) => {
+            log::info!("cannot read the registration of a silent neighbour: {error}");
+            return;
+        }
+    };
+    let is_same = read_entry_vm(&neighbour.name, &found.value).is_ok_and(|record| record == *neighbour);
+    if !is_same {
+        return;
+    }
+    match state.store.delete(&key, found.version).await {
+        Ok(_) => log::warn!(entry_vm = neighbour.name.as_str(); "registration of a silent neighbour deleted"),
+        Err(error) => log::info!("cannot delete the registration of a silent neighbour: {error}"),
+    }
+}
+
+/// Whether the neighbour answers at all; whether it is ready is its own to say in its registration.
+async fn is_answering(check: &mut NeighbourCheck, address: SocketAddr) -> bool {
+    let answer = tokio::time::timeout(CHECK_TIMEOUT, ask(check, address)).await;
+    let is_answered = matches!(answer, Ok(Some(_)));
+    if !is_answered {
+        check.sender = None;
+    }
+    is_answered
+}
+
+async fn ask(check: &mut NeighbourCheck, address: SocketAddr) -> Option<StatusCode> {
+    if check.sender.as_ref().is_none_or(|sender| !sender.is_ready()) {
+        check.sender = Some(connect(address).await?);
+    }
+    let request = Request::get(READY_PATH).header("host", address.to_string()).body(Empty::new()).ok()?;
+    let answer = check.sender.as_mut()?.send_request(request).await.ok()?;
+    Some(answer.status())
+}
+
+async fn connect(address: SocketAddr) -> Option<SendRequest<Empty<Bytes>>> {
+    let stream = TcpStream::connect(address).await.ok()?;
+    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+    tokio::spawn(async move {
+        if let Err(error) = connection.await {
+            log::debug!("connection to a neighbour ended: {error}");
+        }
+    });
+    Some(sender)
+}
--- /dev/null
+++ b/crates/relay/src/state.rs
@@ -0,0 +1,261 @@
+//! What all tasks share: routes, services, entry VMs and the phase of the process.
+
+use arc_swap::{ArcSwap, ArcSwapOption};
+use sniperelay_config::RelaySettings;
+use sniperelay_core::dispatch::DispatchSettings;
+use sniperelay_core::document::ServiceDocument;
+use sniperelay_core::home::{HomeCandidate, choose_homes};
+use sniperelay_core::ids::{IncarnationId, InstanceName, ServiceName};
+use sniperelay_core::pick::PickPolicy;
+use sniperelay_core::route::{RouteConfig, RouteTable};
+use sniperelay_core::target::{SharedTarget, TargetLife, TargetSpec};
+use sniperelay_hosted::bounds::PlatformBounds;
+use sniperelay_hosted::registration::{EntryVmRecord, TargetRecord};
+use sniperelay_hosted::store::ObjectStore;
+use sniperelay_node::gate::{PeerOutgoing, ServiceEntry, ServiceGate};
+use sniperelay_node::life::{LifePhase, LifeView};
+use sniperelay_node::metrics::MetricSet;
+use sniperelay_node::traffic::pool::TargetPool;
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::sync::mpsc::UnboundedSender;
+
+/// One version of the configuration in force.
+#[derive(Debug)]
+pub struct RoutesInForce {
+    /// The configuration.
+    pub config: RouteConfig,
+    /// Its routes.
+    pub table: RouteTable,
+}
+
+/// Services by name.
+pub type ServiceMap = HashMap<ServiceName, Arc<ServiceEntry>>;
+/// Targets by instance.
+pub type TargetMap = BTreeMap<InstanceName, TargetRecord>;
+/// Entry VMs by name.
+pub type EntryVmMap = BTreeMap<String, EntryVmRecord>;
+
+/// State shared by all tasks.
+pub struct RelayState {
+    /// Settings, frozen.
+    pub settings: RelaySettings,
+    /// Bounds of the platform.
+    pub bounds: PlatformBounds,
+    /// This process run.
+    pub incarnation: IncarnationId,
+    /// The store.
+    pub store: ObjectStore,
+    /// Configuration in force; none before the first is known.
+    pub routes: ArcSwapOption<RoutesInForce>,
+    /// Services in force.
+    pub services: ArcSwap<ServiceMap>,
+    /// Registered entry VMs, this one included.
+    pub entry_vms: ArcSwap<EntryVmMap>,
+    /// Names of entry VMs that a neighbour check found silent.
+    pub silent_vms: Mutex<HashSet<String>>,
+    /// Phase of the process.
+    pub life: LifeView,
+    /// Metrics.
+    pub metrics: MetricSet,
+    /// Connections to targets.
+    pub pool: TargetPool,
+    /// Bytes of bodies held.
+    pub held_bytes: AtomicUsize,
+    /// Open caller connections.
+    pub connections: AtomicUsize,
+    /// Whether the targets have been listed.
+    pub has_targets: AtomicBool,
+    targets: Mutex<Arc<TargetMap>>,
+    /// Entry VMs of such a platform send each other nothing; see `sniperelay_node::gate`.
+    peers: UnboundedSender<PeerOutgoing>,
+}
+
+impl std::fmt::Debug for RelayState {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("RelayState").finish_non_exhaustive()
+    }
+}
+
+impl RelayState {
+    /// State of a new process.
+    ///
+    /// # Errors
+    ///
+    /// When the metrics cannot be registered.
+    pub fn new(settings: RelaySettings, bounds: PlatformBounds, life: LifeView) -> anyhow::Result<Self> {
+        let store = ObjectStore::new(settings.platform.address, settings.platform.calls_per_second);
+        let (peers, _) = tokio::sync::mpsc::unbounded_channel();
+        let state = Self {
+            bounds,
+            incarnation: rand::random(),
+            store,
+            routes: ArcSwapOption::empty(),
+            services: ArcSwap::default(),
+            entry_vms: ArcSwap::default(),
+            silent_vms: Mutex::default(),
+            life,
+            metrics: MetricSet::new()?,
+            pool: TargetPool::default(),
+            held_bytes: AtomicUsize::new(0),
+            connections: AtomicUsize::new(0),
+            has_targets: AtomicBool::new(false),
+            targets: Mutex::default(),
+            peers,
+            settings,
+        };
+        let own = state.own_record();
+        state.entry_vms.store(Arc::new(BTreeMap::from([(own.name.clone(), own)])));
+        Ok(state)
+    }
+
+    /// This entry VM as it registers itself.
+    pub fn own_record(&self) -> EntryVmRecord {
+        let entry = &self.settings.entry;
+        EntryVmRecord {
+            name: entry.name.clone(),
+            domain: entry.failure_domain.clone(),
+            caller_address: entry.caller_address,
+            ready_address: entry.ready_address,
+            incarnation: self.incarnation,
+        }
+    }
+
+    /// Whether callers may be sent here.
+    pub fn is_ready(&self) -> bool {
+        let is_informed = self.routes.load().is_some() && self.has_targets.load(Ordering::Relaxed);
+        is_informed && self.life.phase() == LifePhase::Serving
+    }
+
+    /// Entry VMs that a neighbour check found silent.
+    pub fn silent(&self) -> MutexGuard<'_, HashSet<String>> {
+        self.silent_vms.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Puts a configuration in force unless it is older than the present one. Returns whether it
+    /// is in force now.
+    pub fn adopt_config(self: &Arc<Self>, config: RouteConfig) -> bool {
+        let current = self.routes.load_full();
+        if current.is_some_and(|current| current.config.version >= config.version) {
+            return false;
+        }
+        let table = RouteTable::build(&config, rand::random());
+        self.replace_services(table.documents());
+        self.routes.store(Some(Arc::new(RoutesInForce { config, table })));
+        true
+    }
+
+    /// Puts a list of targets in force.
+    pub fn adopt_targets(self: &Arc<Self>, targets: TargetMap) {
+        let targets = Arc::new(targets);
+        *self.targets.lock().unwrap_or_else(PoisonError::into_inner) = targets.clone();
+        self.has_targets.store(true, Ordering::Relaxed);
+        for (service, entry) in self.services.load().iter() {
+            self.push_targets(service, &entry.gate, &targets);
+        }
+    }
+
+    fn replace_services(self: &Arc<Self>, documents: &[ServiceDocument]) {
+        let known = self.services.load();
+        let targets = self.targets.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        let mut services = ServiceMap::new();
+        for document in documents {
+            let document = Arc::new(document.clone());
+            let gate = match known.get(&document.name) {
+                Some(entry) => {
+                    entry.gate.run(|dispatcher, now, _| dispatcher.replace_document(document.clone(), now));
+                    entry.gate.clone()
+                }
+                None => {
+                    let gate = self.make_gate(document.clone());
+                    self.push_targets(&document.name, &gate, &targets);
+                    gate
+                }
+            };
+            let reserve = self.attempt_reserve();
+            gate.run(|dispatcher, _, _| dispatcher.set_attempt_reserve(reserve));
+            services.insert(document.name.clone(), Arc::new(ServiceEntry::new(document, gate, &self.metrics)));
+        }
+        self.services.store(Arc::new(services));
+    }
+
+    /// Further attempts that this entry VM may save up per budget. The allowance of the platform
+    /// holds for all entry VMs together; each has a retry and a hedge budget.
+    fn attempt_reserve(&self) -> f64 {
+        let vms = self.entry_vms.load().len().max(MIN_ENTRY_VMS);
+        self.bounds.extra_attempts / (2.0 * vms as f64)
+    }
+
+    fn make_gate(&self, document: Arc<ServiceDocument>) -> Arc<ServiceGate> {
+        let settings = DispatchSettings {
+            local_domain: self.settings.entry.failure_domain.clone(),
+            policy: PickPolicy::SharedSlots,
+            seed: rand::random(),
+        };
+        ServiceGate::new(document, settings, self.incarnation, self.peers.clone())
+    }
+
+    fn push_targets(&self, service: &str, gate: &Arc<ServiceGate>, targets: &TargetMap) {
+        let own = targets.values().filter(|target| target.service == service);
+        let mut shared: BTreeMap<SocketAddr, (u64, SharedTarget)> = BTreeMap::new();
+        for record in own {
+            let started = record.started_millis.unwrap_or(0);
+            // Of two instances at one address, only the later one can still be there.
+            if shared.get(&record.address).is_none_or(|(other, _)| *other <= started) {
+                shared.insert(record.address, (started, self.make_target(record)));
+            }
+        }
+        let shared: Vec<SharedTarget> = shared.into_values().map(|(_, target)| target).collect();
+        gate.run(|dispatcher, now, actions| dispatcher.replace_shared_targets(&shared, now, actions));
+    }
+
+    fn make_target(&self, record: &TargetRecord) -> SharedTarget {
+        let filled = (f64::from(record.slots) * self.settings.routing.slot_fill).floor();
+        SharedTarget {
+            spec: TargetSpec {
+                address: record.address,
+                domain: record.domain.clone(),
+                life: record.life,
+                owned_slots: (filled as u32).max(1),
+            },
+            instance: record.instance.clone(),
+            warm_up: record.warm_up,
+        }
+    }
+
+    /// Entry VMs for callers of a host: homes in the caller's failure domain, or in all domains
+    /// when that has none.
+    pub fn homes_for(&self, host: &str, domain: Option<&str>) -> Vec<SocketAddr> {
+        let vms = self.entry_vms.load();
+        let silent = self.silent();
+        let is_usable = |record: &&EntryVmRecord| !silent.contains(&record.name);
+        let usable: Vec<&EntryVmRecord> = vms.values().filter(is_usable).collect();
+        let near: Vec<&EntryVmRecord> =
+            usable.iter().copied().filter(|record| Some(record.domain.as_str()) == domain).collect();
+        let pool = if near.is_empty() { &usable } else { &near };
+        let candidates: Vec<HomeCandidate> = pool.iter().map(|record| home_candidate(record)).collect();
+        let homes = choose_homes(host, &candidates, self.settings.routing.homes_per_domain);
+        let addresses: HashMap<u64, SocketAddr> =
+            pool.iter().map(|record| (home_candidate(record).incarnation, record.caller_address)).collect();
+        homes.iter().filter_map(|home| addresses.get(&home.incarnation).copied()).collect()
+    }
+}
+
+/// Entry VMs that are reckoned with before they have registered.
+const MIN_ENTRY_VMS: usize = 12;
+/// Time between two periodic passes of the dispatchers.
+pub const UPKEEP_INTERVAL: Duration = Duration::from_millis(20);
+
+/// A candidate that keeps its place when the process behind the name is replaced.
+fn home_candidate(record: &EntryVmRecord) -> HomeCandidate {
+    let incarnation = sniperelay_core::home::hash_name(&record.name);
+    HomeCandidate { incarnation, domain: record.domain.clone() }
+}
+
+/// Whether a target takes new work.
+pub fn is_live(record: &TargetRecord) -> bool {
+    record.life == TargetLife::Live
+}
--- /dev/null
+++ b/crates/relay/src/sync.rs
@@ -0,0 +1,350 @@
+//! The store's configuration, targets and entry VMs, kept up to date.
+//!
+//! Configuration and targets are listed once and then watched; after an event, the next watch
+//! waits a little, so that a series of changes costs few calls. Watches go on from the revision
+//! reached; a new list is taken only when the store no longer has the history.
+
+use crate::state::{EntryVmMap, RelayState, TargetMap};
+use sniperelay_hosted::registration::{
+    ENTRY_VM_PREFIX, TARGET_PREFIX, read_entry_vm, read_target, write_entry_vm,
+};
+use sniperelay_hosted::routes::{CONFIG_KEY, CONFIG_PREFIX, read_config};
+use sniperelay_node::boot_clock::{self, BootTime};
+use sniperelay_node::life::LifePhase;
+use sniperelay_platform::PlatformError;
+use sniperelay_platform::api::{EventList, ObjectList, PlatformApi, StoredObject};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Longest wait of one watch.
+const WATCH_WAIT: Duration = Duration::from_secs(15);
+/// Pause between the events of a watch and the next one. With the store's answer and the decoding
+/// it stays far below the two seconds in which a change must be in force.
+const COALESCE_PAUSE: Duration = Duration::from_millis(250);
+/// Pause after a failed call.
+const RETRY_PAUSE: Duration = Duration::from_millis(120);
+/// Time after the store's return in which entries that lapsed meanwhile may come back.
+const LAPSE_GRACE: Duration = Duration::from_secs(2);
+/// Time between two lists of entry VMs.
+const ENTRY_VM_INTERVAL: Duration = Duration::from_secs(2);
+
+/// Watches the configuration.
+pub async fn watch_config(state: Arc<RelayState>) {
+    let mut watcher = PrefixWatcher::new(state.clone(), CONFIG_PREFIX);
+    loop {
+        for change in watcher.next_changes().await {
+            let StoreChange::Present(object) = change else { continue };
+            if object.key == CONFIG_KEY {
+                adopt_config(&state, &object);
+            }
+        }
+    }
+}
+
+fn adopt_config(state: &Arc<RelayState>, object: &StoredObject) {
+    match read_config(&object.value) {
+        Ok(config) => {
+            let version = config.version;
+            let routes = config.routes.len();
+            let is_new = state.adopt_config(config);
+            log::info!(version, routes, revision = object.version, is_new; "configuration received");
+        }
+        Err(error) => {
+            log::error!(revision = object.version; "configuration cannot be read, the earlier one stays: {error}");
+        }
+    }
+}
+
+/// Watches the targets.
+pub async fn watch_targets(state: Arc<RelayState>) {
+    let mut watcher = PrefixWatcher::new(state.clone(), TARGET_PREFIX);
+    let mut table = LapsingTable::default();
+    loop {
+        let changes = tokio::select! {
+            changes = watcher.next_changes() => changes,
+            () = sleep_until(table.next_lapse()) => Vec::new(),
+        };
+        table.apply(changes, watcher.regained_at());
+        table.drop_lapsed(boot_clock::now());
+        state.adopt_targets(table.targets.clone());
+    }
+}
+
+async fn sleep_until(time: Option<BootTime>) {
+    match time {
+        Some(time) => tokio::time::sleep(time.saturating_sub(boot_clock::now())).await,
+        None => std::future::pending().await,
+    }
+}
+
+/// Targets, with those that lapsed around an outage of the store held for a while.
+#[derive(Debug, Default)]
+struct LapsingTable {
+    targets: TargetMap,
+    lapsing: BTreeMap<String, BootTime>,
+}
+
+impl LapsingTable {
+    fn apply(&mut self, changes: Vec<StoreChange>, regained_at: Option<BootTime>) {
+        let now = boot_clock::now();
+        let held_until = regained_at.map(|at| at + LAPSE_GRACE).filter(|until| now < *until);
+        for change in changes {
+            match change {
+                StoreChange::Present(object) => self.insert(&object),
+                StoreChange::Gone(key) => self.remove(&key, held_until),
+            }
+        }
+    }
+
+    fn insert(&mut self, object: &StoredObject) {
+        let name = object_name(&object.key);
+        self.lapsing.remove(name);
+        match read_target(name, &object.value) {
+            Ok(record) => {
+                log::info!(target = name, service = record.service, revision = object.version; "target {:?}", record.life);
+                self.targets.insert(name.to_owned(), record);
+            }
+            Err(error) => {
+                log::info!(target = name, revision = object.version; "entry names no target: {error}");
+                self.targets.remove(name);
+            }
+        }
+    }
+
+    fn remove(&mut self, key: &str, held_until: Option<BootTime>) {
+        let name = object_name(key);
+        match held_until {
+            Some(until) if self.targets.contains_key(name) => {
+                log::info!(target = name; "entry lapsed around an outage of the store; held for now");
+                self.lapsing.insert(name.to_owned(), until);
+            }
+            _ => {
+                log::info!(target = name; "target gone");
+                self.targets.remove(name);
+            }
+        }
+    }
+
+    fn next_lapse(&self) -> Option<BootTime> {
+        self.lapsing.values().min().copied()
+    }
+
+    fn drop_lapsed(&mut self, now: BootTime) {
+        let lapsed = self.lapsing.extract_if(.., |_, until| *until <= now);
+        for (name, _) in lapsed {
+            log::info!(target = name.as_str(); "target gone: its entry did not come back");
+            self.targets.remove(&name);
+        }
+    }
+}
+
+fn object_name(key: &str) -> &str {
+    key.split_once('/').map_or(key, |(_, name)| name)
+}
+
+/// A change of one object.
+#[derive(Debug)]
+enum StoreChange {
+    /// The object is there with this value.
+    Present(StoredObject),
+    /// The object with this key is gone.
+    Gone(String),
+}
+
+/// Follows the objects under one prefix.
+struct PrefixWatcher {
+    state: Arc<RelayState>,
+    prefix: &'static str,
+    /// Revision reached; `None` before a list.
+    revision: Option<u64>,
+    /// Versions of the objects known to be there.
+    known: BTreeMap<String, u64>,
+    failed_at: Option<BootTime>,
+    regained_at: Option<BootTime>,
+    is_settling: bool,
+}
+
+impl PrefixWatcher {
+    fn new(state: Arc<RelayState>, prefix: &'static str) -> Self {
+        Self {
+            state,
+            prefix,
+            revision: None,
+            known: BTreeMap::new(),
+            failed_at: None,
+            regained_at: None,
+            is_settling: false,
+        }
+    }
+
+    /// When the store last answered again after a failure.
+    fn regained_at(&self) -> Option<BootTime> {
+        self.regained_at
+    }
+
+    /// Waits for changes; may return none.
+    async fn next_changes(&mut self) -> Vec<StoreChange> {
+        if std::mem::take(&mut self.is_settling) {
+            tokio::time::sleep(COALESCE_PAUSE).await;
+        }
+        let result = match self.revision {
+            None => self.state.store.list(self.prefix).await.map(|list| self.apply_list(list)),
+            Some(revision) => {
+                let events = self.state.store.watch(self.prefix, revision, WATCH_WAIT).await;
+                events.map(|events| self.apply_events(events))
+            }
+        };
+        match result {
+            Ok(changes) => {
+                self.note_success();
+                self.is_settling = !changes.is_empty();
+                changes
+            }
+            Err(error) => {
+                self.note_failure(&error).await;
+                Vec::new()
+            }
+        }
+    }
+
+    fn apply_list(&mut self, list: ObjectList) -> Vec<StoreChange> {
+        self.revision = Some(list.revision);
+        let listed: BTreeMap<String, u64> =
+            list.items.iter().map(|item| (item.key.clone(), item.version)).collect();
+        let gone = self.known.keys().filter(|key| !listed.contains_key(*key));
+        let mut changes: Vec<StoreChange> = gone.cloned().map(StoreChange::Gone).collect();
+        let is_changed = |item: &StoredObject| self.known.get(&item.key) != Some(&item.version);
+        changes.extend(list.items.into_iter().filter(is_changed).map(StoreChange::Present));
+        self.known = listed;
+        changes
+    }
+
+    fn apply_events(&mut self, list: EventList) -> Vec<StoreChange> {
+        self.revision = Some(list.revision);
+        let mut changes = Vec::new();
+        for event in list.events {
+            match event.value {
+                Some(value) => {
+                    self.known.insert(event.key.clone(), event.version);
+                    changes.push(StoreChange::Present(StoredObject { key: event.key, version: event.version, value }));
+                }
+                None => {
+                    self.known.remove(&event.key);
+                    changes.push(StoreChange::Gone(event.key));
+                }
+            }
+        }
+        changes
+    }
+
+    fn note_success(&mut self) {
+        if self.failed_at.take().is_some() {
+            log::info!(prefix = self.prefix; "store regained");
+            self.regained_at = Some(boot_clock::now());
+        }
+    }
+
+    async fn note_failure(&mut self, error: &PlatformError) {
+        if *error == PlatformError::WatchTooOld {
+            log::info!(prefix = self.prefix; "the store no longer has the history; listing again");
+            self.revision = None;
+            return;
+        }
+        if self.failed_at.replace(boot_clock::now()).is_none() {
+            log::warn!(prefix = self.prefix; "store lost: {error}");
+        }
+        tokio::time::sleep(RETRY_PAUSE).await;
+    }
+}
+
+/// Keeps this entry VM registered, and the list of all entry VMs up to date.
+pub async fn follow_entry_vms(state: Arc<RelayState>) {
+    let mut is_listed_once = false;
+    loop {
+        let list = if is_listed_once {
+            state.store.list_stale(ENTRY_VM_PREFIX).await
+        } else {
+            state.store.list(ENTRY_VM_PREFIX).await
+        };
+        match list {
+            Ok(list) => {
+                let is_registered = adopt_entry_vms(&state, &list);
+                if state.life.phase() != LifePhase::Serving {
+                    return;
+                }
+                if !is_registered {
+                    register(&state, &list).await;
+                }
+                is_listed_once = true;
+                tokio::time::sleep(ENTRY_VM_INTERVAL).await;
+            }
+            Err(error) => {
+                log::debug!("cannot list entry VMs: {error}");
+                tokio::time::sleep(RETRY_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Returns whether this process run is registered.
+fn adopt_entry_vms(state: &RelayState, list: &ObjectList) -> bool {
+    let mut vms = EntryVmMap::new();
+    for item in &list.items {
+        match read_entry_vm(object_name(&item.key), &item.value) {
+            Ok(record) => drop(vms.insert(record.name.clone(), record)),
+            Err(error) => log::warn!("entry VM object '{}' cannot be read: {error}", item.key),
+        }
+    }
+    let own = state.own_record();
+    let is_registered = vms.get(&own.name) == Some(&own);
+    if state.life.phase() == LifePhase::Serving {
+        vms.insert(own.name.clone(), own);
+    }
+    if **state.entry_vms.load() != vms {
+        log::info!(count = vms.len(); "entry VMs: {}", vms.keys().cloned().collect::<Vec<_>>().join(" "));
+        state.silent().retain(|name| vms.contains_key(name));
+        state.entry_vms.store(Arc::new(vms));
+    }
+    is_registered
+}
+
+async fn register(state: &RelayState, list: &ObjectList) {
+    let own = state.own_record();
+    let key = format!("{ENTRY_VM_PREFIX}{}", own.name);
+    let present = list.items.iter().find(|item| item.key == key).map_or(0, |item| item.version);
+    let mut expected = present;
+    for _ in 0..REGISTER_TRIES {
+        match state.store.put(&key, expected, &write_entry_vm(&own)).await {
+            Ok(version) => {
+                log::info!(version; "registered as {}", own.name);
+                return;
+            }
+            Err(PlatformError::Conflict { current }) => expected = current,
+            Err(error) => {
+                log::warn!("cannot register: {error}");
+                return;
+            }
+        }
+    }
+}
+
+/// Attempts to register against another writer of the same object.
+const REGISTER_TRIES: usize = 3;
+
+/// Removes this entry VM's registration, so that lookups no longer name it.
+pub async fn deregister(state: &RelayState) {
+    let key = format!("{ENTRY_VM_PREFIX}{}", state.settings.entry.name);
+    let found = match state.store.get(&key).await {
+        Ok(Some(object)) => object,
+        Ok(None) => return,
+        Err(error) => {
+            log::warn!("cannot read the own registration: {error}");
+            return;
+        }
+    };
+    let is_own = read_entry_vm(&state.settings.entry.name, &found.value).is_ok_and(|record| record == state.own_record());
+    if is_own && let Err(error) = state.store.delete(&key, found.version).await {
+        log::warn!("cannot deregister: {error}");
+    }
+}
