--- a/crates/config/src/relay.rs
+++ b/crates/config/src/relay.rs
@@ -40,8 +40,10 @@
 /// How work is spread.
 #[derive(Debug, Clone)]
 pub struct RelayRouting {
-    /// Entry VMs of a failure domain that are named for one host.
-    pub homes_per_domain: usize,
+    /// Entry VMs that serve one host at least.
+    pub homes_per_host: usize,
+    /// Slots of the targets behind a host for which it gets one more.
+    pub slots_per_home: usize,
     /// Part of a target's slots that is filled, 0 to 1.
     pub slot_fill: f64,
 }
@@ -125,11 +127,15 @@
 
 fn read_routing(section: SectionReader<'_>) -> RelayRouting {
     let settings = RelayRouting {
-        homes_per_domain: section.parsed_or("homes-per-domain", "a whole number", 2),
+        homes_per_host: section.parsed_or("homes-per-host", "a whole number", 2),
+        slots_per_home: section.parsed_or("slots-per-home", "a whole number", 60),
         slot_fill: section.percent_or("slot-fill-percent", 1.0),
     };
-    if settings.homes_per_domain == 0 {
-        section.report("homes-per-domain", "must be at least 1");
+    if settings.homes_per_host == 0 {
+        section.report("homes-per-host", "must be at least 1");
+    }
+    if settings.slots_per_home == 0 {
+        section.report("slots-per-home", "must be at least 1");
     }
     if !(0.1..=1.0).contains(&settings.slot_fill) {
         section.report("slot-fill-percent", "must be 10 to 100");
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -7,7 +7,7 @@
 
 use crate::document::{MeasuringPolicy, RankPolicy, RetryPolicy, ServiceDocument};
 use crate::ids::{RankId, ServiceName};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
@@ -180,6 +180,12 @@
         routes.iter().find(|route| path.starts_with(&route.spec.prefix))
     }
 
+    /// Services to which routes of a host lead.
+    pub fn services_of(&self, host: &str) -> HashSet<&ServiceName> {
+        let routes = self.hosts.get(host).into_iter().flatten();
+        routes.flat_map(|route| &route.parts).map(|part| &part.choice.service).collect()
+    }
+
     /// Documents of the services that routes lead to.
     pub fn documents(&self) -> &[ServiceDocument] {
         &self.documents
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -28,6 +28,8 @@
 
 /// When a caller may come back while nothing is known of a service.
 const RETRY_AFTER: Duration = Duration::from_millis(200);
+/// When a caller may come back after targets refused: the next one may well take the request.
+const REFUSED_RETRY_AFTER: Duration = Duration::from_millis(20);
 
 /// Answers one request.
 pub async fn answer_request(state: Arc<RelayState>, head: RequestHead, body: Bytes) -> CallerReply {
@@ -217,7 +219,7 @@
         self.may_have_run |= !failure.proves_not_run();
         self.last_failure = Some(reason);
         let is_final = slot.fail(failure) == FailureVerdict::Final;
-        is_final.then(|| Err(self.refusal(reason, RETRY_AFTER)))
+        is_final.then(|| Err(self.refusal(reason, REFUSED_RETRY_AFTER)))
     }
 
     fn on_answer(
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -226,24 +226,39 @@
         }
     }
 
-    /// Entry VMs for callers of a host: homes in the caller's failure domain, or in all domains
-    /// when that has none.
+    /// Entry VMs for callers of a host. Few homes see most of a target's reports and keep few
+    /// queues; their number grows with the slots behind the host. Among enough homes, callers are
+    /// sent to those of their own failure domain.
     pub fn homes_for(&self, host: &str, domain: Option<&str>) -> Vec<SocketAddr> {
         let vms = self.entry_vms.load();
         let silent = self.silent();
-        let is_usable = |record: &&EntryVmRecord| !silent.contains(&record.name);
-        let usable: Vec<&EntryVmRecord> = vms.values().filter(is_usable).collect();
-        let near: Vec<&EntryVmRecord> =
-            usable.iter().copied().filter(|record| Some(record.domain.as_str()) == domain).collect();
-        let pool = if near.is_empty() { &usable } else { &near };
-        let candidates: Vec<HomeCandidate> = pool.iter().map(|record| home_candidate(record)).collect();
-        let homes = choose_homes(host, &candidates, self.settings.routing.homes_per_domain);
+        let usable = vms.values().filter(|record| !silent.contains(&record.name));
         let addresses: HashMap<u64, SocketAddr> =
-            pool.iter().map(|record| (home_candidate(record).incarnation, record.caller_address)).collect();
-        homes.iter().filter_map(|home| addresses.get(&home.incarnation).copied()).collect()
+            usable.clone().map(|record| (home_candidate(record).incarnation, record.caller_address)).collect();
+        let candidates: Vec<HomeCandidate> = usable.map(home_candidate).collect();
+        let mut homes = choose_homes(host, &candidates, self.home_count(host));
+        let near: Vec<HomeCandidate> =
+            homes.iter().filter(|home| Some(home.domain.as_str()) == domain).cloned().collect();
+        if near.len() >= self.settings.routing.homes_per_host {
+            homes = near;
+        }
+        let named = homes.iter().take(MAX_NAMED_HOMES);
+        named.filter_map(|home| addresses.get(&home.incarnation).copied()).collect()
+    }
+
+    fn home_count(&self, host: &str) -> usize {
+        let routing = &self.settings.routing;
+        let Some(routes) = self.routes.load_full() else { return routing.homes_per_host };
+        let services = routes.table.services_of(host);
+        let targets = self.targets.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        let behind = targets.values().filter(|target| services.contains(&target.service));
+        let slots: u32 = behind.map(|target| target.slots).sum();
+        (slots as usize).div_ceil(routing.slots_per_home).max(routing.homes_per_host)
     }
 }
 
+/// Entry VMs that one lookup answer names at most.
+const MAX_NAMED_HOMES: usize = 16;
 /// Entry VMs that are reckoned with before they have registered.
 const MIN_ENTRY_VMS: usize = 12;
 /// Time between two periodic passes of the dispatchers.
