--- a/crates/platform/src/pace.rs
+++ b/crates/platform/src/pace.rs
@@ -43,6 +43,12 @@
         }
     }
 
+    /// Allows the calls of one second at once, as a process needs them that starts.
+    pub fn with_full_start(mut self) -> Self {
+        self.saved = self.rate;
+        self
+    }
+
     /// Shortens the largest upper bound of the pause after failures.
     pub fn with_max_pause(mut self, max_pause: Duration) -> Self {
         self.max_pause = max_pause;
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -232,7 +232,11 @@
     pub fn homes_for(&self, host: &str, domain: Option<&str>) -> Vec<SocketAddr> {
         let vms = self.entry_vms.load();
         let silent = self.silent();
-        let usable = vms.values().filter(|record| !silent.contains(&record.name));
+        let is_serving = self.life.phase() == LifePhase::Serving;
+        let is_usable = |record: &&EntryVmRecord| {
+            !silent.contains(&record.name) && (is_serving || record.name != self.settings.entry.name)
+        };
+        let usable = vms.values().filter(is_usable);
         let addresses: HashMap<u64, SocketAddr> =
             usable.clone().map(|record| (home_candidate(record).incarnation, record.caller_address)).collect();
         let candidates: Vec<HomeCandidate> = usable.map(home_candidate).collect();
--- a/crates/relay/src/sync.rs
+++ b/crates/relay/src/sync.rs
@@ -26,8 +26,6 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(120);
 /// Time after the store's return in which entries that lapsed meanwhile may come back.
 const LAPSE_GRACE: Duration = Duration::from_secs(2);
-/// Time between two lists of entry VMs.
-const ENTRY_VM_INTERVAL: Duration = Duration::from_secs(2);
 
 /// Watches the configuration.
 pub async fn watch_config(state: Arc<RelayState>) {
@@ -260,64 +258,55 @@
 
 /// Keeps this entry VM registered, and the list of all entry VMs up to date.
 pub async fn follow_entry_vms(state: Arc<RelayState>) {
-    let mut is_listed_once = false;
+    let mut watcher = PrefixWatcher::new(state.clone(), ENTRY_VM_PREFIX);
+    let mut vms = EntryVmMap::new();
     loop {
-        let list = if is_listed_once {
-            state.store.list_stale(ENTRY_VM_PREFIX).await
-        } else {
-            state.store.list(ENTRY_VM_PREFIX).await
-        };
-        match list {
-            Ok(list) => {
-                let is_registered = adopt_entry_vms(&state, &list);
-                if state.life.phase() != LifePhase::Serving {
-                    return;
-                }
-                if !is_registered {
-                    register(&state, &list).await;
-                }
-                is_listed_once = true;
-                tokio::time::sleep(ENTRY_VM_INTERVAL).await;
-            }
-            Err(error) => {
-                log::debug!("cannot list entry VMs: {error}");
-                tokio::time::sleep(RETRY_PAUSE).await;
-            }
+        let changes = watcher.next_changes().await;
+        for change in changes {
+            apply_entry_vm(&mut vms, change);
         }
+        if state.life.phase() != LifePhase::Serving {
+            vms.remove(&state.settings.entry.name);
+        } else if watcher.revision.is_some() && vms.get(&state.settings.entry.name) != Some(&state.own_record()) {
+            register(&state, &mut watcher, &mut vms).await;
+        }
+        adopt_entry_vms(&state, &vms);
     }
 }
 
-/// Returns whether this process run is registered.
-fn adopt_entry_vms(state: &RelayState, list: &ObjectList) -> bool {
-    let mut vms = EntryVmMap::new();
-    for item in &list.items {
-        match read_entry_vm(object_name(&item.key), &item.value) {
-            Ok(record) => drop(vms.insert(record.name.clone(), record)),
-            Err(error) => log::warn!("entry VM object '{}' cannot be read: {error}", item.key),
+fn apply_entry_vm(vms: &mut EntryVmMap, change: StoreChange) {
+    match change {
+        StoreChange::Present(object) => {
+            let name = object_name(&object.key);
+            match read_entry_vm(name, &object.value) {
+                Ok(record) => drop(vms.insert(name.to_owned(), record)),
+                Err(error) => log::warn!("entry VM object '{}' cannot be read: {error}", object.key),
+            }
         }
+        StoreChange::Gone(key) => drop(vms.remove(object_name(&key))),
     }
-    let own = state.own_record();
-    let is_registered = vms.get(&own.name) == Some(&own);
-    if state.life.phase() == LifePhase::Serving {
-        vms.insert(own.name.clone(), own);
-    }
-    if **state.entry_vms.load() != vms {
+}
+
+fn adopt_entry_vms(state: &RelayState, vms: &EntryVmMap) {
+    if **state.entry_vms.load() != *vms {
         log::info!(count = vms.len(); "entry VMs: {}", vms.keys().cloned().collect::<Vec<_>>().join(" "));
         state.silent().retain(|name| vms.contains_key(name));
-        state.entry_vms.store(Arc::new(vms));
+        state.entry_vms.store(Arc::new(vms.clone()));
     }
-    is_registered
 }
 
-async fn register(state: &RelayState, list: &ObjectList) {
+/// Registers this entry VM over whatever stands under its name: a process that started here
+/// replaces the earlier one.
+async fn register(state: &RelayState, watcher: &mut PrefixWatcher, vms: &mut EntryVmMap) {
     let own = state.own_record();
     let key = format!("{ENTRY_VM_PREFIX}{}", own.name);
-    let present = list.items.iter().find(|item| item.key == key).map_or(0, |item| item.version);
-    let mut expected = present;
+    let mut expected = watcher.known.get(&key).copied().unwrap_or(0);
     for _ in 0..REGISTER_TRIES {
         match state.store.put(&key, expected, &write_entry_vm(&own)).await {
             Ok(version) => {
                 log::info!(version; "registered as {}", own.name);
+                watcher.known.insert(key, version);
+                vms.insert(own.name.clone(), own);
                 return;
             }
             Err(PlatformError::Conflict { current }) => expected = current,
