--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -194,6 +194,8 @@
     flights: HashMap<RequestId, FlightState>,
     borrow_plan: BorrowPlan,
     turn: usize,
+    /// When the last request came.
+    worked_at: Option<Instant>,
     rng: SmallRng,
 }
 
@@ -216,6 +218,7 @@
             flights: HashMap::new(),
             borrow_plan: BorrowPlan::default(),
             turn: 0,
+            worked_at: None,
             rng,
             document,
             settings,
--- a/crates/core/src/dispatch/admit.rs
+++ b/crates/core/src/dispatch/admit.rs
@@ -24,6 +24,7 @@
             actions.push(DispatchAction::Refuse { request: request.request, reason, retry_after });
             return;
         }
+        self.worked_at = Some(now);
         self.retry_budget.record_first();
         self.hedge_budget.record_first();
         self.enqueue(&request, now);
--- a/crates/core/src/dispatch/shared.rs
+++ b/crates/core/src/dispatch/shared.rs
@@ -8,7 +8,8 @@
 use super::{DispatchAction, ServiceDispatcher};
 use crate::ids::{RankId, RequestId, TargetKey};
 use crate::queue::QueuedRequest;
-use crate::target::{SharedTarget, TargetState};
+use crate::target::{SharedReport, SharedTarget, TargetState};
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 /// Expected time added for a target of another failure domain, relative to a request's usual time.
@@ -19,6 +20,9 @@
 /// Expected time added for each part of a target's slots that is in use.
 const OCCUPANCY_WEIGHT: f64 = 0.5;
 
+/// Time after the last request for which a service's targets are asked for reports.
+const REPORT_INTEREST: Duration = Duration::from_millis(300);
+
 impl ServiceDispatcher {
     /// Replaces the targets by shared ones and starts what can be started.
     pub fn replace_shared_targets(
@@ -37,9 +41,27 @@
         self.hedge_budget.set_reserve(attempts);
     }
 
-    /// Takes in a target's report of speed: the time that work takes relative to usual.
-    pub fn record_pace(&mut self, target: TargetKey, pace: f64, now: Instant) {
-        self.targets.record_pace(target, pace, now);
+    /// Takes in a target's report, which came with an answer or after a question for it, and starts
+    /// what can be started.
+    pub fn record_report(
+        &mut self,
+        target: TargetKey,
+        report: SharedReport,
+        now: Instant,
+        actions: &mut Vec<DispatchAction>,
+    ) {
+        self.targets.record_report(target, report, now);
+        self.bind_waiting(now, actions);
+    }
+
+    /// Targets to ask for a report: those whose last one is older than `age`, while there is work.
+    pub fn ask_for_reports(&mut self, age: Duration, now: Instant) -> Vec<(TargetKey, SocketAddr)> {
+        let is_busy = self.worked_at.is_some_and(|at| now.saturating_duration_since(at) < REPORT_INTEREST);
+        if !is_busy {
+            return Vec::new();
+        }
+        let asked = self.targets.ask_for_reports(age, now).into_iter();
+        asked.filter_map(|key| self.targets.get(key).map(|target| (key, target.address))).collect()
     }
 
     /// Takes in the size of an answer body, in bytes.
--- a/crates/core/src/target.rs
+++ b/crates/core/src/target.rs
@@ -13,10 +13,12 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-pub use state::{LoadReport, SharedTarget, SlotLoan, TargetLife, TargetSpec, TargetState};
+pub use state::{LoadReport, SharedReport, SharedTarget, SlotLoan, TargetLife, TargetSpec, TargetState};
 
 /// Age beyond which a load report says nothing any more.
 const REPORT_LIFETIME: Duration = Duration::from_millis(100);
+/// The same for targets with shared slots, which are asked for a report when none comes.
+const SHARED_REPORT_LIFETIME: Duration = Duration::from_millis(300);
 /// Successive failures after which a target is ejected.
 const EJECT_FAILURES: u32 = 3;
 /// First ejection time; doubles with each further ejection.
@@ -121,11 +123,25 @@
         }
     }
 
-    /// Takes in a report of speed: the time that work takes relative to usual.
-    pub fn record_pace(&mut self, key: TargetKey, pace: f64, now: Instant) {
+    /// Takes in a report of a target with shared slots. What is not this entry VM's own is taken
+    /// for the others' until the next report, or until it is too old to say anything.
+    pub fn record_report(&mut self, key: TargetKey, report: SharedReport, now: Instant) {
         let Some(target) = self.targets.get_mut(key) else { return };
-        target.pace = Some((pace, now));
-        self.average_pace += AVERAGE_PACE_WEIGHT * (pace - self.average_pace);
+        target.pace = Some((report.pace, now));
+        target.foreign = report.occupied.saturating_sub(report.own);
+        target.foreign_at = Some(now);
+        self.average_pace += AVERAGE_PACE_WEIGHT * (report.pace - self.average_pace);
+        self.refresh(key);
+    }
+
+    /// Targets whose last report is older than `age`; they count as asked for one now.
+    pub fn ask_for_reports(&mut self, age: Duration, now: Instant) -> Vec<TargetKey> {
+        let stale = self.targets.iter_mut().filter(|(_, target)| target.needs_report(age, now));
+        let asked = stale.map(|(key, target)| {
+            target.probed_at = Some(now);
+            key
+        });
+        asked.collect()
     }
 
     /// Mean of the reported speeds, 1 being usual.
@@ -144,6 +160,7 @@
             instance: InstanceName::new(),
             pace: None,
             warm_until: None,
+            probed_at: None,
             owned_slots: spec.owned_slots,
             ramp_limit,
             is_on_trial: false,
@@ -377,7 +394,8 @@
 
     fn tick_target(&mut self, key: TargetKey, now: Instant) {
         let target = &mut self.targets[key];
-        if target.foreign_at.is_some_and(|at| now.saturating_duration_since(at) > REPORT_LIFETIME) {
+        let lifetime = if target.instance.is_empty() { REPORT_LIFETIME } else { SHARED_REPORT_LIFETIME };
+        if target.foreign_at.is_some_and(|at| now.saturating_duration_since(at) > lifetime) {
             target.foreign = 0;
             target.foreign_at = None;
         }
--- a/crates/core/src/target/state.rs
+++ b/crates/core/src/target/state.rs
@@ -52,6 +52,17 @@
     pub queued: u32,
 }
 
+/// Load and speed that a target with shared slots reports.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct SharedReport {
+    /// Requests being served or waiting at the target.
+    pub occupied: u32,
+    /// Requests of this entry VM that may be among them.
+    pub own: u32,
+    /// Time that work takes relative to usual.
+    pub pace: f64,
+}
+
 /// A loan of one slot, given or taken.
 #[derive(Debug, Clone, Copy)]
 pub struct SlotLoan {
@@ -77,6 +88,8 @@
     /// Time that work takes relative to the target's usual speed, as it last reported, and when.
     pub(super) pace: Option<(f64, Instant)>,
     pub(super) warm_until: Option<Instant>,
+    /// When it was last asked for a report.
+    pub(super) probed_at: Option<Instant>,
     pub(super) owned_slots: u32,
     pub(super) ramp_limit: f64,
     pub(super) is_on_trial: bool,
@@ -149,6 +162,13 @@
         f64::from(self.in_flight + self.foreign) / f64::from(granted.max(1))
     }
 
+    /// Whether the last report, or the last question for one, is older than `age`.
+    pub fn needs_report(&self, age: Duration, now: Instant) -> bool {
+        let is_old = |at: Instant| now.saturating_duration_since(at) >= age;
+        let is_stale = self.pace.is_none_or(|(_, reported)| is_old(reported));
+        is_stale && self.probed_at.is_none_or(is_old) && self.is_usable()
+    }
+
     /// Age of the last report of speed.
     pub fn pace_age(&self, now: Instant) -> Option<Duration> {
         self.pace.map(|(_, reported)| now.saturating_duration_since(reported))
--- a/crates/node/src/gate.rs
+++ b/crates/node/src/gate.rs
@@ -12,7 +12,7 @@
 use sniperelay_core::document::ServiceDocument;
 use sniperelay_core::ids::{IncarnationId, InstanceName, RankId, RequestId, ServiceName, TargetKey};
 use sniperelay_core::reason::{RefusalReason, RetryReason};
-use sniperelay_core::target::{LoadReport, TargetSpec};
+use sniperelay_core::target::{LoadReport, SharedReport, TargetSpec};
 use sniperelay_wire::PeerMessage;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -251,9 +251,15 @@
         self.gate.read(|dispatcher| dispatcher.targets().get(self.target).map(|target| target.instance.clone()))
     }
 
-    /// Takes in the target's report of speed: the time that work takes relative to usual.
-    pub fn record_pace(&self, pace: f64) {
-        self.gate.run(|dispatcher, now, _| dispatcher.record_pace(self.target, pace, now));
+    /// Takes in the report that came with the target's answer; `occupied` requests were being
+    /// served or waiting there.
+    pub fn record_report(&self, occupied: u32, pace: f64) {
+        self.gate.run(|dispatcher, now, actions| {
+            let own = dispatcher.targets().get(self.target).map_or(0, |target| target.in_flight);
+            // The answered request is still counted here and no longer there.
+            let report = SharedReport { occupied, own: own.saturating_sub(1), pace };
+            dispatcher.record_report(self.target, report, now, actions);
+        });
     }
 
     /// Takes in the size of the answer body, in bytes.
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -16,7 +16,6 @@
 use sniperelay_core::ids::{RankId, TargetKey};
 use sniperelay_core::reason::RefusalReason;
 use sniperelay_core::route::RouteSpec;
-use sniperelay_core::target::LoadReport;
 use sniperelay_hosted::headers::{self as wire, TargetReport};
 use sniperelay_node::boot_clock;
 use sniperelay_node::gate::{AttemptSlot, GatePass, GateSignal, ServiceEntry};
@@ -238,8 +237,7 @@
             return self.on_failure(AttemptFailure::ServerError, slot);
         }
         slot.record_size(answer.body.len());
-        let load = report.map(|report| LoadReport { busy: report.busy, queued: report.queued });
-        if slot.record_answer(load, false) == AnswerVerdict::Discard {
+        if slot.record_answer(None, false) == AnswerVerdict::Discard {
             return None;
         }
         self.spare_answer = None;
@@ -285,7 +283,7 @@
 
 fn record_report(slot: &AttemptSlot, report: Option<TargetReport>) {
     if let Some(report) = report {
-        slot.record_pace(report.pace);
+        slot.record_report(report.busy + report.queued, report.pace);
     }
 }
 
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -16,6 +16,7 @@
 //! | [`reply`] | answers as bytes |
 //! | [`exchange`] | one request from its route to its answer |
 //! | [`attempt`] | one attempt at one target |
+//! | [`probe`] | questions for targets' reports |
 //! | [`side`] | lookups, readiness checks and metrics |
 
 pub mod attempt;
@@ -24,6 +25,7 @@
 pub mod head;
 pub mod listen;
 pub mod neighbour;
+pub mod probe;
 pub mod reply;
 pub mod run;
 pub mod side;
--- /dev/null
+++ b/crates/relay/src/probe.rs
@@ -0,0 +1,76 @@
+//! Questions for targets' reports.
+//!
+//! Targets change their speed several times a second and say so in every answer. A target that has
+//! given no answer for a while is asked at its health endpoint, which answers at once, as long as
+//! its service has work here. Whether it says that it is well is not relied on: it may be wrong
+//! either way.
+
+use crate::state::RelayState;
+use bytes::Bytes;
+use http::{Request, header};
+use http_body_util::{BodyExt, Limited};
+use sniperelay_core::ids::TargetKey;
+use sniperelay_core::target::SharedReport;
+use sniperelay_hosted::headers::{TargetReport, read_instance, read_report};
+use sniperelay_node::gate::ServiceEntry;
+use sniperelay_node::traffic::body::full_body;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+/// Age of a target's last report from which it is asked for another one.
+const REPORT_AGE: Duration = Duration::from_millis(100);
+/// Time between two looks at the ages.
+const ASK_INTERVAL: Duration = Duration::from_millis(25);
+/// Time within which a target must answer; a later report says nothing.
+const ASK_TIMEOUT: Duration = Duration::from_millis(100);
+/// Body of a health answer at most, in bytes.
+const MAX_ANSWER_BYTES: usize = 4096;
+
+/// Asks targets for reports until the process ends.
+pub async fn ask_targets(state: Arc<RelayState>) {
+    loop {
+        tokio::time::sleep(ASK_INTERVAL).await;
+        for entry in state.services.load().values() {
+            let asked = entry.gate.run(|dispatcher, now, _| dispatcher.ask_for_reports(REPORT_AGE, now));
+            for (target, address) in asked {
+                tokio::spawn(ask_target(state.clone(), entry.clone(), target, address));
+            }
+        }
+    }
+}
+
+async fn ask_target(state: Arc<RelayState>, entry: Arc<ServiceEntry>, target: TargetKey, address: SocketAddr) {
+    state.metrics.process().probe_calls.fetch_add(1, Ordering::Relaxed);
+    let answer = tokio::time::timeout(ASK_TIMEOUT, read_health(&state, &entry, target, address)).await;
+    let Ok(Some(report)) = answer else {
+        log::debug!("target {address} gave no report");
+        return;
+    };
+    entry.gate.run(|dispatcher, now, actions| {
+        let own = dispatcher.targets().get(target).map_or(0, |target| target.in_flight);
+        let report = SharedReport { occupied: report.busy + report.queued, own, pace: report.pace };
+        dispatcher.record_report(target, report, now, actions);
+    });
+}
+
+async fn read_health(
+    state: &RelayState,
+    entry: &ServiceEntry,
+    target: TargetKey,
+    address: SocketAddr,
+) -> Option<TargetReport> {
+    let mut connection = state.pool.take(address).await.ok()?;
+    let request = Request::get(entry.document.measuring.path.as_str())
+        .header(header::HOST, address.to_string())
+        .body(full_body(Bytes::new()))
+        .ok()?;
+    let response = connection.sender()?.send_request(request).await.ok()?;
+    let report = read_report(response.headers());
+    let instance = read_instance(response.headers()).map(str::to_owned);
+    Limited::new(response.into_body(), MAX_ANSWER_BYTES).collect().await.ok()?;
+    connection.give_back();
+    let expected = entry.gate.read(|dispatcher| dispatcher.targets().get(target).map(|target| target.instance.clone()));
+    report.filter(|_| instance.is_some() && instance == expected)
+}
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -6,6 +6,7 @@
 
 use crate::listen::serve_callers;
 use crate::neighbour::check_neighbours;
+use crate::probe::ask_targets;
 use crate::side::serve_side;
 use crate::state::{RelayState, UPKEEP_INTERVAL};
 use crate::sync::{deregister, follow_entry_vms, watch_config, watch_targets};
@@ -78,6 +79,7 @@
     tokio::spawn(watch_targets(state.clone()));
     tokio::spawn(follow_entry_vms(state.clone()));
     tokio::spawn(check_neighbours(state.clone()));
+    tokio::spawn(ask_targets(state.clone()));
     tokio::spawn(keep_up(state.clone()));
     tokio::spawn(close_unused(state.clone()));
     Ok(close)
