--- a/crates/config/src/relay.rs
+++ b/crates/config/src/relay.rs
@@ -44,7 +44,7 @@
     pub homes_per_host: usize,
     /// Slots of the targets behind a host for which it gets one more.
     pub slots_per_home: usize,
-    /// Part of a target's slots that is filled, 0 to 1.
+    /// Part of a target's slots that is filled, 0 to 1: some slow down when nearly full.
     pub slot_fill: f64,
 }
 
@@ -129,7 +129,7 @@
     let settings = RelayRouting {
         homes_per_host: section.parsed_or("homes-per-host", "a whole number", 2),
         slots_per_home: section.parsed_or("slots-per-home", "a whole number", 60),
-        slot_fill: section.percent_or("slot-fill-percent", 1.0),
+        slot_fill: section.percent_or("slot-fill-percent", 0.9),
     };
     if settings.homes_per_host == 0 {
         section.report("homes-per-host", "must be at least 1");
--- a/crates/core/src/budget.rs
+++ b/crates/core/src/budget.rs
@@ -28,6 +28,11 @@
         self.saved = (self.saved + self.share).min(self.max_saved.max(self.share));
     }
 
+    /// Takes one extra attempt if at least half of what may be saved up stays.
+    pub fn try_take_spare(&mut self) -> bool {
+        self.saved >= 1.0 + self.max_saved / 2.0 && self.try_take()
+    }
+
     /// Takes one extra attempt if the budget allows it.
     pub fn try_take(&mut self) -> bool {
         let is_allowed = self.saved >= 1.0;
--- a/crates/core/src/dispatch/upkeep.rs
+++ b/crates/core/src/dispatch/upkeep.rs
@@ -2,6 +2,7 @@
 
 use super::{DispatchAction, FlightState, ServiceDispatcher};
 use crate::ids::{RequestId, TargetKey};
+use crate::pick::PickPolicy;
 use crate::reason::RetryReason;
 use crate::target::TargetState;
 use std::collections::HashMap;
@@ -67,7 +68,7 @@
             .collect();
         candidates.sort_unstable();
         for (_, request, target) in candidates {
-            if !self.hedge_budget.try_take() {
+            if !self.take_hedge() {
                 break;
             }
             self.queue_attempt(request, target, RetryReason::Hedge, now);
@@ -75,6 +76,15 @@
         self.bind_waiting(now, actions);
     }
 
+    /// With shared slots, retries and hedges share one allowance, and retries go first: hedges leave
+    /// half of what may be saved up.
+    fn take_hedge(&mut self) -> bool {
+        match self.settings.policy {
+            PickPolicy::SharedSlots => self.retry_budget.try_take_spare(),
+            _ => self.hedge_budget.try_take(),
+        }
+    }
+
     fn may_hedge(&self, request: RequestId, flight: &FlightState, now: Instant) -> bool {
         let is_open = !flight.is_answered && !flight.is_retried && !self.waiting.contains_key(&request);
         let Some(attempt) = flight.attempts.last().filter(|_| is_open) else { return false };
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -20,11 +20,9 @@
 const QUEUE_LIMIT: usize = 128;
 /// Part of the slots that each rank but the most urgent keeps in a flood of others.
 const KEPT_SHARE: f64 = 0.1;
-/// Part of the first attempts that may be followed by a retry. With [`HEDGE_SHARE`] it stays below
-/// the fifth that the platform allows.
-const RETRY_SHARE: f64 = 0.1;
-/// Part of the first attempts beside which a second one may run.
-const HEDGE_SHARE: f64 = 0.06;
+/// Part of the first attempts that may be followed by another one, as a retry or a hedge: just
+/// below the fifth that the platform allows.
+const ATTEMPT_SHARE: f64 = 0.18;
 /// Name of the rank of requests that can no longer be on time.
 const LATE_RANK: &str = "late";
 /// Step between the weighted parts of successive requests, as a fraction of 2^32: the golden
@@ -245,8 +243,8 @@
         ramp: Duration::ZERO,
         retry: RetryPolicy {
             max_attempts: max_attempts.unwrap_or(1),
-            retry_share: RETRY_SHARE,
-            hedge_share: HEDGE_SHARE,
+            retry_share: ATTEMPT_SHARE,
+            hedge_share: ATTEMPT_SHARE,
         },
         measuring: MeasuringPolicy { calls_per_second: 0, bytes_per_second: 0, path: service.health_path.clone() },
         ranks,
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -182,11 +182,11 @@
         self.services.store(Arc::new(services));
     }
 
-    /// Further attempts that this entry VM may save up per budget. The allowance of the platform
-    /// holds for all entry VMs together; each has a retry and a hedge budget.
+    /// Further attempts that this entry VM may save up. The allowance of the platform holds for all
+    /// entry VMs together, and is never used up whole: a window may begin with all of it saved.
     fn attempt_reserve(&self) -> f64 {
         let vms = self.entry_vms.load().len().max(MIN_ENTRY_VMS);
-        self.bounds.extra_attempts / (2.0 * vms as f64)
+        RESERVE_SHARE * self.bounds.extra_attempts / vms as f64
     }
 
     fn make_gate(&self, document: Arc<ServiceDocument>) -> Arc<ServiceGate> {
@@ -213,7 +213,7 @@
     }
 
     fn make_target(&self, record: &TargetRecord) -> SharedTarget {
-        let filled = (f64::from(record.slots) * self.settings.routing.slot_fill).floor();
+        let filled = (f64::from(record.slots) * self.settings.routing.slot_fill).round();
         SharedTarget {
             spec: TargetSpec {
                 address: record.address,
@@ -263,6 +263,8 @@
 
 /// Entry VMs that one lookup answer names at most.
 const MAX_NAMED_HOMES: usize = 16;
+/// Part of the platform's allowance of further attempts that is saved up over all entry VMs.
+const RESERVE_SHARE: f64 = 0.7;
 /// Entry VMs that are reckoned with before they have registered.
 const MIN_ENTRY_VMS: usize = 12;
 /// Time between two periodic passes of the dispatchers.
