--- a/crates/config/src/relay.rs
+++ b/crates/config/src/relay.rs
@@ -128,7 +128,7 @@
 fn read_routing(section: SectionReader<'_>) -> RelayRouting {
     let settings = RelayRouting {
         homes_per_host: section.parsed_or("homes-per-host", "a whole number", 2),
-        slots_per_home: section.parsed_or("slots-per-home", "a whole number", 60),
+        slots_per_home: section.parsed_or("slots-per-home", "a whole number", 120),
         slot_fill: section.percent_or("slot-fill-percent", 0.9),
     };
     if settings.homes_per_host == 0 {
--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -196,6 +196,8 @@
     turn: usize,
     /// When the last request came.
     worked_at: Option<Instant>,
+    /// Age from which a target is asked for a report.
+    report_age: Option<Duration>,
     rng: SmallRng,
 }
 
@@ -219,6 +221,7 @@
             borrow_plan: BorrowPlan::default(),
             turn: 0,
             worked_at: None,
+            report_age: None,
             rng,
             document,
             settings,
--- a/crates/core/src/dispatch/shared.rs
+++ b/crates/core/src/dispatch/shared.rs
@@ -54,12 +54,15 @@
         self.bind_waiting(now, actions);
     }
 
-    /// Targets to ask for a report: those whose last one is older than `age`, while there is work.
-    pub fn ask_for_reports(&mut self, age: Duration, now: Instant) -> Vec<(TargetKey, SocketAddr)> {
+    /// Sets the age from which a target's report is too old to go by; without one, none is asked for.
+    pub fn set_report_age(&mut self, age: Option<Duration>) {
+        self.report_age = age;
+    }
+
+    /// Targets to ask for a report, while there is work: those whose last one is too old.
+    pub fn ask_for_reports(&mut self, now: Instant) -> Vec<(TargetKey, SocketAddr)> {
         let is_busy = self.worked_at.is_some_and(|at| now.saturating_duration_since(at) < REPORT_INTEREST);
-        if !is_busy {
-            return Vec::new();
-        }
+        let Some(age) = self.report_age.filter(|_| is_busy) else { return Vec::new() };
         let asked = self.targets.ask_for_reports(age, now).into_iter();
         asked.filter_map(|key| self.targets.get(key).map(|target| (key, target.address))).collect()
     }
--- a/crates/core/src/home.rs
+++ b/crates/core/src/home.rs
@@ -4,7 +4,7 @@
 //! same membership agree without messages, and a change of membership moves little.
 
 use crate::ids::{DomainName, IncarnationId};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 use std::net::SocketAddr;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -83,6 +83,28 @@
     owners.insert(address, owner);
 }
 
+/// Homes that share the targets of one cell.
+pub const CELL_HOMES: usize = 2;
+
+/// The targets that one home serves. Homes stand in cells of [`CELL_HOMES`], and each target belongs
+/// to one cell, so that what a home knows, asks and connects to does not grow with the fleet.
+/// `None` when `own` is no home.
+pub fn choose_cell(
+    own: IncarnationId,
+    homes: &[HomeCandidate],
+    targets: &[(SocketAddr, DomainName)],
+) -> Option<HashSet<SocketAddr>> {
+    let mut sorted: Vec<HomeCandidate> = homes.to_vec();
+    sorted.sort_by(|left, right| (&left.domain, left.incarnation).cmp(&(&right.domain, right.incarnation)));
+    let cells: Vec<&[HomeCandidate]> = sorted.chunks(CELL_HOMES).collect();
+    let first_of = |cell: &&[HomeCandidate]| cell[0].clone();
+    let firsts: Vec<HomeCandidate> = cells.iter().map(first_of).collect();
+    let own_cell = cells.iter().find(|cell| cell.iter().any(|home| home.incarnation == own))?;
+    let owner = own_cell[0].incarnation;
+    let owners = assign_owners(&firsts, targets);
+    Some(owners.into_iter().filter(|(_, home)| *home == owner).map(|(address, _)| address).collect())
+}
+
 /// Orders homes for one caller: its own failure domain first, then by a hash that spreads callers.
 pub fn order_for_caller(
     mut homes: Vec<HomeCandidate>,
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -178,6 +178,11 @@
         routes.iter().find(|route| path.starts_with(&route.spec.prefix))
     }
 
+    /// Hosts that have routes.
+    pub fn hosts(&self) -> impl Iterator<Item = &str> {
+        self.hosts.keys().map(String::as_str)
+    }
+
     /// Services to which routes of a host lead.
     pub fn services_of(&self, host: &str) -> HashSet<&ServiceName> {
         let routes = self.hosts.get(host).into_iter().flatten();
--- a/crates/relay/src/neighbour.rs
+++ b/crates/relay/src/neighbour.rs
@@ -64,7 +64,9 @@
 
 async fn note_result(state: &RelayState, neighbour: &EntryVmRecord, failures: u32) {
     if failures == 0 {
-        if state.silent().remove(&neighbour.name) {
+        let was_silent = state.silent().remove(&neighbour.name);
+        if was_silent {
+            state.assign_targets();
             log::info!(entry_vm = neighbour.name.as_str(); "neighbour answers again");
         }
         return;
@@ -72,6 +74,7 @@
     if failures == SILENT_CHECKS {
         log::warn!(entry_vm = neighbour.name.as_str(); "neighbour is silent; lookups leave it out");
         state.silent().insert(neighbour.name.clone());
+        state.assign_targets();
     }
     if failures.is_multiple_of(GONE_CHECKS) {
         remove_registration(state, neighbour).await;
--- a/crates/relay/src/probe.rs
+++ b/crates/relay/src/probe.rs
@@ -19,8 +19,6 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-/// Age of a target's last report from which it is asked for another one.
-const REPORT_AGE: Duration = Duration::from_millis(100);
 /// Time between two looks at the ages.
 const ASK_INTERVAL: Duration = Duration::from_millis(25);
 /// Time within which a target must answer; a later report says nothing.
@@ -33,7 +31,7 @@
     loop {
         tokio::time::sleep(ASK_INTERVAL).await;
         for entry in state.services.load().values() {
-            let asked = entry.gate.run(|dispatcher, now, _| dispatcher.ask_for_reports(REPORT_AGE, now));
+            let asked = entry.gate.run(|dispatcher, now, _| dispatcher.ask_for_reports(now));
             for (target, address) in asked {
                 tokio::spawn(ask_target(state.clone(), entry.clone(), target, address));
             }
--- a/crates/relay/src/side.rs
+++ b/crates/relay/src/side.rs
@@ -72,7 +72,7 @@
         // An entry VM that knows nothing yet leaves the answer to another one.
         return plain(StatusCode::SERVICE_UNAVAILABLE, "no configuration is known yet");
     }
-    let homes = state.homes_for(&question.host, question.domain.as_deref());
+    let homes = state.homes_for(&question.host);
     if homes.is_empty() {
         return plain(StatusCode::SERVICE_UNAVAILABLE, "no entry VM is known");
     }
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -4,7 +4,7 @@
 use sniperelay_config::RelaySettings;
 use sniperelay_core::dispatch::DispatchSettings;
 use sniperelay_core::document::ServiceDocument;
-use sniperelay_core::home::{HomeCandidate, choose_homes};
+use sniperelay_core::home::{CELL_HOMES, HomeCandidate, choose_cell, choose_homes};
 use sniperelay_core::ids::{IncarnationId, InstanceName, ServiceName};
 use sniperelay_core::pick::PickPolicy;
 use sniperelay_core::route::{RouteConfig, RouteTable};
@@ -145,22 +145,43 @@
         let table = RouteTable::build(&config, rand::random());
         self.replace_services(table.documents());
         self.routes.store(Some(Arc::new(RoutesInForce { config, table })));
+        self.assign_targets();
         true
     }
 
     /// Puts a list of targets in force.
-    pub fn adopt_targets(self: &Arc<Self>, targets: TargetMap) {
-        let targets = Arc::new(targets);
-        *self.targets.lock().unwrap_or_else(PoisonError::into_inner) = targets.clone();
+    pub fn adopt_targets(&self, targets: TargetMap) {
+        *self.targets.lock().unwrap_or_else(PoisonError::into_inner) = Arc::new(targets);
         self.has_targets.store(true, Ordering::Relaxed);
+        self.assign_targets();
+    }
+
+    /// Puts a list of entry VMs in force.
+    pub fn adopt_entry_vms(&self, vms: EntryVmMap) {
+        self.silent().retain(|name| vms.contains_key(name));
+        self.entry_vms.store(Arc::new(vms));
+        self.assign_targets();
+    }
+
+    /// Hands each service the targets that this entry VM serves; to be called after any change of
+    /// targets, entry VMs or routes.
+    pub fn assign_targets(&self) {
+        let targets = self.targets();
+        let cells = self.own_cells(&targets);
         for (service, entry) in self.services.load().iter() {
-            self.push_targets(service, &entry.gate, &targets);
+            let cell = cells.get(service);
+            let age = cell.map(|cell| self.report_age(cell.host_count));
+            entry.gate.run(|dispatcher, _, _| dispatcher.set_report_age(age));
+            self.push_targets(service, &entry.gate, &targets, cell.map(|cell| &cell.targets));
         }
     }
 
+    fn targets(&self) -> Arc<TargetMap> {
+        self.targets.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
     fn replace_services(self: &Arc<Self>, documents: &[ServiceDocument]) {
         let known = self.services.load();
-        let targets = self.targets.lock().unwrap_or_else(PoisonError::into_inner).clone();
         let mut services = ServiceMap::new();
         for document in documents {
             let document = Arc::new(document.clone());
@@ -169,11 +190,7 @@
                     entry.gate.run(|dispatcher, now, _| dispatcher.replace_document(document.clone(), now));
                     entry.gate.clone()
                 }
-                None => {
-                    let gate = self.make_gate(document.clone());
-                    self.push_targets(&document.name, &gate, &targets);
-                    gate
-                }
+                None => self.make_gate(document.clone()),
             };
             let reserve = self.attempt_reserve();
             gate.run(|dispatcher, _, _| dispatcher.set_attempt_reserve(reserve));
@@ -198,8 +215,15 @@
         ServiceGate::new(document, settings, self.incarnation, self.peers.clone())
     }
 
-    fn push_targets(&self, service: &str, gate: &Arc<ServiceGate>, targets: &TargetMap) {
-        let own = targets.values().filter(|target| target.service == service);
+    fn push_targets(
+        &self,
+        service: &str,
+        gate: &Arc<ServiceGate>,
+        targets: &TargetMap,
+        cell: Option<&HashSet<SocketAddr>>,
+    ) {
+        let is_own = |target: &&TargetRecord| cell.is_none_or(|cell| cell.contains(&target.address));
+        let own = targets.values().filter(|target| target.service == service).filter(is_own);
         let mut shared: BTreeMap<SocketAddr, (u64, SharedTarget)> = BTreeMap::new();
         for record in own {
             let started = record.started_millis.unwrap_or(0);
@@ -227,42 +251,87 @@
     }
 
     /// Entry VMs for callers of a host. Few homes see most of a target's reports and keep few
-    /// queues; their number grows with the slots behind the host. Among enough homes, callers are
-    /// sent to those of their own failure domain.
-    pub fn homes_for(&self, host: &str, domain: Option<&str>) -> Vec<SocketAddr> {
+    /// queues; their number grows with the slots behind the host. Callers are spread over all of
+    /// them, wherever they are, so that each cell of homes gets its share.
+    pub fn homes_for(&self, host: &str) -> Vec<SocketAddr> {
+        let addresses: HashMap<IncarnationId, SocketAddr> = {
+            let vms = self.entry_vms.load();
+            vms.values().map(|record| (home_candidate(record).incarnation, record.caller_address)).collect()
+        };
+        let homes = self.choose_host_homes(host, &self.targets());
+        let named = homes.iter().take(MAX_NAMED_HOMES);
+        named.filter_map(|home| addresses.get(&home.incarnation).copied()).collect()
+    }
+
+    fn choose_host_homes(&self, host: &str, targets: &TargetMap) -> Vec<HomeCandidate> {
         let vms = self.entry_vms.load();
         let silent = self.silent();
         let is_serving = self.life.phase() == LifePhase::Serving;
         let is_usable = |record: &&EntryVmRecord| {
             !silent.contains(&record.name) && (is_serving || record.name != self.settings.entry.name)
         };
-        let usable = vms.values().filter(is_usable);
-        let addresses: HashMap<u64, SocketAddr> =
-            usable.clone().map(|record| (home_candidate(record).incarnation, record.caller_address)).collect();
-        let candidates: Vec<HomeCandidate> = usable.map(home_candidate).collect();
-        let mut homes = choose_homes(host, &candidates, self.home_count(host));
-        let near: Vec<HomeCandidate> =
-            homes.iter().filter(|home| Some(home.domain.as_str()) == domain).cloned().collect();
-        if near.len() >= self.settings.routing.homes_per_host {
-            homes = near;
-        }
-        let named = homes.iter().take(MAX_NAMED_HOMES);
-        named.filter_map(|home| addresses.get(&home.incarnation).copied()).collect()
+        let candidates: Vec<HomeCandidate> = vms.values().filter(is_usable).map(home_candidate).collect();
+        choose_homes(host, &candidates, self.home_count(host, targets))
     }
 
-    fn home_count(&self, host: &str) -> usize {
+    fn home_count(&self, host: &str, targets: &TargetMap) -> usize {
         let routing = &self.settings.routing;
         let Some(routes) = self.routes.load_full() else { return routing.homes_per_host };
         let services = routes.table.services_of(host);
-        let targets = self.targets.lock().unwrap_or_else(PoisonError::into_inner).clone();
         let behind = targets.values().filter(|target| services.contains(&target.service));
         let slots: u32 = behind.map(|target| target.slots).sum();
         (slots as usize).div_ceil(routing.slots_per_home).max(routing.homes_per_host)
     }
+
+    /// Targets that this entry VM serves of each service; all of a service that is not named.
+    fn own_cells(&self, targets: &TargetMap) -> HashMap<ServiceName, OwnCell> {
+        let Some(routes) = self.routes.load_full() else { return HashMap::new() };
+        let own = home_candidate(&self.own_record()).incarnation;
+        let mut cells: HashMap<ServiceName, OwnCell> = HashMap::new();
+        let mut host_counts: HashMap<ServiceName, usize> = HashMap::new();
+        for host in routes.table.hosts() {
+            let homes = self.choose_host_homes(host, targets);
+            for service in routes.table.services_of(host) {
+                *host_counts.entry(service.clone()).or_default() += 1;
+                let live = targets.values().filter(|target| target.service == *service && is_live(target));
+                let places: Vec<(SocketAddr, String)> =
+                    live.map(|target| (target.address, target.domain.clone())).collect();
+                if let Some(cell) = choose_cell(own, &homes, &places) {
+                    cells.entry(service.clone()).or_default().targets.extend(cell);
+                }
+            }
+        }
+        for (service, cell) in &mut cells {
+            cell.host_count = host_counts[service];
+        }
+        cells
+    }
+
+    /// Age from which a target is asked for a report: each target is in one cell of each host, and
+    /// all homes of these cells together stay within what the platform allows.
+    fn report_age(&self, host_count: usize) -> Duration {
+        let asking = (host_count * CELL_HOMES) as f64;
+        let least = asking / (REPORT_SHARE * self.bounds.reports_per_second);
+        MIN_REPORT_AGE.max(Duration::from_secs_f64(least))
+    }
 }
 
+/// What an entry VM serves of one service.
+#[derive(Debug, Default)]
+struct OwnCell {
+    targets: HashSet<SocketAddr>,
+    /// Hosts with routes to the service; each has cells of its own.
+    host_count: usize,
+}
+
+/// Part of the reports allowed by the platform that are asked for.
+const REPORT_SHARE: f64 = 0.8;
+/// Shortest age from which a target is asked for a report: targets change their speed a few times a
+/// second.
+const MIN_REPORT_AGE: Duration = Duration::from_millis(100);
+
 /// Entry VMs that one lookup answer names at most.
-const MAX_NAMED_HOMES: usize = 16;
+const MAX_NAMED_HOMES: usize = 64;
 /// Part of the platform's allowance of further attempts that is saved up over all entry VMs.
 const RESERVE_SHARE: f64 = 0.7;
 /// Entry VMs that are reckoned with before they have registered.
--- a/crates/relay/src/sync.rs
+++ b/crates/relay/src/sync.rs
@@ -1,7 +1,8 @@
 //! The store's configuration, targets and entry VMs, kept up to date.
 //!
-//! Configuration and targets are listed once and then watched; after an event, the next watch
-//! waits a little, so that a series of changes costs few calls. Watches go on from the revision
+//! Objects are listed once, as they were at most seconds ago, which costs least, and watched from
+//! the revision of that list; they are in force when the watch has caught up. After an event, the
+//! next watch waits a little, so that a series of changes costs few calls. Watches go on from the revision
 //! reached; a new list is taken only when the store no longer has the history.
 
 use crate::state::{EntryVmMap, RelayState, TargetMap};
@@ -18,10 +19,14 @@
 use std::time::Duration;
 
 /// Longest wait of one watch.
-const WATCH_WAIT: Duration = Duration::from_secs(15);
-/// Pause between the events of a watch and the next one. With the store's answer and the decoding
-/// it stays far below the two seconds in which a change must be in force.
-const COALESCE_PAUSE: Duration = Duration::from_millis(250);
+const WATCH_WAIT: Duration = Duration::from_secs(28);
+/// Pause between the events of a watch and the next one, for each entry VM: it bounds the calls of
+/// all of them together to 120 a second for each kind of object.
+const COALESCE_STEP: Duration = Duration::from_millis(8);
+/// Shortest such pause.
+const MIN_COALESCE_PAUSE: Duration = Duration::from_millis(250);
+/// Longest such pause: half of the time in which a change must be in force.
+const MAX_COALESCE_PAUSE: Duration = Duration::from_secs(1);
 /// Pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(120);
 /// Time after the store's return in which entries that lapsed meanwhile may come back.
@@ -30,13 +35,17 @@
 /// Watches the configuration.
 pub async fn watch_config(state: Arc<RelayState>) {
     let mut watcher = PrefixWatcher::new(state.clone(), CONFIG_PREFIX);
+    let mut newest: Option<StoredObject> = None;
     loop {
         for change in watcher.next_changes().await {
             let StoreChange::Present(object) = change else { continue };
             if object.key == CONFIG_KEY {
-                adopt_config(&state, &object);
+                newest = Some(object);
             }
         }
+        if watcher.is_current && let Some(object) = newest.take() {
+            adopt_config(&state, &object);
+        }
     }
 }
 
@@ -65,7 +74,9 @@
         };
         table.apply(changes, watcher.regained_at());
         table.drop_lapsed(boot_clock::now());
-        state.adopt_targets(table.targets.clone());
+        if watcher.is_current {
+            state.adopt_targets(table.targets.clone());
+        }
     }
 }
 
@@ -161,6 +172,10 @@
     failed_at: Option<BootTime>,
     regained_at: Option<BootTime>,
     is_settling: bool,
+    /// Whether the changes since a list that may be seconds old have been read.
+    is_current: bool,
+    /// Whether the history since a cheaper, older list was gone.
+    must_list_fresh: bool,
 }
 
 impl PrefixWatcher {
@@ -173,9 +188,16 @@
             failed_at: None,
             regained_at: None,
             is_settling: false,
+            is_current: false,
+            must_list_fresh: false,
         }
     }
 
+    fn coalesce_pause(&self) -> Duration {
+        let vms = u32::try_from(self.state.entry_vms.load().len()).unwrap_or(u32::MAX);
+        COALESCE_STEP.saturating_mul(vms).clamp(MIN_COALESCE_PAUSE, MAX_COALESCE_PAUSE)
+    }
+
     /// When the store last answered again after a failure.
     fn regained_at(&self) -> Option<BootTime> {
         self.regained_at
@@ -184,10 +206,20 @@
     /// Waits for changes; may return none.
     async fn next_changes(&mut self) -> Vec<StoreChange> {
         if std::mem::take(&mut self.is_settling) {
-            tokio::time::sleep(COALESCE_PAUSE).await;
+            tokio::time::sleep(self.coalesce_pause()).await;
         }
         let result = match self.revision {
-            None => self.state.store.list(self.prefix).await.map(|list| self.apply_list(list)),
+            None if self.must_list_fresh => {
+                self.state.store.list(self.prefix).await.map(|list| self.apply_list(list))
+            }
+            None => self.state.store.list_stale(self.prefix).await.map(|list| self.apply_list(list)),
+            Some(revision) if !self.is_current => {
+                let events = self.state.store.watch(self.prefix, revision, Duration::ZERO).await;
+                events.map(|events| {
+                    self.is_current = true;
+                    self.apply_events(events)
+                })
+            }
             Some(revision) => {
                 let events = self.state.store.watch(self.prefix, revision, WATCH_WAIT).await;
                 events.map(|events| self.apply_events(events))
@@ -196,7 +228,7 @@
         match result {
             Ok(changes) => {
                 self.note_success();
-                self.is_settling = !changes.is_empty();
+                self.is_settling = self.is_current && !changes.is_empty();
                 changes
             }
             Err(error) => {
@@ -208,6 +240,7 @@
 
     fn apply_list(&mut self, list: ObjectList) -> Vec<StoreChange> {
         self.revision = Some(list.revision);
+        self.must_list_fresh = false;
         let listed: BTreeMap<String, u64> =
             list.items.iter().map(|item| (item.key.clone(), item.version)).collect();
         let gone = self.known.keys().filter(|key| !listed.contains_key(*key));
@@ -247,6 +280,8 @@
         if *error == PlatformError::WatchTooOld {
             log::info!(prefix = self.prefix; "the store no longer has the history; listing again");
             self.revision = None;
+            self.is_current = false;
+            self.must_list_fresh = true;
             return;
         }
         if self.failed_at.replace(boot_clock::now()).is_none() {
@@ -267,7 +302,7 @@
         }
         if state.life.phase() != LifePhase::Serving {
             vms.remove(&state.settings.entry.name);
-        } else if watcher.revision.is_some() && vms.get(&state.settings.entry.name) != Some(&state.own_record()) {
+        } else if watcher.is_current && vms.get(&state.settings.entry.name) != Some(&state.own_record()) {
             register(&state, &mut watcher, &mut vms).await;
         }
         adopt_entry_vms(&state, &vms);
@@ -290,8 +325,7 @@
 fn adopt_entry_vms(state: &RelayState, vms: &EntryVmMap) {
     if **state.entry_vms.load() != *vms {
         log::info!(count = vms.len(); "entry VMs: {}", vms.keys().cloned().collect::<Vec<_>>().join(" "));
-        state.silent().retain(|name| vms.contains_key(name));
-        state.entry_vms.store(Arc::new(vms.clone()));
+        state.adopt_entry_vms(vms.clone());
     }
 }
 
