--- a/crates/core/src/budget.rs
+++ b/crates/core/src/budget.rs
@@ -30,7 +30,7 @@
 
     /// Takes one extra attempt if at least half of what may be saved up stays.
     pub fn try_take_spare(&mut self) -> bool {
-        self.saved >= 1.0 + self.max_saved / 2.0 && self.try_take()
+        self.saved >= (1.0 + self.max_saved) / 2.0 && self.try_take()
     }
 
     /// Takes one extra attempt if the budget allows it.
--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -165,6 +165,8 @@
 struct AttemptState {
     target: TargetKey,
     started: Instant,
+    /// Account of the target's work at the start.
+    progress: Option<Duration>,
 }
 
 /// One request with attempts in flight or being retried.
--- a/crates/core/src/dispatch/attempt.rs
+++ b/crates/core/src/dispatch/attempt.rs
@@ -1,11 +1,11 @@
 //! Results of attempts: answers, failures, retries and the release of slots.
 
-use super::{DispatchAction, ServiceDispatcher};
+use super::{AttemptState, DispatchAction, ServiceDispatcher};
 use crate::ids::{RequestId, TargetKey};
 use crate::queue::QueuedRequest;
 use crate::reason::RetryReason;
 use crate::target::LoadReport;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// How an attempt failed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -79,25 +79,24 @@
         let Some(attempt) = flight.attempts.iter().find(|attempt| attempt.target == target) else {
             return AnswerVerdict::Discard;
         };
-        let attempt_start = attempt.started;
-        let latency = now.saturating_duration_since(attempt_start);
+        let latency = now.saturating_duration_since(attempt.started);
+        let work = self.work_done(attempt, now);
         self.cancel_queued_copy(request);
         let Some(flight) = self.flights.get_mut(&request) else { return AnswerVerdict::Discard };
         let is_first = !std::mem::replace(&mut flight.is_answered, true);
         let others = flight.attempts.iter().filter(|attempt| attempt.target != target);
         actions.extend(others.map(|other| DispatchAction::Abandon { request, target: other.target }));
         let rank = &mut self.ranks[flight.rank];
-        let pace = self.targets.get(target).and_then(|state| state.pace_since(attempt_start, now));
-        let ratio = match pace {
-            Some(pace) => latency.as_secs_f64() / (rank.usual_head.value().as_secs_f64() * pace),
+        let ratio = match work {
+            Some(work) => work.as_secs_f64() / rank.usual_head.value().as_secs_f64(),
             None => latency.as_secs_f64() / rank.typical_head.value().as_secs_f64(),
         };
         if note.is_error {
             self.targets.record_failure(target, now);
         } else {
             rank.typical_head.record(latency);
-            if let Some(pace) = pace {
-                rank.usual_head.record(latency.div_f64(pace));
+            if let Some(work) = work {
+                rank.usual_head.record(work);
             }
             rank.slow_head.record(latency);
             rank.longest_head.record(latency);
@@ -142,6 +141,12 @@
         self.return_idle_loan(target, actions);
     }
 
+    /// Work done on an attempt so far, at the target's usual speed, if its reports tell.
+    pub(super) fn work_done(&self, attempt: &AttemptState, now: Instant) -> Option<Duration> {
+        let done = self.targets.get(attempt.target)?.progress(now)?;
+        Some(done.saturating_sub(attempt.progress?))
+    }
+
     fn record_hold(&mut self, request: RequestId, target: TargetKey, now: Instant) {
         let Some(flight) = self.flights.get(&request) else { return };
         let Some(attempt) = flight.attempts.iter().find(|attempt| attempt.target == target) else { return };
--- a/crates/core/src/dispatch/bind.rs
+++ b/crates/core/src/dispatch/bind.rs
@@ -129,9 +129,10 @@
         now: Instant,
         actions: &mut Vec<DispatchAction>,
     ) {
-        let Some(address) = self.targets.get(target).map(|state| state.address) else { return };
+        let Some(state) = self.targets.get(target) else { return };
+        let (address, progress) = (state.address, state.progress(now));
         let Some(flight) = self.flights.get_mut(&queued.request) else { return };
-        flight.attempts.push(AttemptState { target, started: now });
+        flight.attempts.push(AttemptState { target, started: now, progress });
         flight.attempt_count += 1;
         let retry = flight.retry.take();
         self.targets.start(target);
--- a/crates/core/src/dispatch/shared.rs
+++ b/crates/core/src/dispatch/shared.rs
@@ -5,9 +5,10 @@
 //! otherwise it waits for a better one, and less urgent ranks with more time may go before it. A
 //! request that not even a target at its usual speed could answer in time is given up at once.
 
-use super::{DispatchAction, ServiceDispatcher};
+use super::{AttemptState, DispatchAction, FlightState, ServiceDispatcher};
 use crate::ids::{RankId, RequestId, TargetKey};
 use crate::queue::QueuedRequest;
+use crate::reason::RetryReason;
 use crate::target::{SharedReport, SharedTarget, TargetState};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -117,7 +118,55 @@
     /// Whether waiting for a faster target no longer helps.
     fn must_take_any(&self, rank: RankId, queued: &QueuedRequest, now: Instant) -> bool {
         let usual = self.ranks[rank].usual_head.value();
-        queued.is_hedge || now + usual + PATIENCE_STEP >= queued.deadline
+        now + usual + PATIENCE_STEP >= queued.deadline
+    }
+
+    /// Sends idempotent requests that will be late where they are to a target that will answer in
+    /// time, the most urgent deadline first. Retries and hedges share one allowance, and retries go
+    /// first: hedges leave half of what may be saved up.
+    pub(super) fn hedge_shared(&mut self, now: Instant, actions: &mut Vec<DispatchAction>) {
+        let lagging = self.flights.iter().filter(|(request, flight)| self.is_lagging(**request, flight, now));
+        let mut lagging: Vec<(Instant, RequestId)> =
+            lagging.map(|(request, flight)| (flight.deadline, *request)).collect();
+        lagging.sort_unstable();
+        for (deadline, request) in lagging {
+            let Some(flight) = self.flights.get(&request) else { continue };
+            let rank = flight.rank;
+            let queued = QueuedRequest { request, deadline, queued_at: now, avoid: None, is_hedge: false };
+            let Some(target) = self.pick_shared(rank, &queued, now) else { continue };
+            if !self.retry_budget.try_take_spare() {
+                return;
+            }
+            if let Some(flight) = self.flights.get_mut(&request) {
+                flight.retry = Some(RetryReason::Hedge);
+            }
+            self.start_queued(rank, &queued, target, now, actions);
+        }
+    }
+
+    /// Whether a request's only attempt will miss its deadline, while another one might not.
+    fn is_lagging(&self, request: RequestId, flight: &FlightState, now: Instant) -> bool {
+        let may_repeat = flight.is_idempotent
+            && !flight.is_answered
+            && !flight.is_retried
+            && flight.attempt_count < self.document.retry.max_attempts
+            && !self.waiting.contains_key(&request);
+        let [attempt] = flight.attempts.as_slice() else { return false };
+        let usual = self.ranks[flight.rank].usual_head.value();
+        let has_time = now + usual < flight.deadline;
+        may_repeat && has_time && now + self.remaining_time(attempt, usual, now) > flight.deadline
+    }
+
+    /// Expected time until an attempt is answered. One that has had far more than the usual work
+    /// done is taken for lost.
+    fn remaining_time(&self, attempt: &AttemptState, usual: Duration, now: Instant) -> Duration {
+        let Some(target) = self.targets.get(attempt.target) else { return LOST_TIME };
+        let done = self.work_done(attempt, now).unwrap_or_else(|| now.saturating_duration_since(attempt.started));
+        if done > usual.mul_f64(LOST_WORK) {
+            return LOST_TIME;
+        }
+        let left = usual.saturating_sub(done).max(usual.mul_f64(LEAST_LEFT));
+        left.mul_f64(self.expected_factor(target, now))
     }
 
     fn is_tried(&self, queued: &QueuedRequest, target: TargetKey) -> bool {
@@ -131,5 +180,11 @@
 
 /// Time before the last possible start from which any target is taken.
 const PATIENCE_STEP: Duration = Duration::from_millis(10);
+/// Expected time of an attempt that is taken for lost.
+const LOST_TIME: Duration = Duration::from_secs(3600);
+/// Work done on an attempt, relative to the usual work of its rank, from which it is taken for lost.
+const LOST_WORK: f64 = 3.0;
+/// Least part of the usual work that is reckoned with for an attempt that has not answered.
+const LEAST_LEFT: f64 = 0.2;
 /// Smallest factor by which measured answers make a target look faster than its peers.
 const MIN_SLOWNESS: f64 = 0.5;
--- a/crates/core/src/dispatch/upkeep.rs
+++ b/crates/core/src/dispatch/upkeep.rs
@@ -25,7 +25,11 @@
             self.expire_waiting(now, actions);
             self.bind_waiting(now, actions);
             self.use_safe_share(now, actions);
-            self.hedge_overdue(now, actions);
+            if self.settings.policy == PickPolicy::SharedSlots {
+                self.hedge_shared(now, actions);
+            } else {
+                self.hedge_overdue(now, actions);
+            }
         }
         self.ask_for_slots(now, actions);
     }
@@ -68,7 +72,7 @@
             .collect();
         candidates.sort_unstable();
         for (_, request, target) in candidates {
-            if !self.take_hedge() {
+            if !self.hedge_budget.try_take() {
                 break;
             }
             self.queue_attempt(request, target, RetryReason::Hedge, now);
@@ -76,15 +80,6 @@
         self.bind_waiting(now, actions);
     }
 
-    /// With shared slots, retries and hedges share one allowance, and retries go first: hedges leave
-    /// half of what may be saved up.
-    fn take_hedge(&mut self) -> bool {
-        match self.settings.policy {
-            PickPolicy::SharedSlots => self.retry_budget.try_take_spare(),
-            _ => self.hedge_budget.try_take(),
-        }
-    }
-
     fn may_hedge(&self, request: RequestId, flight: &FlightState, now: Instant) -> bool {
         let is_open = !flight.is_answered && !flight.is_retried && !self.waiting.contains_key(&request);
         let Some(attempt) = flight.attempts.last().filter(|_| is_open) else { return false };
--- a/crates/core/src/target.rs
+++ b/crates/core/src/target.rs
@@ -127,6 +127,8 @@
     /// for the others' until the next report, or until it is too old to say anything.
     pub fn record_report(&mut self, key: TargetKey, report: SharedReport, now: Instant) {
         let Some(target) = self.targets.get_mut(key) else { return };
+        let done = target.progress(now).unwrap_or(Duration::ZERO);
+        target.progress = Some((done.as_secs_f64(), now));
         target.pace = Some((report.pace, now));
         target.foreign = report.occupied.saturating_sub(report.own);
         target.foreign_at = Some(now);
@@ -159,6 +161,7 @@
             slowness: 1.0,
             instance: InstanceName::new(),
             pace: None,
+            progress: None,
             warm_until: None,
             probed_at: None,
             owned_slots: spec.owned_slots,
--- a/crates/core/src/target/state.rs
+++ b/crates/core/src/target/state.rs
@@ -87,6 +87,9 @@
     pub instance: InstanceName,
     /// Time that work takes relative to the target's usual speed, as it last reported, and when.
     pub(super) pace: Option<(f64, Instant)>,
+    /// Work done by one slot since the start of the account, in seconds at usual speed, up to a
+    /// point in time; it goes on by the speed last reported.
+    pub(super) progress: Option<(f64, Instant)>,
     pub(super) warm_until: Option<Instant>,
     /// When it was last asked for a report.
     pub(super) probed_at: Option<Instant>,
@@ -150,10 +153,17 @@
         (weight * pace + (1.0 - weight) * average) * warm_up
     }
 
-    /// Speed reported since `started`, for work that ends now.
-    pub fn pace_since(&self, started: Instant, now: Instant) -> Option<f64> {
-        let (pace, reported) = self.pace?;
-        (reported >= started && reported <= now).then_some(pace)
+    /// Work done by one slot since the start of the account, at usual speed. Differences of two
+    /// readings tell how much of a request's work is done, whatever speeds lay between.
+    pub fn progress(&self, now: Instant) -> Option<Duration> {
+        let ((done, counted), (pace, _)) = (self.progress?, self.pace?);
+        let since = now.saturating_duration_since(counted).as_secs_f64();
+        Some(Duration::from_secs_f64(done + since / pace))
+    }
+
+    /// Requests of others there, as last reported.
+    pub fn others(&self) -> u32 {
+        self.foreign
     }
 
     /// Part of the granted slots that is in use here or, as last reported, elsewhere.
--- a/crates/node/src/logs.rs
+++ b/crates/node/src/logs.rs
@@ -1,15 +1,87 @@
-//! Logging to the console by `log4rs`; the level can be changed while running.
+//! Logging to standard output by `log4rs`; the level can be changed while running.
+//!
+//! Lines pass through a bounded buffer to a thread that writes them, so that nobody who logs waits
+//! for whoever reads. Lines that find the buffer full are dropped and counted, and the count is
+//! written as soon as there is room.
 
 use anyhow::{Context, Result};
-use log::LevelFilter;
-use log4rs::append::console::ConsoleAppender;
+use log::{LevelFilter, Record};
+use log4rs::append::Append;
 use log4rs::config::{Appender, Config, Root};
 use log4rs::encode::Encode;
 use log4rs::encode::json::JsonEncoder;
 use log4rs::encode::pattern::PatternEncoder;
+use log4rs::encode::writer::simple::SimpleWriter;
 use sniperelay_config::settings::LogSettings;
+use std::io::Write;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
 
 const PATTERN: &str = "{d(%Y-%m-%dT%H:%M:%S%.3f)(utc)}Z {l} {t}: {m}{n}";
+/// Lines that wait to be written.
+const BUFFERED_LINES: usize = 4096;
+
+/// Appender that never waits for the writer.
+#[derive(Debug)]
+pub struct BufferedAppender {
+    encoder: Box<dyn Encode>,
+    lines: SyncSender<Vec<u8>>,
+    dropped: Arc<AtomicU64>,
+}
+
+impl BufferedAppender {
+    /// An appender that writes to `output` on a thread of its own.
+    ///
+    /// # Errors
+    ///
+    /// When the thread cannot be started.
+    pub fn start(encoder: Box<dyn Encode>, output: impl Write + Send + 'static) -> Result<Self> {
+        let (lines, waiting) = sync_channel(BUFFERED_LINES);
+        let dropped = Arc::new(AtomicU64::new(0));
+        let counter = dropped.clone();
+        let thread = std::thread::Builder::new().name("log".to_owned());
+        thread.spawn(move || write_lines(&waiting, output, &counter)).context("cannot start the log thread")?;
+        Ok(Self { encoder, lines, dropped })
+    }
+
+    /// Lines dropped and not yet reported.
+    pub fn dropped(&self) -> &Arc<AtomicU64> {
+        &self.dropped
+    }
+}
+
+impl Append for BufferedAppender {
+    fn append(&self, record: &Record<'_>) -> Result<()> {
+        let mut writer = SimpleWriter(Vec::with_capacity(256));
+        self.encoder.encode(&mut writer, record)?;
+        match self.lines.try_send(writer.0) {
+            Ok(()) => Ok(()),
+            Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => {
+                self.dropped.fetch_add(1, Ordering::Relaxed);
+                Ok(())
+            }
+        }
+    }
+
+    fn flush(&self) {}
+}
+
+fn write_lines(waiting: &Receiver<Vec<u8>>, mut output: impl Write, dropped: &AtomicU64) {
+    while let Ok(mut line) = waiting.recv() {
+        while let Ok(more) = waiting.try_recv() {
+            line.extend_from_slice(&more);
+        }
+        let count = dropped.swap(0, Ordering::Relaxed);
+        if count > 0 {
+            line.extend_from_slice(format!("{{\"level\":\"WARN\",\"dropped_lines\":{count}}}\n").as_bytes());
+        }
+        if output.write_all(&line).and_then(|()| output.flush()).is_err() {
+            // Nobody can be told: standard output is where faults are reported.
+            return;
+        }
+    }
+}
 
 /// Handle to change the level.
 #[derive(Debug)]
@@ -46,9 +118,9 @@
 fn make_config(level: LevelFilter, is_json: bool) -> Result<Config> {
     let encoder: Box<dyn Encode> =
         if is_json { Box::new(JsonEncoder::new()) } else { Box::new(PatternEncoder::new(PATTERN)) };
-    let console = ConsoleAppender::builder().encoder(encoder).build();
-    let appender = Appender::builder().build("console", Box::new(console));
+    let appender = BufferedAppender::start(encoder, std::io::stdout())?;
+    let appender = Appender::builder().build("stdout", Box::new(appender));
     let config =
-        Config::builder().appender(appender).build(Root::builder().appender("console").build(level))?;
+        Config::builder().appender(appender).build(Root::builder().appender("stdout").build(level))?;
     Ok(config)
 }
--- /dev/null
+++ b/crates/relay/src/decision.rs
@@ -0,0 +1,112 @@
+//! Log lines of decisions on requests.
+//!
+//! Each refusal, failure, late answer and further attempt gets a line with the request's id and the
+//! figures that decided, up to a stated rate; of routine answers, one a second and rank. A line
+//! says how many of its kind were left out since the last one.
+
+use sniperelay_core::reason::RetryReason;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+/// Lines of one kind per second; beyond, lines are left out and counted.
+const UNUSUAL_PER_SECOND: f64 = 20.0;
+/// Lines of routine answers per second and rank.
+const ROUTINE_PER_SECOND: f64 = 1.0;
+
+/// What became of a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum DecisionKind {
+    /// Refused without having run.
+    Refused,
+    /// Ended without a target's answer, perhaps run.
+    Failed,
+    /// Answered after its target time.
+    Late,
+    /// Sent to a target once more.
+    Repeated,
+    /// Answered on time.
+    Routine,
+}
+
+impl DecisionKind {
+    /// Name in log lines.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Refused => "refused",
+            Self::Failed => "failed",
+            Self::Late => "late",
+            Self::Repeated => "repeated",
+            Self::Routine => "answered",
+        }
+    }
+}
+
+/// Allowance of one kind of line.
+#[derive(Debug)]
+struct LineAllowance {
+    saved: f64,
+    refilled_at: Instant,
+    left_out: u64,
+}
+
+/// Keeps the number of lines within their rates.
+#[derive(Debug, Default)]
+pub struct DecisionLog {
+    allowances: Mutex<HashMap<(DecisionKind, String), LineAllowance>>,
+}
+
+impl DecisionLog {
+    /// Whether a line of this kind may be written now, and how many were left out before it.
+    pub fn admit(&self, kind: DecisionKind, rank: &str, now: Instant) -> Option<u64> {
+        let rate = if kind == DecisionKind::Routine { ROUTINE_PER_SECOND } else { UNUSUAL_PER_SECOND };
+        let mut allowances = self.allowances.lock().unwrap_or_else(PoisonError::into_inner);
+        let first = || LineAllowance { saved: rate, refilled_at: now, left_out: 0 };
+        let allowance = allowances.entry((kind, rank.to_owned())).or_insert_with(first);
+        let elapsed = now.saturating_duration_since(allowance.refilled_at).as_secs_f64();
+        allowance.saved = (allowance.saved + elapsed * rate).min(rate);
+        allowance.refilled_at = now;
+        if allowance.saved < 1.0 {
+            allowance.left_out += 1;
+            return None;
+        }
+        allowance.saved -= 1.0;
+        Some(std::mem::take(&mut allowance.left_out))
+    }
+}
+
+/// One attempt as log lines show it.
+#[derive(Debug, Clone)]
+pub struct AttemptNote {
+    /// Address of the target.
+    pub address: SocketAddr,
+    /// Time from the request's arrival to its start.
+    pub started_after: Duration,
+    /// Expected time of work there relative to usual, by the last report.
+    pub pace: f64,
+    /// Age of that report.
+    pub pace_age: Option<Duration>,
+    /// Requests of this entry VM at the target, this one included, and of others as last reported.
+    pub load: (u32, u32),
+    /// Why it is not the first.
+    pub retry: Option<RetryReason>,
+    /// How and when it ended, as the time since the request's arrival.
+    pub end: Option<(&'static str, Duration)>,
+}
+
+impl std::fmt::Display for AttemptNote {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let reason = self.retry.map_or("first", RetryReason::as_str);
+        write!(f, "{reason} at {} from {} ms", self.address, self.started_after.as_millis())?;
+        write!(f, " (pace {:.2}", self.pace)?;
+        if let Some(age) = self.pace_age {
+            write!(f, " of {} ms ago", age.as_millis())?;
+        }
+        write!(f, ", own {} others {})", self.load.0, self.load.1)?;
+        match &self.end {
+            Some((end, after)) => write!(f, " {end} at {} ms", after.as_millis()),
+            None => write!(f, " open"),
+        }
+    }
+}
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -4,6 +4,7 @@
 //! that is merely late, behind all others. What is given up gets its final answer at once.
 
 use crate::attempt::{AttemptEnd, OutboundRequest, TargetAnswer, run_attempt};
+use crate::decision::{AttemptNote, DecisionKind};
 use crate::head::RequestHead;
 use crate::reply::{CallerReply, RelayRefusal};
 use crate::state::RelayState;
@@ -14,11 +15,12 @@
 use http::StatusCode;
 use sniperelay_core::dispatch::{AnswerVerdict, AttemptFailure, FailureVerdict};
 use sniperelay_core::ids::{RankId, TargetKey};
-use sniperelay_core::reason::RefusalReason;
+use sniperelay_core::reason::{Outcome, RefusalReason, RetryReason};
 use sniperelay_core::route::RouteSpec;
 use sniperelay_hosted::headers::{self as wire, TargetReport};
 use sniperelay_node::boot_clock;
 use sniperelay_node::gate::{AttemptSlot, GatePass, GateSignal, ServiceEntry};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -64,10 +66,12 @@
     };
     let times = RequestTimes { arrived, on_time: arrived + spec.latency.min(limit), end: arrived + limit };
     let mut exchange = Exchange::new(state.clone(), entry, outbound, times, spec);
-    match exchange.run(choice.rank, times.on_time).await {
-        Err(refusal) if exchange.may_still_be_late(&refusal) => exchange.run(choice.late_rank, times.end).await,
-        result => result,
+    let mut result = exchange.run(choice.rank, times.on_time).await;
+    if result.as_ref().is_err_and(|refusal| exchange.may_still_be_late(refusal)) {
+        result = exchange.run(choice.late_rank, times.end).await;
     }
+    exchange.log_end(&spec.name, routes.config.version, &result);
+    result
 }
 
 /// Points in time that matter to a request.
@@ -90,8 +94,8 @@
     is_single: bool,
     attempts: FuturesUnordered<AttemptFuture>,
     handles: Vec<(TargetKey, AbortHandle)>,
-    /// Whether any attempt was started.
-    is_started: bool,
+    /// Attempts so far, for log lines.
+    notes: Vec<AttemptNote>,
     /// Whether an attempt was handed to a target connection that did not refuse it.
     may_have_run: bool,
     last_failure: Option<RefusalReason>,
@@ -115,7 +119,7 @@
             is_single: spec.max_attempts < 2,
             attempts: FuturesUnordered::new(),
             handles: Vec::new(),
-            is_started: false,
+            notes: Vec::new(),
             may_have_run: false,
             last_failure: None,
             spare_answer: None,
@@ -126,7 +130,7 @@
     fn may_still_be_late(&self, refusal: &RelayRefusal) -> bool {
         let is_too_late =
             matches!(refusal.reason, RefusalReason::DeadlineUnreachable | RefusalReason::DeadlinePassed);
-        is_too_late && !self.is_started && Instant::now() < self.times.end
+        is_too_late && self.notes.is_empty() && Instant::now() < self.times.end
     }
 
     async fn run(&mut self, rank: RankId, deadline: Instant) -> Result<CallerReply> {
@@ -160,12 +164,66 @@
         }
     }
 
+    fn note_start(&mut self, slot: &AttemptSlot, retry: Option<RetryReason>) {
+        let now = Instant::now();
+        let target = slot.target();
+        let seen = self.entry.gate.read(|dispatcher| {
+            let targets = dispatcher.targets();
+            let state = targets.get(target)?;
+            let pace = state.expected_pace(targets.average_pace(), now);
+            Some((pace, state.pace_age(now), (state.in_flight, state.others())))
+        });
+        let (pace, pace_age, load) = seen.unwrap_or((0.0, None, (0, 0)));
+        let started_after = now.saturating_duration_since(self.times.arrived);
+        let address = slot.address();
+        self.notes.push(AttemptNote { address, started_after, pace, pace_age, load, retry, end: None });
+        if retry.is_some() {
+            self.log(DecisionKind::Repeated, "sent once more");
+        }
+    }
+
+    fn note_end(&mut self, address: SocketAddr, end: &'static str) {
+        let after = self.times.arrived.elapsed();
+        if let Some(note) = self.notes.iter_mut().find(|note| note.address == address && note.end.is_none()) {
+            note.end = Some((end, after));
+        }
+    }
+
+    fn log_end(&self, route: &str, version: u64, result: &Result<CallerReply>) {
+        let kind = match result {
+            Err(refusal) if refusal.outcome == Outcome::NotRun => DecisionKind::Refused,
+            Err(_) => DecisionKind::Failed,
+            Ok(_) if Instant::now() > self.times.on_time => DecisionKind::Late,
+            Ok(_) => DecisionKind::Routine,
+        };
+        let cause = result.as_ref().map_or_else(|refusal| refusal.reason.as_str(), |_| "answered");
+        self.log(kind, &format!("{cause}, route {route} of version {version:08x}"));
+    }
+
+    /// Writes a line on this request, unless the rate of its kind is used up.
+    fn log(&self, kind: DecisionKind, what: &str) {
+        let Some(left_out) = self.state.decisions.admit(kind, &self.entry.document.name, Instant::now()) else {
+            return;
+        };
+        let id = self.outbound.headers.get(wire::REQUEST_ID).and_then(|id| id.to_str().ok()).unwrap_or("-");
+        let notes: Vec<String> = self.notes.iter().map(AttemptNote::to_string).collect();
+        log::info!(
+            target: "request",
+            request = id, decision = kind.as_str(), service = self.entry.document.name.as_str(),
+            after_ms = self.times.arrived.elapsed().as_millis() as u64,
+            on_time_ms = millis_between(self.times.arrived, self.times.on_time),
+            end_ms = millis_between(self.times.arrived, self.times.end), left_out;
+            "request {id} {}: {what}; attempts: [{}]", kind.as_str(), notes.join("; ")
+        );
+    }
+
     fn on_signal(&mut self, signal: Option<GateSignal>) -> Option<Result<CallerReply>> {
         match signal? {
             GateSignal::Start { slot, retry, .. } => {
                 if let Some(reason) = retry {
                     self.entry.counters[0].count_retry(reason);
                 }
+                self.note_start(&slot, retry);
                 self.start_attempt(slot);
             }
             GateSignal::Refuse { reason, retry_after } => {
@@ -181,7 +239,6 @@
     }
 
     fn start_attempt(&mut self, slot: AttemptSlot) {
-        self.is_started = true;
         let target = slot.target();
         let attempt = run_attempt(self.state.clone(), self.outbound.clone(), slot);
         let (handle, registration) = AbortHandle::new_pair();
@@ -197,7 +254,7 @@
             Err(Aborted) => None,
             Ok(AttemptEnd::NotSent) => Some(Err(self.refusal(RefusalReason::DeadlinePassed, RETRY_AFTER))),
             Ok(AttemptEnd::Failed { failure, cause, report, is_gone, slot }) => {
-                log::debug!("attempt at {} failed: {cause}", slot.address());
+                self.note_end(slot.address(), cause);
                 record_report(&slot, report);
                 if is_gone {
                     let address = slot.address();
@@ -205,7 +262,10 @@
                 }
                 self.on_failure(failure, slot)
             }
-            Ok(AttemptEnd::Answered { answer, report, slot }) => self.on_answer(answer, report, slot),
+            Ok(AttemptEnd::Answered { answer, report, slot }) => {
+                self.note_end(slot.address(), answer_note(answer.status));
+                self.on_answer(answer, report, slot)
+            }
         }
     }
 
@@ -270,6 +330,15 @@
     }
 }
 
+fn millis_between(from: Instant, to: Instant) -> u64 {
+    to.saturating_duration_since(from).as_millis() as u64
+}
+
+/// How an attempt ended, for log lines.
+fn answer_note(status: StatusCode) -> &'static str {
+    if status.is_success() { "answered" } else { "answered with an error" }
+}
+
 /// Statuses by which an answer promises that the request has not run.
 fn promises_not_run(status: StatusCode) -> bool {
     matches!(
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -17,10 +17,12 @@
 //! | [`exchange`] | one request from its route to its answer |
 //! | [`attempt`] | one attempt at one target |
 //! | [`probe`] | questions for targets' reports |
+//! | [`decision`] | log lines of decisions on requests |
 //! | [`side`] | lookups, readiness checks and metrics |
 
 pub mod attempt;
 pub mod body;
+pub mod decision;
 pub mod exchange;
 pub mod head;
 pub mod listen;
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -1,5 +1,6 @@
 //! What all tasks share: routes, services, entry VMs and the phase of the process.
 
+use crate::decision::DecisionLog;
 use arc_swap::{ArcSwap, ArcSwapOption};
 use sniperelay_config::RelaySettings;
 use sniperelay_core::dispatch::DispatchSettings;
@@ -63,8 +64,8 @@
     pub metrics: MetricSet,
     /// Connections to targets.
     pub pool: TargetPool,
-    /// Bytes of bodies held.
-    pub held_bytes: AtomicUsize,
+    /// Rates of log lines.
+    pub decisions: DecisionLog,
     /// Open caller connections.
     pub connections: AtomicUsize,
     /// Whether the targets have been listed.
@@ -100,7 +101,7 @@
             life,
             metrics: MetricSet::new()?,
             pool: TargetPool::default(),
-            held_bytes: AtomicUsize::new(0),
+            decisions: DecisionLog::default(),
             connections: AtomicUsize::new(0),
             has_targets: AtomicBool::new(false),
             targets: Mutex::default(),
@@ -171,7 +172,11 @@
         for (service, entry) in self.services.load().iter() {
             let cell = cells.get(service);
             let age = cell.map(|cell| self.report_age(cell.host_count));
-            entry.gate.run(|dispatcher, _, _| dispatcher.set_report_age(age));
+            let reserve = self.attempt_reserve(cell);
+            entry.gate.run(|dispatcher, _, _| {
+                dispatcher.set_report_age(age);
+                dispatcher.set_attempt_reserve(reserve);
+            });
             self.push_targets(service, &entry.gate, &targets, cell.map(|cell| &cell.targets));
         }
     }
@@ -192,18 +197,17 @@
                 }
                 None => self.make_gate(document.clone()),
             };
-            let reserve = self.attempt_reserve();
-            gate.run(|dispatcher, _, _| dispatcher.set_attempt_reserve(reserve));
             services.insert(document.name.clone(), Arc::new(ServiceEntry::new(document, gate, &self.metrics)));
         }
         self.services.store(Arc::new(services));
     }
 
-    /// Further attempts that this entry VM may save up. The allowance of the platform holds for all
-    /// entry VMs together, and is never used up whole: a window may begin with all of it saved.
-    fn attempt_reserve(&self) -> f64 {
-        let vms = self.entry_vms.load().len().max(MIN_ENTRY_VMS);
-        RESERVE_SHARE * self.bounds.extra_attempts / vms as f64
+    /// Further attempts that this entry VM may save up for a service. The allowance of the platform
+    /// holds for all entry VMs together and is divided among the homes; others save up one. It is
+    /// never used up whole: a window may begin with all of it saved.
+    fn attempt_reserve(&self, cell: Option<&OwnCell>) -> f64 {
+        let homes = cell.map_or(usize::MAX, |cell| cell.home_count);
+        (RESERVE_SHARE * self.bounds.extra_attempts / homes as f64).max(1.0)
     }
 
     fn make_gate(&self, document: Arc<ServiceDocument>) -> Arc<ServiceGate> {
@@ -288,11 +292,12 @@
         let Some(routes) = self.routes.load_full() else { return HashMap::new() };
         let own = home_candidate(&self.own_record()).incarnation;
         let mut cells: HashMap<ServiceName, OwnCell> = HashMap::new();
-        let mut host_counts: HashMap<ServiceName, usize> = HashMap::new();
+        let mut counts: HashMap<ServiceName, (usize, usize)> = HashMap::new();
         for host in routes.table.hosts() {
             let homes = self.choose_host_homes(host, targets);
             for service in routes.table.services_of(host) {
-                *host_counts.entry(service.clone()).or_default() += 1;
+                let count = counts.entry(service.clone()).or_default();
+                *count = (count.0 + 1, count.1 + homes.len());
                 let live = targets.values().filter(|target| target.service == *service && is_live(target));
                 let places: Vec<(SocketAddr, String)> =
                     live.map(|target| (target.address, target.domain.clone())).collect();
@@ -302,7 +307,7 @@
             }
         }
         for (service, cell) in &mut cells {
-            cell.host_count = host_counts[service];
+            (cell.host_count, cell.home_count) = counts[service];
         }
         cells
     }
@@ -322,6 +327,8 @@
     targets: HashSet<SocketAddr>,
     /// Hosts with routes to the service; each has cells of its own.
     host_count: usize,
+    /// Homes of all these hosts.
+    home_count: usize,
 }
 
 /// Part of the reports allowed by the platform that are asked for.
@@ -333,9 +340,7 @@
 /// Entry VMs that one lookup answer names at most.
 const MAX_NAMED_HOMES: usize = 64;
 /// Part of the platform's allowance of further attempts that is saved up over all entry VMs.
-const RESERVE_SHARE: f64 = 0.7;
-/// Entry VMs that are reckoned with before they have registered.
-const MIN_ENTRY_VMS: usize = 12;
+const RESERVE_SHARE: f64 = 0.6;
 /// Time between two periodic passes of the dispatchers.
 pub const UPKEEP_INTERVAL: Duration = Duration::from_millis(20);
 
