--- a/crates/config/src/relay.rs
+++ b/crates/config/src/relay.rs
@@ -42,12 +42,27 @@
 pub struct RelayRouting {
     /// Entry VMs that serve one host at least.
     pub homes_per_host: usize,
-    /// Slots of the targets behind a host for which it gets one more.
-    pub slots_per_home: usize,
+    /// Processor of this entry VM, in cores.
+    pub cores: f64,
+    /// Bandwidth of this entry VM, in Mbit/s.
+    pub link_mbps: f64,
+    /// Slots of targets whose work one core carries.
+    pub slots_per_core: f64,
+    /// Slots of targets whose answers one Mbit/s carries.
+    pub slots_per_mbps: f64,
     /// Part of a target's slots that is filled, 0 to 1: some slow down when nearly full.
     pub slot_fill: f64,
 }
 
+impl RelayRouting {
+    /// Slots of targets whose work this entry VM carries.
+    pub fn capacity(&self) -> u32 {
+        let by_core = self.cores * self.slots_per_core;
+        let by_link = self.link_mbps * self.slots_per_mbps;
+        (by_core.min(by_link).round() as u32).max(1)
+    }
+}
+
 /// Limits of the process itself.
 #[derive(Debug, Clone)]
 pub struct RelayLimits {
@@ -128,14 +143,23 @@
 fn read_routing(section: SectionReader<'_>) -> RelayRouting {
     let settings = RelayRouting {
         homes_per_host: section.parsed_or("homes-per-host", "a whole number", 2),
-        slots_per_home: section.parsed_or("slots-per-home", "a whole number", 120),
+        cores: section.parsed_or("cores", "a number of cores", 0.2),
+        link_mbps: section.parsed_or("link-mbps", "a number of Mbit/s", 1000.0),
+        slots_per_core: section.parsed_or("slots-per-core", "a number", 600.0),
+        slots_per_mbps: section.parsed_or("slots-per-mbps", "a number", 3.0),
         slot_fill: section.percent_or("slot-fill-percent", 0.9),
     };
     if settings.homes_per_host == 0 {
         section.report("homes-per-host", "must be at least 1");
     }
-    if settings.slots_per_home == 0 {
-        section.report("slots-per-home", "must be at least 1");
+    let sizes = [
+        ("cores", settings.cores),
+        ("link-mbps", settings.link_mbps),
+        ("slots-per-core", settings.slots_per_core),
+        ("slots-per-mbps", settings.slots_per_mbps),
+    ];
+    for (key, _) in sizes.iter().filter(|(_, size)| !(size.is_finite() && *size > 0.0)) {
+        section.report(key, "must be above 0");
     }
     if !(0.1..=1.0).contains(&settings.slot_fill) {
         section.report("slot-fill-percent", "must be 10 to 100");
--- a/crates/core/src/home.rs
+++ b/crates/core/src/home.rs
@@ -83,6 +83,35 @@
     owners.insert(address, owner);
 }
 
+/// An entry VM that can be a home, and the slots of targets whose work it can carry.
+pub type SizedCandidate = (HomeCandidate, u32);
+
+/// Chooses homes until they carry `slots` and are at least `least`: the largest first, and among
+/// equals spread over failure domains.
+pub fn choose_sized_homes(
+    host: &str,
+    candidates: &[SizedCandidate],
+    slots: u32,
+    least: usize,
+) -> Vec<HomeCandidate> {
+    let mut tiers: BTreeMap<u32, Vec<HomeCandidate>> = BTreeMap::new();
+    for (candidate, capacity) in candidates {
+        tiers.entry(*capacity).or_default().push(candidate.clone());
+    }
+    let mut homes = Vec::new();
+    let mut carried = 0u32;
+    for (capacity, tier) in tiers.into_iter().rev() {
+        for home in choose_homes(host, &tier, tier.len()) {
+            if homes.len() >= least && carried >= slots {
+                return homes;
+            }
+            carried = carried.saturating_add(capacity);
+            homes.push(home);
+        }
+    }
+    homes
+}
+
 /// Homes that share the targets of one cell.
 pub const CELL_HOMES: usize = 2;
 
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -5,7 +5,7 @@
 use sniperelay_config::RelaySettings;
 use sniperelay_core::dispatch::DispatchSettings;
 use sniperelay_core::document::ServiceDocument;
-use sniperelay_core::home::{CELL_HOMES, HomeCandidate, choose_cell, choose_homes};
+use sniperelay_core::home::{CELL_HOMES, HomeCandidate, SizedCandidate, choose_cell, choose_sized_homes};
 use sniperelay_core::ids::{IncarnationId, InstanceName, ServiceName};
 use sniperelay_core::pick::PickPolicy;
 use sniperelay_core::route::{RouteConfig, RouteTable};
@@ -122,6 +122,7 @@
             caller_address: entry.caller_address,
             ready_address: entry.ready_address,
             incarnation: self.incarnation,
+            capacity: self.settings.routing.capacity(),
         }
     }
 
@@ -274,17 +275,17 @@
         let is_usable = |record: &&EntryVmRecord| {
             !silent.contains(&record.name) && (is_serving || record.name != self.settings.entry.name)
         };
-        let candidates: Vec<HomeCandidate> = vms.values().filter(is_usable).map(home_candidate).collect();
-        choose_homes(host, &candidates, self.home_count(host, targets))
+        let sized = |record: &EntryVmRecord| (home_candidate(record), record.capacity);
+        let candidates: Vec<SizedCandidate> = vms.values().filter(is_usable).map(sized).collect();
+        let slots = self.slots_behind(host, targets);
+        choose_sized_homes(host, &candidates, slots, self.settings.routing.homes_per_host)
     }
 
-    fn home_count(&self, host: &str, targets: &TargetMap) -> usize {
-        let routing = &self.settings.routing;
-        let Some(routes) = self.routes.load_full() else { return routing.homes_per_host };
+    /// Slots of all targets to which a host's routes may lead.
+    fn slots_behind(&self, host: &str, targets: &TargetMap) -> u32 {
+        let Some(routes) = self.routes.load_full() else { return 0 };
         let services = routes.table.services_of(host);
-        let behind = targets.values().filter(|target| services.contains(&target.service));
-        let slots: u32 = behind.map(|target| target.slots).sum();
-        (slots as usize).div_ceil(routing.slots_per_home).max(routing.homes_per_host)
+        targets.values().filter(|target| services.contains(&target.service)).map(|target| target.slots).sum()
     }
 
     /// Targets that this entry VM serves of each service; all of a service that is not named.
