--- a/crates/config/src/relay.rs
+++ b/crates/config/src/relay.rs
@@ -20,6 +20,8 @@
     pub ready_address: SocketAddr,
     /// Address for lookups.
     pub lookup_address: SocketAddr,
+    /// Address for other entry VMs.
+    pub peer_address: SocketAddr,
     /// Address for metrics.
     pub metrics_address: SocketAddr,
     /// Time for which callers keep a lookup answer.
@@ -113,6 +115,7 @@
         caller_address: address("caller-address"),
         ready_address: address("ready-address"),
         lookup_address: address("lookup-address"),
+        peer_address: address("peer-address"),
         metrics_address: address("metrics-address"),
         lookup_keep: section.millis_or("lookup-keep-ms", Duration::from_millis(1500)),
     };
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -28,6 +28,16 @@
         Self { transport: PlatformTransport::new(address, CallPace::new(calls_per_second)) }
     }
 
+    /// A client with this transport.
+    pub fn with_transport(transport: PlatformTransport) -> Self {
+        Self { transport }
+    }
+
+    /// Address that it calls.
+    pub fn address(&self) -> SocketAddr {
+        self.transport.address()
+    }
+
     /// Counters of the calls made.
     pub fn counters(&self) -> &CallCounters {
         self.transport.counters()
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -1,14 +1,15 @@
 //! An entry VM on a platform that keeps configuration and targets.
 //!
-//! One thread runs everything: these machines have a fraction of a core. Entry VMs do not talk to
-//! each other, except that each checks two neighbours; what has to be agreed or kept goes through
-//! the platform's store. Routing decisions are those of `sniperelay-core`.
+//! One thread runs everything: these machines have a fraction of a core. Entry VMs check their
+//! neighbours and hand on what a few of them read from the platform's store; what has to be agreed
+//! or kept goes through that store. Routing decisions are those of `sniperelay-core`.
 //!
 //! | module | job |
 //! |---|---|
 //! | [`run`] | start, planned stop |
 //! | [`state`] | what all tasks share: routes, services, entry VMs, phase |
 //! | [`sync`] | the store's configuration, targets and entry VMs, kept up to date |
+//! | [`feed`] | what entry VMs that read the store hand on to the others |
 //! | [`neighbour`] | checks of neighbours; removal of entry VMs that are gone |
 //! | [`listen`] | caller connections: reading, pipelining, answers in order |
 //! | [`head`] | request heads |
@@ -24,6 +25,7 @@
 pub mod body;
 pub mod decision;
 pub mod exchange;
+pub mod feed;
 pub mod head;
 pub mod listen;
 pub mod neighbour;
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -4,6 +4,7 @@
 //! lookup answer are served, each with the word to close; then the connections that are idle are
 //! closed, what is in flight is finished, and the process ends before its time is up.
 
+use crate::feed::choose_source;
 use crate::listen::serve_callers;
 use crate::neighbour::check_neighbours;
 use crate::probe::ask_targets;
@@ -108,6 +109,7 @@
         let sides = [
             (&mut entry.ready_address, "ready-address"),
             (&mut entry.lookup_address, "lookup-address"),
+            (&mut entry.peer_address, "peer-address"),
             (&mut entry.metrics_address, "metrics-address"),
         ];
         let sides = sides.into_iter().map(|(address, key)| bind(address, key)).collect::<Result<_>>()?;
@@ -124,6 +126,7 @@
     tokio::spawn(watch_config(state.clone()));
     tokio::spawn(watch_targets(state.clone()));
     tokio::spawn(follow_entry_vms(state.clone()));
+    tokio::spawn(choose_source(state.clone()));
     tokio::spawn(check_neighbours(state.clone()));
     tokio::spawn(ask_targets(state.clone()));
     tokio::spawn(keep_up(state.clone()));
--- a/crates/relay/src/side.rs
+++ b/crates/relay/src/side.rs
@@ -1,20 +1,24 @@
-//! Lookups, readiness checks and metrics: small HTTP servers beside the callers' port.
+//! Lookups, readiness checks, metrics and followers: small HTTP servers beside the callers' port.
 
+use crate::feed::answer_pulse;
 use crate::state::RelayState;
 use bytes::Bytes;
-use http::{Request, Response, StatusCode, header};
+use http::{Request, Response, StatusCode, Uri, header};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use sniperelay_hosted::lookup::{CONTENT_TYPE, LOOKUP_PATH, READY_PATH, read_question, write_answer};
+use sniperelay_platform::api::ObjectList;
 use std::convert::Infallible;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::net::TcpListener;
 
+/// Path of signs of life for followers.
+const PULSE_PATH: &str = "/list/sniperelay-pulse/";
 /// Path of metrics.
 const METRICS_PATH: &str = "/metrics";
 /// Time for a request's head.
@@ -24,7 +28,7 @@
 
 type SideResponse = Response<Full<Bytes>>;
 
-/// Serves lookups, readiness checks and metrics on one listener; each path on all of them.
+/// Serves one listener; each path is answered on all of them.
 pub async fn serve_side(state: Arc<RelayState>, listener: TcpListener) {
     loop {
         let stream = match listener.accept().await {
@@ -37,9 +41,9 @@
         };
         let state = state.clone();
         tokio::spawn(async move {
-            let service = service_fn(move |request| {
-                let answer = answer_side(&state, &request);
-                async move { Ok::<_, Infallible>(answer) }
+            let service = service_fn(move |request: Request<Incoming>| {
+                let state = state.clone();
+                async move { Ok::<_, Infallible>(answer_side(&state, request.uri()).await) }
             });
             let mut builder = http1::Builder::new();
             builder.timer(TokioTimer::new()).header_read_timeout(HEADER_TIMEOUT);
@@ -50,12 +54,50 @@
     }
 }
 
-fn answer_side(state: &RelayState, request: &Request<Incoming>) -> SideResponse {
-    match request.uri().path() {
+async fn answer_side(state: &RelayState, uri: &Uri) -> SideResponse {
+    let query = uri.query().unwrap_or("");
+    match uri.path() {
         READY_PATH => answer_ready(state),
-        LOOKUP_PATH => answer_lookup(state, request.uri().query().unwrap_or("")),
+        LOOKUP_PATH => answer_lookup(state, query),
         METRICS_PATH => answer_metrics(state),
-        _ => plain(StatusCode::NOT_FOUND, ""),
+        path => answer_follower(state, path, query).await,
+    }
+}
+
+/// Lists and watches in the product's own dialect, for entry VMs that follow this one.
+async fn answer_follower(state: &RelayState, path: &str, query: &str) -> SideResponse {
+    if path == PULSE_PATH {
+        let is_fresh = answer_pulse(state).await;
+        let empty = ObjectList { revision: 0, items: Vec::new() };
+        return if is_fresh { json(&empty) } else { plain(StatusCode::SERVICE_UNAVAILABLE, "not a reader") };
+    }
+    if !state.feed.is_fresh() {
+        return plain(StatusCode::SERVICE_UNAVAILABLE, "not a reader");
+    }
+    let number = |name: &str| {
+        let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+        pairs.filter(|(key, _)| *key == name).find_map(|(_, value)| value.parse::<u64>().ok())
+    };
+    if let Some(prefix) = path.strip_prefix("/list/") {
+        let list = state.feed.list(prefix);
+        return list
+            .map_or_else(|| plain(StatusCode::SERVICE_UNAVAILABLE, "not known yet"), |list| json(&list));
+    }
+    if let (Some(prefix), Some(since)) = (path.strip_prefix("/watch/"), number("since")) {
+        let wait = Duration::from_millis(number("wait_ms").unwrap_or(0));
+        let changes = state.feed.wait_for_changes(prefix, since, wait).await;
+        return changes.map_or_else(|| plain(StatusCode::GONE, ""), |changes| json(&changes));
+    }
+    plain(StatusCode::NOT_FOUND, "")
+}
+
+fn json(value: &impl serde::Serialize) -> SideResponse {
+    match serde_json::to_string(value) {
+        Ok(text) => plain(StatusCode::OK, &text),
+        Err(error) => {
+            log::error!("cannot encode an answer: {error}");
+            plain(StatusCode::INTERNAL_SERVER_ERROR, "")
+        }
     }
 }
 
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -1,6 +1,7 @@
 //! What all tasks share: routes, services, entry VMs and the phase of the process.
 
 use crate::decision::DecisionLog;
+use crate::feed::FeedTable;
 use arc_swap::{ArcSwap, ArcSwapOption};
 use sniperelay_config::RelaySettings;
 use sniperelay_core::dispatch::DispatchSettings;
@@ -64,10 +65,14 @@
     pub metrics: MetricSet,
     /// Connections to targets.
     pub pool: TargetPool,
+    /// What followers are told of the store.
+    pub feed: FeedTable,
     /// Rates of log lines.
     pub decisions: DecisionLog,
     /// Open caller connections.
     pub connections: AtomicUsize,
+    /// Whether the entry VMs that started together have had time to register.
+    pub has_entry_vms: AtomicBool,
     /// Whether the targets have been listed.
     pub has_targets: AtomicBool,
     targets: Mutex<Arc<TargetMap>>,
@@ -101,8 +106,10 @@
             life,
             metrics: MetricSet::new()?,
             pool: TargetPool::default(),
+            feed: FeedTable::default(),
             decisions: DecisionLog::default(),
             connections: AtomicUsize::new(0),
+            has_entry_vms: AtomicBool::new(false),
             has_targets: AtomicBool::new(false),
             targets: Mutex::default(),
             peers,
@@ -121,6 +128,7 @@
             domain: entry.failure_domain.clone(),
             caller_address: entry.caller_address,
             ready_address: entry.ready_address,
+            peer_address: entry.peer_address,
             incarnation: self.incarnation,
             capacity: self.settings.routing.capacity(),
         }
@@ -262,7 +270,7 @@
     pub fn homes_for(&self, host: &str) -> Vec<SocketAddr> {
         let addresses: HashMap<IncarnationId, SocketAddr> = {
             let vms = self.entry_vms.load();
-            vms.values().map(|record| (home_candidate(record).incarnation, record.caller_address)).collect()
+            vms.values().map(|record| (record.home_candidate().incarnation, record.caller_address)).collect()
         };
         let homes = self.choose_host_homes(host, &self.targets());
         let named = homes.iter().take(MAX_NAMED_HOMES);
@@ -276,7 +284,7 @@
         let is_usable = |record: &&EntryVmRecord| {
             !silent.contains(&record.name) && (is_serving || record.name != self.settings.entry.name)
         };
-        let sized = |record: &EntryVmRecord| (home_candidate(record), record.capacity);
+        let sized = |record: &EntryVmRecord| (record.home_candidate(), record.capacity);
         let candidates: Vec<SizedCandidate> = vms.values().filter(is_usable).map(sized).collect();
         let slots = self.slots_behind(host, targets);
         choose_sized_homes(host, &candidates, slots, self.settings.routing.homes_per_host)
@@ -292,7 +300,7 @@
     /// Targets that this entry VM serves of each service; all of a service that is not named.
     fn own_cells(&self, targets: &TargetMap) -> HashMap<ServiceName, OwnCell> {
         let Some(routes) = self.routes.load_full() else { return HashMap::new() };
-        let own = home_candidate(&self.own_record()).incarnation;
+        let own = self.own_record().home_candidate().incarnation;
         let mut cells: HashMap<ServiceName, OwnCell> = HashMap::new();
         let mut counts: HashMap<ServiceName, (usize, usize)> = HashMap::new();
         for host in routes.table.hosts() {
@@ -346,12 +354,6 @@
 /// Time between two periodic passes of the dispatchers.
 pub const UPKEEP_INTERVAL: Duration = Duration::from_millis(20);
 
-/// A candidate that keeps its place when the process behind the name is replaced.
-fn home_candidate(record: &EntryVmRecord) -> HomeCandidate {
-    let incarnation = sniperelay_core::home::hash_name(&record.name);
-    HomeCandidate { incarnation, domain: record.domain.clone() }
-}
-
 /// Whether a target takes new work.
 pub fn is_live(record: &TargetRecord) -> bool {
     record.life == TargetLife::Live
--- a/crates/relay/src/sync.rs
+++ b/crates/relay/src/sync.rs
@@ -5,6 +5,7 @@
 //! next watch waits a little, so that a series of changes costs few calls. Watches go on from the revision
 //! reached; a new list is taken only when the store no longer has the history.
 
+use crate::feed::StoreSource;
 use crate::state::{EntryVmMap, RelayState, TargetMap};
 use sniperelay_hosted::registration::{
     ENTRY_VM_PREFIX, TARGET_PREFIX, read_entry_vm, read_target, write_entry_vm,
@@ -12,14 +13,20 @@
 use sniperelay_hosted::routes::{CONFIG_KEY, CONFIG_PREFIX, read_config};
 use sniperelay_node::boot_clock::{self, BootTime};
 use sniperelay_node::life::LifePhase;
-use sniperelay_platform::PlatformError;
 use sniperelay_platform::api::{EventList, ObjectList, PlatformApi, StoredObject};
+use sniperelay_platform::{HttpPlatform, PlatformError, Result};
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
+use tokio::sync::watch;
 
 /// Longest wait of one watch.
 const WATCH_WAIT: Duration = Duration::from_secs(28);
+/// Time after the start in which entry VMs that start together register; they are read at once.
+const REGISTRATION_TIME: Duration = Duration::from_millis(1200);
+/// Longest wait of one watch at a reader.
+const READER_WAIT: Duration = Duration::from_secs(5);
 /// Pause between the events of a watch and the next one, for each entry VM: it bounds the calls of
 /// all of them together to 120 a second for each kind of object.
 const COALESCE_STEP: Duration = Duration::from_millis(8);
@@ -173,6 +180,9 @@
     prefix: &'static str,
     /// Revision reached; `None` before a list.
     revision: Option<u64>,
+    /// Highest revision reached; older lists say nothing new.
+    reached: u64,
+    source: watch::Receiver<StoreSource>,
     /// Versions of the objects known to be there.
     known: BTreeMap<String, u64>,
     failed_at: Option<BootTime>,
@@ -186,10 +196,13 @@
 
 impl PrefixWatcher {
     fn new(state: Arc<RelayState>, prefix: &'static str) -> Self {
+        let source = state.feed.source();
         Self {
             state,
             prefix,
             revision: None,
+            reached: 0,
+            source,
             known: BTreeMap::new(),
             failed_at: None,
             regained_at: None,
@@ -199,7 +212,14 @@
         }
     }
 
+    /// The fewer read the store, the sooner each may ask again.
     fn coalesce_pause(&self) -> Duration {
+        if !self.state.has_entry_vms.load(Ordering::Relaxed) {
+            return MAX_COALESCE_PAUSE;
+        }
+        if self.state.feed.is_reader() || matches!(*self.source.borrow(), StoreSource::Reader(_)) {
+            return MIN_COALESCE_PAUSE;
+        }
         let vms = u32::try_from(self.state.entry_vms.load().len()).unwrap_or(u32::MAX);
         COALESCE_STEP.saturating_mul(vms).clamp(MIN_COALESCE_PAUSE, MAX_COALESCE_PAUSE)
     }
@@ -214,22 +234,10 @@
         if std::mem::take(&mut self.is_settling) {
             tokio::time::sleep(self.coalesce_pause()).await;
         }
-        let result = match self.revision {
-            None if self.must_list_fresh => {
-                self.state.store.list(self.prefix).await.map(|list| self.apply_list(list))
-            }
-            None => self.state.store.list_stale(self.prefix).await.map(|list| self.apply_list(list)),
-            Some(revision) if !self.is_current => {
-                let events = self.state.store.watch(self.prefix, revision, Duration::ZERO).await;
-                events.map(|events| {
-                    self.is_current = true;
-                    self.apply_events(events)
-                })
-            }
-            Some(revision) => {
-                let events = self.state.store.watch(self.prefix, revision, WATCH_WAIT).await;
-                events.map(|events| self.apply_events(events))
-            }
+        let source = self.source.borrow_and_update().clone();
+        let result = match &source {
+            StoreSource::Direct => self.read_direct().await,
+            StoreSource::Reader(reader) => self.read_from(reader).await,
         };
         match result {
             Ok(changes) => {
@@ -244,9 +252,53 @@
         }
     }
 
+    /// Reads from the store: a list of seconds ago first, then changes.
+    async fn read_direct(&mut self) -> Result<Vec<StoreChange>> {
+        let store = &self.state.store;
+        let Some(revision) = self.revision else {
+            let list = if self.must_list_fresh {
+                store.list(self.prefix).await?
+            } else {
+                store.list_stale(self.prefix).await?
+            };
+            self.state.feed.confirm();
+            return Ok(self.apply_list(list));
+        };
+        let wait = if self.is_current { WATCH_WAIT } else { Duration::ZERO };
+        let events = tokio::select! {
+            events = store.watch(self.prefix, revision, wait) => events?,
+            Ok(()) = self.source.changed() => return Ok(Vec::new()),
+        };
+        self.state.feed.confirm();
+        self.is_current = true;
+        Ok(self.apply_events(events))
+    }
+
+    /// Reads from a reader, which is current while it answers.
+    async fn read_from(&mut self, reader: &HttpPlatform) -> Result<Vec<StoreChange>> {
+        let Some(revision) = self.revision else {
+            let list = reader.list(self.prefix).await?;
+            let changes = self.apply_list(list);
+            self.is_current = true;
+            return Ok(changes);
+        };
+        let events = tokio::select! {
+            events = reader.watch(self.prefix, revision, READER_WAIT) => events?,
+            Ok(()) = self.source.changed() => return Ok(Vec::new()),
+        };
+        self.is_current = true;
+        Ok(self.apply_events(events))
+    }
+
     fn apply_list(&mut self, list: ObjectList) -> Vec<StoreChange> {
+        if list.revision < self.reached {
+            log::info!(prefix = self.prefix, listed = list.revision, reached = self.reached; "an older list was ignored");
+            return Vec::new();
+        }
+        self.reached = list.revision;
         self.revision = Some(list.revision);
         self.must_list_fresh = false;
+        self.state.feed.replace(self.prefix, &list);
         let listed: BTreeMap<String, u64> =
             list.items.iter().map(|item| (item.key.clone(), item.version)).collect();
         let gone = self.known.keys().filter(|key| !listed.contains_key(*key));
@@ -259,6 +311,8 @@
 
     fn apply_events(&mut self, list: EventList) -> Vec<StoreChange> {
         self.revision = Some(list.revision);
+        self.reached = self.reached.max(list.revision);
+        self.state.feed.extend(self.prefix, &list);
         let mut changes = Vec::new();
         for event in list.events {
             match event.value {
@@ -305,6 +359,7 @@
 pub async fn follow_entry_vms(state: Arc<RelayState>) {
     let mut watcher = PrefixWatcher::new(state.clone(), ENTRY_VM_PREFIX);
     let mut vms = EntryVmMap::new();
+    let mut is_first = true;
     loop {
         let changes = watcher.next_changes().await;
         for change in changes {
@@ -312,10 +367,18 @@
         }
         if state.life.phase() != LifePhase::Serving {
             vms.remove(&state.settings.entry.name);
-        } else if watcher.is_current && vms.get(&state.settings.entry.name) != Some(&state.own_record()) {
+        } else if watcher.revision.is_some()
+            && vms.get(&state.settings.entry.name) != Some(&state.own_record())
+        {
             register(&state, &mut watcher, &mut vms).await;
         }
         adopt_entry_vms(&state, &vms);
+        if is_first {
+            is_first = false;
+            tokio::time::sleep(REGISTRATION_TIME).await;
+        } else if watcher.is_current {
+            state.has_entry_vms.store(true, Ordering::Relaxed);
+        }
     }
 }
 
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -216,7 +216,7 @@
     let any = "127.0.0.1:0";
     let text = format!(
         "[entry-vm]\nname = vm\nfailure-domain = z\ncaller-address = {any}\nready-address = {any}\n\
-         lookup-address = {any}\nmetrics-address = {any}\n[platform]\naddress = {store}\n\
+         lookup-address = {any}\npeer-address = {any}\nmetrics-address = {any}\n[platform]\naddress = {store}\n\
          calls-per-second = 1000\nbounds = {{\"Grace\":\"1s\"}}\n"
     );
     RunningRelay::start(parse_relay_settings("test.ini", &text).unwrap()).unwrap()
