--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -26,6 +26,8 @@
     Status(StatusArgs),
     /// Asks which entry VMs to use.
     Lookup(LookupArgs),
+    /// Tells the story of a request from log files.
+    Explain(ExplainArgs),
     /// Asks for a planned stop.
     Drain(DrainArgs),
 }
@@ -48,6 +50,18 @@
     pub settings: PathBuf,
 }
 
+/// print what log files say of one request, in order of time
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "explain")]
+pub struct ExplainArgs {
+    /// id of the request
+    #[argh(option)]
+    pub request: String,
+    /// log files of entry VMs, written with json = yes
+    #[argh(positional)]
+    pub files: Vec<PathBuf>,
+}
+
 /// work with service documents
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "config")]
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -9,11 +9,13 @@
 //! | [`args`] | the command line |
 //! | [`client`] | requests to an entry VM |
 //! | [`config`] | `config` commands |
+//! | [`explain`] | the story of one request from log files |
 //! | [`status`] | `status` and `lookup` |
 
 mod args;
 mod client;
 mod config;
+mod explain;
 mod status;
 
 use anyhow::{Context, Result};
@@ -70,6 +72,7 @@
         },
         Command::Status(args) => block_on(status::show_status(&args)),
         Command::Lookup(args) => block_on(status::show_lookup(&args)),
+        Command::Explain(args) => explain::explain_request(&args),
         Command::Drain(args) => block_on(status::drain(&args)),
     }
 }
