--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -39,7 +39,10 @@
         println!("{} {}: {}", line.time, line.file, line.message);
     }
     if story.is_empty() {
-        eprintln!("sniperelay: no line names request '{}'; routine answers are logged as a sample", args.request);
+        eprintln!(
+            "sniperelay: no line names request '{}'; routine answers are logged as a sample",
+            args.request
+        );
         return Ok(CommandEnd::Failed);
     }
     Ok(CommandEnd::Done)
--- a/crates/cli/tests/explain.rs
+++ b/crates/cli/tests/explain.rs
@@ -14,7 +14,8 @@
 }
 
 fn line(time: &str, request: &str, message: &str) -> String {
-    serde_json::json!({"time": time, "message": message, "attributes": {"request": request}}).to_string() + "\n"
+    serde_json::json!({"time": time, "message": message, "attributes": {"request": request}}).to_string()
+        + "\n"
 }
 
 #[test]
@@ -33,6 +34,7 @@
 
 const SETTINGS: &str = "[entry-vm]\nname = vm-1\nfailure-domain = z\ncaller-address = 127.0.0.1:0\n\
     ready-address = 127.0.0.1:0\nlookup-address = 127.0.0.1:0\npeer-address = 127.0.0.1:0\n\
+    control-address = 127.0.0.1:0\n\
     metrics-address = 127.0.0.1:0\n[platform]\naddress = 127.0.0.1:1\n";
 
 /// Each row: a mistake in the settings, and what the message must say.
@@ -41,11 +43,19 @@
     let cases = [
         ("name = vm-1", "name = vm 1", ":2: [entry-vm] name: must be of letters"),
         ("failure-domain = z\n", "", "[entry-vm] failure-domain: is required"),
-        ("caller-address = 127.0.0.1:0", "caller-address = here", ":4: [entry-vm] caller-address: 'here' is not an address"),
+        (
+            "caller-address = 127.0.0.1:0",
+            "caller-address = here",
+            ":4: [entry-vm] caller-address: 'here' is not an address",
+        ),
         ("[platform]\naddress", "[platform]\nadress", "unknown key; did you mean 'address'?"),
         ("[platform]", "[platfrom]", "unknown section; did you mean 'platform'?"),
         ("[platform]", "[routing]\nhomes-per-host = 0\n[platform]", "homes-per-host: must be at least 1"),
-        ("[platform]", "[routing]\nslot-fill-percent = 5\n[platform]", "slot-fill-percent: must be 10 to 100"),
+        (
+            "[platform]",
+            "[routing]\nslot-fill-percent = 5\n[platform]",
+            "slot-fill-percent: must be 10 to 100",
+        ),
         ("[platform]", "[routing]\ncores = 0\n[platform]", "cores: must be above 0"),
         ("[platform]", "[log]\nlevel = loud\n[platform]", "level: must be one of off, error"),
     ];
@@ -69,6 +79,8 @@
         ("{{Listen.Front}}", "127.0.0.1:1"),
         ("{{Listen.Ready}}", "127.0.0.1:2"),
         ("{{Listen.Directory}}", "127.0.0.1:3"),
+        ("{{Listen.Control}}", "127.0.0.1:6"),
+        ("{{Seeds}}", "127.0.0.1:6,127.0.0.2:6"),
         ("{{Ip}}", "127.0.0.1"),
         ("{{InternalPorts.0}}", "4"),
         ("{{Platform.Address}}", "127.0.0.1:5"),
--- a/crates/config/src/relay.rs
+++ b/crates/config/src/relay.rs
@@ -22,6 +22,10 @@
     pub lookup_address: SocketAddr,
     /// Address for other entry VMs.
     pub peer_address: SocketAddr,
+    /// Address at which an entry VM that starts while the store is away asks this one.
+    pub control_address: SocketAddr,
+    /// Such addresses of some other entry VMs.
+    pub seeds: Vec<SocketAddr>,
     /// Address for metrics.
     pub metrics_address: SocketAddr,
     /// Time for which callers keep a lookup answer.
@@ -116,6 +120,8 @@
         ready_address: address("ready-address"),
         lookup_address: address("lookup-address"),
         peer_address: address("peer-address"),
+        control_address: address("control-address"),
+        seeds: section.list("seeds", "an address like 10.0.0.1:8082"),
         metrics_address: address("metrics-address"),
         lookup_keep: section.millis_or("lookup-keep-ms", Duration::from_millis(1500)),
     };
--- a/crates/relay/src/feed.rs
+++ b/crates/relay/src/feed.rs
@@ -34,6 +34,10 @@
 const DIRECT_TIME: Duration = Duration::from_millis(1500);
 /// Prefix without objects; listing it is the cheapest call.
 const PULSE_PREFIX: &str = "sniperelay-pulse/";
+/// Beginning of the prefixes under which any entry VM tells what it knows, however old.
+pub const SNAPSHOT_PREFIX: &str = "snapshot/";
+/// Time within which a seed must answer.
+const SEED_TIMEOUT: Duration = Duration::from_millis(400);
 /// Calls per second to a reader.
 const READER_CALLS: u32 = 200;
 /// Largest pause after failed calls to a reader.
@@ -175,6 +179,26 @@
     }
 }
 
+/// What another entry VM knows of a prefix, for a process that starts while the store is away. It
+/// may be old; the store's changes since then follow when it is back.
+pub async fn ask_seeds(state: &RelayState, prefix: &str) -> Option<ObjectList> {
+    for seed in
+        state.settings.entry.seeds.iter().filter(|seed| **seed != state.settings.entry.control_address)
+    {
+        let snapshot = format!("{SNAPSHOT_PREFIX}{prefix}");
+        let answer = tokio::time::timeout(SEED_TIMEOUT, make_client(*seed).list(&snapshot)).await;
+        match answer {
+            Ok(Ok(list)) => {
+                log::info!(prefix, revision = list.revision; "the store is away; learned from {seed}");
+                return Some(list);
+            }
+            Ok(Err(error)) => log::info!("seed {seed} knows nothing: {error}"),
+            Err(_) => log::info!("seed {seed} does not answer"),
+        }
+    }
+    None
+}
+
 /// Answers a follower's question for a sign of life: whether this reader was fresh all the time.
 pub async fn answer_pulse(state: &RelayState) -> bool {
     if !state.feed.is_fresh() {
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -110,6 +110,7 @@
             (&mut entry.ready_address, "ready-address"),
             (&mut entry.lookup_address, "lookup-address"),
             (&mut entry.peer_address, "peer-address"),
+            (&mut entry.control_address, "control-address"),
             (&mut entry.metrics_address, "metrics-address"),
         ];
         let sides = sides.into_iter().map(|(address, key)| bind(address, key)).collect::<Result<_>>()?;
--- a/crates/relay/src/side.rs
+++ b/crates/relay/src/side.rs
@@ -1,6 +1,6 @@
 //! Lookups, readiness checks, metrics and followers: small HTTP servers beside the callers' port.
 
-use crate::feed::answer_pulse;
+use crate::feed::{SNAPSHOT_PREFIX, answer_pulse};
 use crate::state::RelayState;
 use bytes::Bytes;
 use http::{Request, Response, StatusCode, Uri, header};
@@ -71,6 +71,12 @@
         let empty = ObjectList { revision: 0, items: Vec::new() };
         return if is_fresh { json(&empty) } else { plain(StatusCode::SERVICE_UNAVAILABLE, "not a reader") };
     }
+    if let Some(prefix) = path.strip_prefix("/list/").and_then(|prefix| prefix.strip_prefix(SNAPSHOT_PREFIX))
+    {
+        let list = state.feed.list(prefix);
+        return list
+            .map_or_else(|| plain(StatusCode::SERVICE_UNAVAILABLE, "not known yet"), |list| json(&list));
+    }
     if !state.feed.is_fresh() {
         return plain(StatusCode::SERVICE_UNAVAILABLE, "not a reader");
     }
--- a/crates/relay/src/sync.rs
+++ b/crates/relay/src/sync.rs
@@ -5,7 +5,7 @@
 //! next watch waits a little, so that a series of changes costs few calls. Watches go on from the revision
 //! reached; a new list is taken only when the store no longer has the history.
 
-use crate::feed::StoreSource;
+use crate::feed::{StoreSource, ask_seeds};
 use crate::state::{EntryVmMap, RelayState, TargetMap};
 use sniperelay_hosted::registration::{
     ENTRY_VM_PREFIX, TARGET_PREFIX, read_entry_vm, read_target, write_entry_vm,
@@ -190,6 +190,8 @@
     is_settling: bool,
     /// Whether the changes since a list that may be seconds old have been read.
     is_current: bool,
+    /// Whether the last changes came from a seed while the store was away.
+    is_from_seed: bool,
     /// Whether the history since a cheaper, older list was gone.
     must_list_fresh: bool,
 }
@@ -208,6 +210,7 @@
             regained_at: None,
             is_settling: false,
             is_current: false,
+            is_from_seed: false,
             must_list_fresh: false,
         }
     }
@@ -241,7 +244,9 @@
         };
         match result {
             Ok(changes) => {
-                self.note_success();
+                if !std::mem::take(&mut self.is_from_seed) {
+                    self.note_success();
+                }
                 self.is_settling = self.is_current && !changes.is_empty();
                 changes
             }
@@ -257,12 +262,17 @@
         let store = &self.state.store;
         let Some(revision) = self.revision else {
             let list = if self.must_list_fresh {
-                store.list(self.prefix).await?
+                store.list(self.prefix).await
             } else {
-                store.list_stale(self.prefix).await?
+                store.list_stale(self.prefix).await
+            };
+            return match list {
+                Ok(list) => {
+                    self.state.feed.confirm();
+                    Ok(self.apply_list(list))
+                }
+                Err(error) => self.learn_from_seeds(error).await,
             };
-            self.state.feed.confirm();
-            return Ok(self.apply_list(list));
         };
         let wait = if self.is_current { WATCH_WAIT } else { Duration::ZERO };
         let events = tokio::select! {
@@ -274,6 +284,18 @@
         Ok(self.apply_events(events))
     }
 
+    /// Takes over what a seed knows, if this process knows nothing and the store is away.
+    async fn learn_from_seeds(&mut self, error: PlatformError) -> Result<Vec<StoreChange>> {
+        if self.reached > 0 {
+            return Err(error);
+        }
+        let list = ask_seeds(&self.state, self.prefix).await.ok_or(error)?;
+        let changes = self.apply_list(list);
+        self.is_current = true;
+        self.is_from_seed = true;
+        Ok(changes)
+    }
+
     /// Reads from a reader, which is current while it answers.
     async fn read_from(&mut self, reader: &HttpPlatform) -> Result<Vec<StoreChange>> {
         let Some(revision) = self.revision else {
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -213,10 +213,18 @@
 }
 
 pub fn start_relay(store: SocketAddr) -> RunningRelay {
+    start_named_relay("vm", store)
+}
+
+pub fn start_named_relay(name: &str, store: SocketAddr) -> RunningRelay {
+    start_seeded_relay(name, store, "")
+}
+
+pub fn start_seeded_relay(name: &str, store: SocketAddr, seeds: &str) -> RunningRelay {
     let any = "127.0.0.1:0";
     let text = format!(
-        "[entry-vm]\nname = vm\nfailure-domain = z\ncaller-address = {any}\nready-address = {any}\n\
-         lookup-address = {any}\npeer-address = {any}\nmetrics-address = {any}\n[platform]\naddress = {store}\n\
+        "[entry-vm]\nname = {name}\nfailure-domain = z\ncaller-address = {any}\nready-address = {any}\n\
+         lookup-address = {any}\npeer-address = {any}\ncontrol-address = {any}\nseeds = {seeds}\nmetrics-address = {any}\n[platform]\naddress = {store}\n\
          calls-per-second = 1000\nbounds = {{\"Grace\":\"1s\"}}\n"
     );
     RunningRelay::start(parse_relay_settings("test.ini", &text).unwrap()).unwrap()
--- /dev/null
+++ b/crates/relay/tests/feed.rs
@@ -0,0 +1,144 @@
+//! What readers of the store hand on, and how the others follow.
+
+mod common;
+
+use common::{config, registration};
+use sniperelay_platform::api::{EventList, ObjectEvent, ObjectList, StoredObject};
+use sniperelay_relay::RunningRelay;
+use sniperelay_relay::feed::{FeedTable, StoreSource};
+use sniperelay_standin::platform::PlatformStandin;
+use std::time::Duration;
+
+fn object(name: &str, version: u64) -> StoredObject {
+    StoredObject { key: format!("k/{name}"), version, value: version.to_string() }
+}
+
+fn event(name: &str, version: u64, is_gone: bool) -> ObjectEvent {
+    ObjectEvent { key: format!("k/{name}"), version, value: (!is_gone).then(|| version.to_string()) }
+}
+
+#[tokio::test]
+async fn a_table_hands_on_the_list_and_the_changes_since_a_revision() {
+    let table = FeedTable::default();
+    assert!(table.list("k/").is_none(), "nothing is known");
+    table.replace("k/", &ObjectList { revision: 10, items: vec![object("a", 3), object("b", 9)] });
+    table
+        .extend("k/", &EventList { revision: 12, events: vec![event("a", 11, true), event("c", 12, false)] });
+    table.extend("k/", &EventList { revision: 15, events: Vec::new() });
+    let list = table.list("k/").unwrap();
+    assert_eq!((list.revision, list.items), (15, vec![object("b", 9), object("c", 12)]));
+    let since = async |revision| table.wait_for_changes("k/", revision, Duration::ZERO).await;
+    assert_eq!(since(10).await.unwrap().events.len(), 2);
+    assert_eq!(since(11).await.unwrap().events, vec![event("c", 12, false)]);
+    assert_eq!(since(9).await, None, "older than the list");
+    let ahead = since(20).await.unwrap();
+    assert_eq!((ahead.revision, ahead.events.len()), (20, 0), "a follower that came further stays there");
+}
+
+#[tokio::test]
+async fn a_long_log_forgets_its_beginning_and_says_so() {
+    let table = FeedTable::default();
+    table.replace("k/", &ObjectList { revision: 1, items: Vec::new() });
+    for version in 2..5000 {
+        table.extend("k/", &EventList { revision: version, events: vec![event("a", version, false)] });
+    }
+    assert_eq!(table.wait_for_changes("k/", 1, Duration::ZERO).await, None);
+    let recent = table.wait_for_changes("k/", 4990, Duration::ZERO).await.unwrap();
+    assert_eq!(recent.events.len(), 9);
+}
+
+#[tokio::test]
+async fn whoever_was_not_answered_by_the_store_hands_nothing_on() {
+    let table = FeedTable::default();
+    assert!(!table.is_fresh());
+    table.confirm();
+    assert!(!table.is_fresh(), "not one of the readers");
+}
+
+/// Several entry VMs on one store.
+struct Fleet {
+    store: std::sync::Arc<PlatformStandin>,
+    relays: Vec<RunningRelay>,
+}
+
+impl Fleet {
+    async fn start(count: usize) -> Self {
+        let store = PlatformStandin::start().await.unwrap();
+        store.put("config/main", config("00000001").to_string());
+        let relays =
+            (0..count).map(|index| common::start_named_relay(&format!("vm{index}"), store.address()));
+        Self { relays: relays.collect(), store }
+    }
+
+    async fn until(&self, holds: impl Fn(&sniperelay_relay::state::RelayState) -> bool) {
+        while !self.relays.iter().all(|relay| holds(relay.state())) {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    }
+
+    fn followers(&self) -> usize {
+        let is_follower =
+            |relay: &&RunningRelay| matches!(*relay.state().feed.source().borrow(), StoreSource::Reader(_));
+        self.relays.iter().filter(is_follower).count()
+    }
+}
+
+fn version(state: &sniperelay_relay::state::RelayState) -> u64 {
+    state.routes.load().as_ref().map_or(0, |routes| routes.config.version)
+}
+
+#[tokio::test]
+async fn three_read_the_store_and_the_others_learn_from_them_what_changes() {
+    let fleet = Fleet::start(6).await;
+    fleet.until(|state| state.is_ready() && state.entry_vms.load().len() == 6).await;
+    while fleet.followers() != 3 {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    fleet.store.put("config/main", config("00000007").to_string());
+    let target = registration("127.0.0.1:9".parse().unwrap(), "ready");
+    fleet.store.put("servers/i1", target.to_string());
+    let knows_target = |state: &sniperelay_relay::state::RelayState| {
+        state.services.load()["s"].gate.read(|dispatcher| dispatcher.targets().len() == 1)
+    };
+    fleet.until(|state| version(state) == 7 && knows_target(state)).await;
+    // An older version that comes later changes nothing, on readers and followers.
+    fleet.store.put("config/main", config("00000006").to_string());
+    fleet.store.put("config/main", config("00000008").to_string());
+    fleet.until(|state| version(state) == 8).await;
+    assert_eq!(fleet.followers(), 3);
+}
+
+#[tokio::test]
+async fn followers_go_on_with_what_they_know_while_the_store_is_away_and_catch_up() {
+    let fleet = Fleet::start(5).await;
+    fleet.until(|state| state.is_ready() && state.entry_vms.load().len() == 5).await;
+    fleet.store.control.is_down.store(true, std::sync::atomic::Ordering::Relaxed);
+    // Readers lose their sign of life, so that nobody follows any more.
+    while fleet.relays.iter().any(|relay| relay.state().feed.is_fresh()) || fleet.followers() > 0 {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    assert!(fleet.relays.iter().all(|relay| relay.state().is_ready()), "they serve on");
+    fleet.store.put("config/main", config("00000009").to_string());
+    fleet.store.control.is_down.store(false, std::sync::atomic::Ordering::Relaxed);
+    fleet.until(|state| version(state) == 9).await;
+}
+
+#[tokio::test]
+async fn a_process_that_starts_while_the_store_is_away_learns_from_a_seed() {
+    let fleet = Fleet::start(1).await;
+    let target = registration("127.0.0.1:9".parse().unwrap(), "ready");
+    fleet.store.put("servers/i1", target.to_string());
+    fleet.until(|state| state.is_ready()).await;
+    fleet.store.control.is_down.store(true, std::sync::atomic::Ordering::Relaxed);
+    let seed = fleet.relays[0].state().settings.entry.control_address.to_string();
+    let late = common::start_seeded_relay("late", fleet.store.address(), &seed);
+    while !late.state().is_ready() {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    assert_eq!(version(late.state()), 1);
+    fleet.store.put("config/main", config("0000000a").to_string());
+    fleet.store.control.is_down.store(false, std::sync::atomic::Ordering::Relaxed);
+    while version(late.state()) != 10 {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
