--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -345,7 +345,7 @@
 const REPORT_SHARE: f64 = 0.8;
 /// Shortest age from which a target is asked for a report: targets change their speed a few times a
 /// second.
-const MIN_REPORT_AGE: Duration = Duration::from_millis(100);
+const MIN_REPORT_AGE: Duration = Duration::from_millis(150);
 
 /// Entry VMs that one lookup answer names at most.
 const MAX_NAMED_HOMES: usize = 64;
