--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -34,6 +34,7 @@
 use std::time::{Duration, Instant};
 
 pub use attempt::{AnswerNote, AnswerVerdict, AttemptFailure, FailureVerdict};
+pub use shared::ServiceStanding;
 
 /// Length of one bucket of the drain rate.
 const RATE_BUCKET: Duration = Duration::from_millis(100);
--- a/crates/core/src/dispatch/shared.rs
+++ b/crates/core/src/dispatch/shared.rs
@@ -18,13 +18,49 @@
 /// Bytes of answer whose way between failure domains weighs as much as a request's usual time:
 /// between domains, bytes are paid for.
 const REMOTE_BYTES: f64 = 30_000.0;
+/// Expected time relative to usual below which a target counts as fast.
+const FAST_FACTOR: f64 = 1.5;
 /// Expected time added for each part of a target's slots that is in use.
 const OCCUPANCY_WEIGHT: f64 = 0.5;
 
 /// Time after the last request for which a service's targets are asked for reports.
 const REPORT_INTEREST: Duration = Duration::from_millis(300);
 
+/// How a service stands in one entry VM, for log lines.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ServiceStanding {
+    /// Waiting requests of the rank.
+    pub waiting: usize,
+    /// Waiting requests of all ranks.
+    pub waiting_in_all: usize,
+    /// Targets that take work.
+    pub usable_targets: usize,
+    /// Of these, with a free slot.
+    pub free_targets: usize,
+    /// Of the free ones, about as fast as usual.
+    pub fast_targets: usize,
+    /// Usual time of an answer of the rank.
+    pub usual_time: Duration,
+}
+
 impl ServiceDispatcher {
+    /// How the service stands, as seen by a request of `rank`.
+    pub fn standing(&self, rank: RankId, now: Instant) -> ServiceStanding {
+        let states = self.targets.iter().map(|(_, target)| target);
+        let usable: Vec<&TargetState> = states.filter(|target| target.is_usable()).collect();
+        let free: Vec<&TargetState> =
+            usable.iter().copied().filter(|target| target.has_free_slot()).collect();
+        let is_fast = |target: &&&TargetState| self.expected_factor(target, now) < FAST_FACTOR;
+        ServiceStanding {
+            waiting: self.queue_length(rank),
+            waiting_in_all: self.waiting.len(),
+            usable_targets: usable.len(),
+            free_targets: free.len(),
+            fast_targets: free.iter().filter(is_fast).count(),
+            usual_time: self.ranks[rank].usual_head.value(),
+        }
+    }
+
     /// Replaces the targets by shared ones and starts what can be started.
     pub fn replace_shared_targets(
         &mut self,
@@ -115,10 +151,12 @@
         (is_in_time || self.must_take_any(rank, queued, now)).then_some(key)
     }
 
-    /// Whether waiting for a faster target no longer helps.
+    /// Whether waiting for a faster target no longer helps. After the deadline of the last rank an
+    /// answer is of no use to anyone; after that of another rank it is merely late.
     fn must_take_any(&self, rank: RankId, queued: &QueuedRequest, now: Instant) -> bool {
         let usual = self.ranks[rank].usual_head.value();
-        now + usual + PATIENCE_STEP >= queued.deadline
+        let is_last = rank + 1 == self.ranks.len();
+        !is_last && now + usual + PATIENCE_STEP >= queued.deadline
     }
 
     /// Sends idempotent requests that will be late where they are to a target that will answer in
--- a/crates/core/tests/shared.rs
+++ b/crates/core/tests/shared.rs
@@ -396,3 +396,27 @@
     let rank = |path| table.find("h", path).unwrap().next_choice().rank;
     assert_eq!((rank("/s/"), rank("/l/")), (0, 1));
 }
+
+/// Pattern: an overloaded service whose free targets are slow.
+#[test]
+fn a_request_that_no_free_target_can_answer_before_its_end_takes_no_slot() {
+    let mut fleet = Fleet::new(2);
+    let late_rank = 2;
+    for _ in 0..40 {
+        let (request, key, _) = fleet.start(late_rank);
+        fleet.pass(WORK, 1.0);
+        fleet.answer(request, key);
+    }
+    fleet.report_all(4.0);
+    let request = fleet.submit(late_rank);
+    for _ in 0..10 {
+        fleet.now += millis(20);
+        fleet.report_all(4.0);
+        fleet.dispatcher.tick(fleet.now, &mut fleet.actions);
+    }
+    let started = fleet.actions.iter().any(|action| matches!(action, DispatchAction::Start { .. }));
+    let refused = fleet.actions.iter().any(
+        |action| matches!(action, DispatchAction::Refuse { request: refused, .. } if *refused == request),
+    );
+    assert!(!started && refused, "{:?}", fleet.actions);
+}
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -113,6 +113,33 @@
     }
 }
 
+/// What the process believes, and how old that is.
+#[derive(Debug, Default)]
+pub struct BeliefGauges {
+    /// Version of the configuration in force; 0 before the first.
+    pub configuration_version: AtomicU64,
+    /// Targets registered.
+    pub targets: AtomicU64,
+    /// Entry VMs registered.
+    pub entry_vms: AtomicU64,
+    /// Whether this entry VM is among those that read the platform's store.
+    pub is_reader: AtomicU64,
+    /// Milliseconds since the store, or a reader of it, last answered.
+    pub store_age_ms: AtomicU64,
+}
+
+impl BeliefGauges {
+    fn named(&self) -> [(&'static str, &AtomicU64); 5] {
+        [
+            ("configuration_version", &self.configuration_version),
+            ("targets", &self.targets),
+            ("entry_vms", &self.entry_vms),
+            ("is_reader", &self.is_reader),
+            ("store_age_ms", &self.store_age_ms),
+        ]
+    }
+}
+
 type RankTable = BTreeMap<(String, String), Arc<RankCounters>>;
 
 /// All metrics of one entry VM.
@@ -122,6 +149,7 @@
     latency: Histogram<f64>,
     ranks: Arc<RwLock<RankTable>>,
     process: Arc<ProcessCounters>,
+    beliefs: Arc<BeliefGauges>,
 }
 
 impl std::fmt::Debug for MetricSet {
@@ -150,7 +178,9 @@
         let process = Arc::new(ProcessCounters::default());
         register_rank_counters(&meter, &ranks);
         register_process_counters(&meter, &process);
-        Ok(Self { registry, _provider: provider, latency, ranks, process })
+        let beliefs = Arc::new(BeliefGauges::default());
+        register_beliefs(&meter, &beliefs);
+        Ok(Self { registry, _provider: provider, latency, ranks, process, beliefs })
     }
 
     /// Counters of the process.
@@ -158,6 +188,11 @@
         &self.process
     }
 
+    /// What the process believes.
+    pub fn beliefs(&self) -> &Arc<BeliefGauges> {
+        &self.beliefs
+    }
+
     /// Counters of one rank, made on first use.
     pub fn rank(&self, service: &str, rank: &str) -> Arc<RankCounters> {
         let key = (service.to_owned(), rank.to_owned());
@@ -240,6 +275,16 @@
     counter.build();
 }
 
+fn register_beliefs(meter: &Meter, beliefs: &Arc<BeliefGauges>) {
+    let gauges = beliefs.clone();
+    let gauge = meter.u64_observable_gauge("sniperelay_belief").with_callback(move |observer| {
+        for (name, value) in gauges.named() {
+            observer.observe(value.load(Ordering::Relaxed), &[KeyValue::new("name", name)]);
+        }
+    });
+    gauge.build();
+}
+
 fn register_process_counters(meter: &Meter, process: &Arc<ProcessCounters>) {
     let counters = process.clone();
     let counter = meter.u64_observable_counter("sniperelay_process").with_callback(move |observer| {
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -68,7 +68,7 @@
         end: boot_clock::now() + limit,
     };
     let times = RequestTimes { arrived, on_time: arrived + spec.latency.min(limit), end: arrived + limit };
-    let mut exchange = Exchange::new(state.clone(), entry, outbound, times, spec);
+    let mut exchange = Exchange::new(state.clone(), entry, outbound, times, choice.rank, spec);
     let mut result = exchange.run(choice.rank, times.on_time).await;
     if result.as_ref().is_err_and(|refusal| exchange.may_still_be_late(refusal)) {
         result = exchange.run(choice.late_rank, times.end).await;
@@ -93,6 +93,8 @@
     entry: Arc<ServiceEntry>,
     outbound: Arc<OutboundRequest>,
     times: RequestTimes,
+    /// Rank by which it is served on time.
+    rank: RankId,
     /// Whether another attempt is forbidden.
     is_single: bool,
     attempts: FuturesUnordered<AttemptFuture>,
@@ -112,6 +114,7 @@
         entry: Arc<ServiceEntry>,
         outbound: OutboundRequest,
         times: RequestTimes,
+        rank: RankId,
         spec: &RouteSpec,
     ) -> Self {
         Self {
@@ -119,6 +122,7 @@
             entry,
             outbound: Arc::new(outbound),
             times,
+            rank,
             is_single: spec.max_attempts < 2,
             attempts: FuturesUnordered::new(),
             handles: Vec::new(),
@@ -202,7 +206,24 @@
             Ok(_) => DecisionKind::Routine,
         };
         let cause = result.as_ref().map_or_else(|refusal| refusal.reason.as_str(), |_| "answered");
-        self.log(kind, &format!("{cause}, route {route} of version {version:08x}"));
+        let standing = if result.is_err() { self.describe_service() } else { String::new() };
+        self.log(kind, &format!("{cause}, route {route} of version {version:08x}{standing}"));
+    }
+
+    /// How the service stands, for the line on a request that got no answer.
+    fn describe_service(&self) -> String {
+        let rank = self.rank;
+        let standing = self.entry.gate.read(|dispatcher| dispatcher.standing(rank, Instant::now()));
+        format!(
+            "; rank {}: {} waiting ({} in all), targets: {} usable, {} with a free slot, {} of them fast; usual answer {} ms",
+            rank,
+            standing.waiting,
+            standing.waiting_in_all,
+            standing.usable_targets,
+            standing.free_targets,
+            standing.fast_targets,
+            standing.usual_time.as_millis()
+        )
     }
 
     /// Writes a line on this request, unless the rate of its kind is used up.
--- a/crates/relay/src/feed.rs
+++ b/crates/relay/src/feed.rs
@@ -125,10 +125,15 @@
         *self.confirmed_at.lock().unwrap_or_else(PoisonError::into_inner) = Some(boot_clock::now());
     }
 
+    /// Time since the store, or a reader of it, last answered.
+    pub fn age(&self) -> Option<Duration> {
+        let confirmed = *self.confirmed_at.lock().unwrap_or_else(PoisonError::into_inner);
+        confirmed.map(|at| boot_clock::now().saturating_sub(at))
+    }
+
     /// Whether this entry VM reads the store and was answered lately.
     pub fn is_fresh(&self) -> bool {
-        let confirmed = *self.confirmed_at.lock().unwrap_or_else(PoisonError::into_inner);
-        let is_recent = confirmed.is_some_and(|at| boot_clock::now().saturating_sub(at) < CONFIRM_AGE);
+        let is_recent = self.age().is_some_and(|age| age < CONFIRM_AGE);
         is_recent && self.is_reader()
     }
 
@@ -260,6 +265,9 @@
     let client = make_client(address);
     let pulse = tokio::time::timeout(PULSE_WAIT + PULSE_TIMEOUT, client.list(PULSE_PREFIX)).await;
     let is_alive = matches!(pulse, Ok(Ok(_)));
+    if is_alive {
+        state.feed.confirm();
+    }
     if is_alive && !is_followed {
         log::info!(reader = reader.name.as_str(); "store followed through {}", reader.name);
         state.feed.source.send_replace(StoreSource::Reader(Arc::new(client)));
--- a/crates/relay/src/side.rs
+++ b/crates/relay/src/side.rs
@@ -130,6 +130,7 @@
 }
 
 fn answer_metrics(state: &RelayState) -> SideResponse {
+    state.update_metrics();
     match state.metrics.render() {
         Ok(text) => plain(StatusCode::OK, &text),
         Err(error) => {
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -20,7 +20,7 @@
 use sniperelay_node::traffic::pool::TargetPool;
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::sync::mpsc::UnboundedSender;
@@ -120,6 +120,25 @@
         Ok(state)
     }
 
+    /// Brings the counters and gauges up to date that are kept elsewhere.
+    pub fn update_metrics(&self) {
+        let copy =
+            |from: &AtomicU64, to: &AtomicU64| to.store(from.load(Ordering::Relaxed), Ordering::Relaxed);
+        let (calls, process) = (self.store.counters(), self.metrics.process());
+        copy(&calls.made, &process.platform_calls);
+        copy(&calls.failed, &process.platform_failures);
+        let beliefs = self.metrics.beliefs();
+        let set = |gauge: &AtomicU64, value: u64| gauge.store(value, Ordering::Relaxed);
+        set(
+            &beliefs.configuration_version,
+            self.routes.load().as_ref().map_or(0, |routes| routes.config.version),
+        );
+        set(&beliefs.targets, self.targets().len() as u64);
+        set(&beliefs.entry_vms, self.entry_vms.load().len() as u64);
+        set(&beliefs.is_reader, u64::from(self.feed.is_reader()));
+        set(&beliefs.store_age_ms, self.feed.age().map_or(u64::MAX, |age| age.as_millis() as u64));
+    }
+
     /// This entry VM as it registers itself.
     pub fn own_record(&self) -> EntryVmRecord {
         let entry = &self.settings.entry;
--- a/crates/relay/tests/path.rs
+++ b/crates/relay/tests/path.rs
@@ -240,3 +240,17 @@
     drop((late, caller));
     assert!(stopping.await.unwrap(), "all connections ended");
 }
+
+#[tokio::test]
+async fn metrics_tell_beliefs_refusals_and_calls_to_the_store() {
+    let world = World::start(vec![write(&refusal())]).await;
+    world.ask("GET", "/read/1").await;
+    let mut caller = common::Caller::open(world.relay.state().settings.entry.metrics_address).await;
+    caller.send("GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n").await;
+    let text = caller.receive().await.unwrap();
+    let has =
+        |name: &str, labels: &str| text.lines().any(|line| line.starts_with(name) && line.contains(labels));
+    assert!(has("sniperelay_belief", "name=\"configuration_version\""), "{text}");
+    assert!(has("sniperelay_refusals", "reason=\"target-refused\""));
+    assert!(has("sniperelay_process", "name=\"platform_calls\""));
+}
