--- a/crates/relay/src/feed.rs
+++ b/crates/relay/src/feed.rs
@@ -67,7 +67,10 @@
 pub struct FeedTable {
     prefixes: Mutex<BTreeMap<String, FeedObjects>>,
     changed: watch::Sender<()>,
+    /// When the store last answered this entry VM.
     confirmed_at: Mutex<Option<BootTime>>,
+    /// When a reader last answered.
+    heard_at: Mutex<Option<BootTime>>,
     is_reader: AtomicBool,
     source: watch::Sender<StoreSource>,
 }
@@ -78,6 +81,7 @@
             prefixes: Mutex::default(),
             changed: watch::Sender::new(()),
             confirmed_at: Mutex::default(),
+            heard_at: Mutex::default(),
             is_reader: AtomicBool::new(false),
             source: watch::Sender::new(StoreSource::Direct),
         }
@@ -125,16 +129,19 @@
         *self.confirmed_at.lock().unwrap_or_else(PoisonError::into_inner) = Some(boot_clock::now());
     }
 
+    fn hear(&self) {
+        *self.heard_at.lock().unwrap_or_else(PoisonError::into_inner) = Some(boot_clock::now());
+    }
+
     /// Time since the store, or a reader of it, last answered.
     pub fn age(&self) -> Option<Duration> {
-        let confirmed = *self.confirmed_at.lock().unwrap_or_else(PoisonError::into_inner);
-        confirmed.map(|at| boot_clock::now().saturating_sub(at))
+        time_since(&self.confirmed_at).into_iter().chain(time_since(&self.heard_at)).min()
     }
 
-    /// Whether this entry VM reads the store and was answered lately.
+    /// Whether this entry VM is a reader and was answered by the store lately.
     pub fn is_fresh(&self) -> bool {
-        let is_recent = self.age().is_some_and(|age| age < CONFIRM_AGE);
-        is_recent && self.is_reader()
+        let is_recent = time_since(&self.confirmed_at).is_some_and(|age| age < CONFIRM_AGE);
+        is_recent && self.is_reader() && matches!(*self.source.borrow(), StoreSource::Direct)
     }
 
     /// All objects under a prefix; `None` when they are not known.
@@ -167,6 +174,11 @@
     }
 }
 
+fn time_since(time: &Mutex<Option<BootTime>>) -> Option<Duration> {
+    let time = *time.lock().unwrap_or_else(PoisonError::into_inner);
+    time.map(|at| boot_clock::now().saturating_sub(at))
+}
+
 impl FeedObjects {
     fn apply(&mut self, event: &ObjectEvent) {
         match &event.value {
@@ -213,23 +225,26 @@
     state.feed.is_fresh()
 }
 
-/// Keeps the source of this entry VM up to date until the process ends.
+/// Keeps the source of this entry VM up to date until the process ends. A reader that the store
+/// does not answer follows another one, as everybody else does.
 pub async fn choose_source(state: Arc<RelayState>) {
     let mut turn = state.incarnation as usize;
     let mut failures = 0;
     loop {
-        let readers = readers(&state);
-        let is_reader = readers.iter().any(|reader| reader.name == state.settings.entry.name);
+        let mut readers = readers(&state);
+        let count = readers.len();
+        readers.retain(|reader| reader.name != state.settings.entry.name);
+        let is_reader = readers.len() < count;
         let is_informed = state.has_entry_vms.load(Ordering::Relaxed);
         state.feed.is_reader.store(is_reader && is_informed, Ordering::Relaxed);
-        if is_reader || readers.is_empty() {
+        let must_read = is_reader || readers.is_empty();
+        if must_read && (is_store_answering(&state).await || readers.is_empty()) {
             failures = 0;
             set_direct(&state, "one of the readers");
-            read_directly(&state, CONFIRM_INTERVAL).await;
+            tokio::time::sleep(CONFIRM_INTERVAL).await;
             continue;
         }
-        let reader = &readers[turn % readers.len()];
-        if follow(&state, reader).await {
+        if follow(&state, &readers[turn % readers.len()]).await {
             failures = 0;
             continue;
         }
@@ -238,7 +253,7 @@
         if failures >= readers.len() {
             failures = 0;
             set_direct(&state, "no reader answers");
-            read_directly(&state, DIRECT_TIME).await;
+            tokio::time::sleep(DIRECT_TIME).await;
         }
     }
 }
@@ -266,7 +281,7 @@
     let pulse = tokio::time::timeout(PULSE_WAIT + PULSE_TIMEOUT, client.list(PULSE_PREFIX)).await;
     let is_alive = matches!(pulse, Ok(Ok(_)));
     if is_alive {
-        state.feed.confirm();
+        state.feed.hear();
     }
     if is_alive && !is_followed {
         log::info!(reader = reader.name.as_str(); "store followed through {}", reader.name);
@@ -287,11 +302,12 @@
     }
 }
 
-/// Reads the store directly for a while, with signs of life for followers.
-async fn read_directly(state: &RelayState, time: Duration) {
-    let deadline = tokio::time::Instant::now() + time;
-    if let Ok(Ok(_)) = tokio::time::timeout(CONFIRM_AGE, state.store.list_stale(PULSE_PREFIX)).await {
+/// Asks the store for a sign of life.
+async fn is_store_answering(state: &RelayState) -> bool {
+    let answer = tokio::time::timeout(CONFIRM_AGE, state.store.list_stale(PULSE_PREFIX)).await;
+    let is_answered = matches!(answer, Ok(Ok(_)));
+    if is_answered {
         state.feed.confirm();
     }
-    tokio::time::sleep_until(deadline).await;
+    is_answered
 }
--- a/crates/relay/tests/feed.rs
+++ b/crates/relay/tests/feed.rs
@@ -55,6 +55,9 @@
     assert!(!table.is_fresh(), "not one of the readers");
 }
 
+/// Time after which something that never happens is given up.
+const HANG_LIMIT: Duration = Duration::from_secs(30);
+
 /// Several entry VMs on one store.
 struct Fleet {
     store: std::sync::Arc<PlatformStandin>,
@@ -142,3 +145,33 @@
         tokio::time::sleep(Duration::from_millis(10)).await;
     }
 }
+
+#[tokio::test]
+async fn a_reader_that_the_store_does_not_answer_follows_another_one() {
+    let fleet = Fleet::start(2).await;
+    fleet.until(|state| state.is_ready() && state.entry_vms.load().len() == 2).await;
+    let unreachable = PlatformStandin::start().await.unwrap();
+    unreachable.control.is_down.store(true, std::sync::atomic::Ordering::Relaxed);
+    let seed = fleet.relays[0].state().settings.entry.control_address.to_string();
+    let cut = common::start_seeded_relay("cut", unreachable.address(), &seed);
+    let is_following = |state: &sniperelay_relay::state::RelayState| {
+        matches!(*state.feed.source().borrow(), StoreSource::Reader(_))
+    };
+    while !cut.state().is_ready() || !is_following(cut.state()) {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    // Now it learns that it is registered, and so one of the three that read the store.
+    let own = cut.state().own_record();
+    fleet.store.put("sniperelay-entry-vms/cut", sniperelay_hosted::registration::write_entry_vm(&own));
+    while cut.state().entry_vms.load().len() != 3 || !cut.state().feed.is_reader() {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    assert!(!cut.state().feed.is_fresh(), "nobody may follow it");
+    fleet.store.put("config/main", config("0000000b").to_string());
+    let learn = async {
+        while version(cut.state()) != 11 {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    tokio::time::timeout(HANG_LIMIT, learn).await.expect("it never learned the new version");
+}
