Fault soak of real entry VM processes

Five processes of the real binary on loopback; a proxy before the store and each target that resets, silences, delays or carries one way only; signals that stop, kill and pause; a store that forgets; targets that refuse, close, cut short or answer for another request; callers that go on all the while. Checked: own whole answers, claims at most once, a refusal is true, no 404, processes end only when asked and then in time, service after the last fault.

--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -4,6 +4,7 @@
 //! |---|---|
 //! | [`platform`] | the object API with versions, watches, outages and lost answers |
 //! | [`hosted`] | the same objects in the dialect of the users' platform |
+//! | [`soak`] | fault soak of real entry VM processes |
 //! | [`target`] | a backend server: slots, queue, load reports, faults, and the ledger of runs |
 //! | [`bench`] | benches |
 //! | [`caller`] | a caller: lookups, kept answers, keys, whole-answer check |
@@ -24,4 +25,5 @@
 pub mod hosted;
 pub mod load;
 pub mod platform;
+pub mod soak;
 pub mod target;
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -1,8 +1,9 @@
-//! Command of the stand-ins: `demo` and `bench`.
+//! Command of the stand-ins: `demo`, `bench` and `soak`.
 
 use anyhow::{Result, bail};
 use argh::FromArgs;
 use sniperelay_standin::bench;
+use sniperelay_standin::soak::{SoakPlan, run_soak};
 use std::process::ExitCode;
 
 /// Stand-ins of platform, targets and callers; demo and benches.
@@ -17,6 +18,7 @@
 enum StandinCommand {
     Demo(DemoArgs),
     Bench(BenchArgs),
+    Soak(SoakArgs),
 }
 
 /// Show the main job on real sockets, with checks; exit code 0 only if every check held.
@@ -57,6 +59,48 @@
     json: bool,
 }
 
+/// Run real entry VM processes through faults; exit code 1 when a promise is broken.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "soak")]
+struct SoakArgs {
+    /// first seed
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// number of seeds, from --seed on
+    #[argh(option, default = "1")]
+    seeds: u64,
+    /// faults of one seed
+    #[argh(option, default = "20")]
+    faults: usize,
+    /// the sniperelay binary
+    #[argh(option, default = "std::path::PathBuf::from(\"target/release/sniperelay\")")]
+    binary: std::path::PathBuf,
+}
+
+async fn run_soaks(args: &SoakArgs) -> Result<bool> {
+    let mut all_hold = true;
+    for seed in args.seed..args.seed + args.seeds {
+        let plan = SoakPlan { binary: args.binary.clone(), seed, faults: args.faults };
+        let report = run_soak(&plan).await?;
+        println!(
+            "seed {seed}: {} requests, {} served, {} promises broken",
+            report.requests,
+            report.served,
+            report.broken.len()
+        );
+        if !report.broken.is_empty() {
+            all_hold = false;
+            println!("  faults: {}", report.faults.join(", "));
+            report.broken.iter().take(20).for_each(|broken| println!("  {broken}"));
+            println!(
+                "  again: cargo run --release -p sniperelay-standin -- soak --seed {seed} --faults {}",
+                args.faults
+            );
+        }
+    }
+    Ok(all_hold)
+}
+
 const BENCH_NAMES: &str = "policy, latency, decision, claims, whole, config or capacity";
 
 async fn run_bench(args: &BenchArgs) -> Result<bool> {
@@ -94,6 +138,7 @@
     let holds = match args.command {
         StandinCommand::Demo(DemoArgs {}) => runtime.block_on(sniperelay_standin::demo::run_demo())?,
         StandinCommand::Bench(args) => runtime.block_on(run_bench(&args))?,
+        StandinCommand::Soak(args) => runtime.block_on(run_soaks(&args))?,
     };
     Ok(if holds { ExitCode::SUCCESS } else { ExitCode::FAILURE })
 }
--- /dev/null
+++ b/crates/standin/src/soak/fleet.rs
@@ -0,0 +1,221 @@
+//! Entry VM processes and signals. Only processes started here are signalled, by their ids.
+
+use anyhow::{Context, Result};
+use rustix::process::{Pid, Signal, kill_process};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+use tokio::net::TcpStream;
+
+/// First of the ports of an entry VM.
+const FIRST_PORT: u16 = 7001;
+/// Time given to a planned stop.
+const STOP_GRACE: Duration = Duration::from_secs(2);
+/// Time after which a process that was asked to stop must have ended: twice what it was given.
+const STOP_LIMIT: Duration = Duration::from_secs(4);
+
+#[derive(Debug)]
+struct EntryProcess {
+    settings: PathBuf,
+    callers: SocketAddr,
+    child: Child,
+    paused_until: Option<Instant>,
+    stopping_since: Option<Instant>,
+}
+
+#[derive(Debug)]
+struct FleetInner {
+    binary: PathBuf,
+    processes: Vec<EntryProcess>,
+    broken: Vec<String>,
+}
+
+/// The processes.
+#[derive(Debug, Clone)]
+pub struct SoakFleet {
+    inner: Arc<Mutex<FleetInner>>,
+}
+
+impl SoakFleet {
+    /// Starts processes that use the store at `store`.
+    ///
+    /// # Errors
+    ///
+    /// When one cannot be started.
+    pub fn start(binary: &Path, count: usize, store: SocketAddr) -> Result<Self> {
+        let directory = std::env::temp_dir().join(format!("sniperelay-soak-{}", std::process::id()));
+        std::fs::create_dir_all(&directory)?;
+        let mut processes = Vec::new();
+        for index in 0..count {
+            let ports = addresses(index);
+            let settings = directory.join(format!("vm{index}.ini"));
+            std::fs::write(&settings, write_settings(index, &ports, store))?;
+            let child = spawn(binary, &settings)?;
+            processes.push(EntryProcess {
+                settings,
+                callers: ports[0],
+                child,
+                paused_until: None,
+                stopping_since: None,
+            });
+        }
+        let inner = FleetInner { binary: binary.to_owned(), processes, broken: Vec::new() };
+        let fleet = Self { inner: Arc::new(Mutex::new(inner)) };
+        tokio::spawn(fleet.clone().keep_running());
+        Ok(fleet)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, FleetInner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Address for callers of one process.
+    pub fn caller_address(&self, turn: usize) -> SocketAddr {
+        let inner = self.lock();
+        inner.processes[turn % inner.processes.len()].callers
+    }
+
+    /// Waits until every process takes connections.
+    pub async fn wait_ready(&self) {
+        let count = self.lock().processes.len();
+        for index in 0..count {
+            while TcpStream::connect(self.caller_address(index)).await.is_err() {
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        }
+        tokio::time::sleep(Duration::from_millis(500)).await;
+    }
+
+    /// Kills a process.
+    pub fn kill(&self, index: usize) -> String {
+        self.signal(index, Signal::KILL);
+        format!("entry VM {index} killed")
+    }
+
+    /// Asks a process to stop.
+    pub fn stop(&self, index: usize) -> String {
+        self.signal(index, Signal::TERM);
+        let mut inner = self.lock();
+        let process = &mut inner.processes[index];
+        process.stopping_since.get_or_insert_with(Instant::now);
+        format!("entry VM {index} asked to stop")
+    }
+
+    /// Pauses a process for a while.
+    pub fn pause(&self, index: usize, time: Duration) -> String {
+        self.signal(index, Signal::STOP);
+        self.lock().processes[index].paused_until = Some(Instant::now() + time);
+        format!("entry VM {index} paused")
+    }
+
+    /// Broken promises of the processes themselves.
+    pub fn broken(&self) -> Vec<String> {
+        self.lock().broken.clone()
+    }
+
+    /// Ends all processes.
+    pub fn end(&self) {
+        let mut inner = self.lock();
+        for process in &mut inner.processes {
+            let ended = process.child.kill().and_then(|()| process.child.wait());
+            if let Err(error) = ended {
+                log::warn!("cannot end an entry VM process: {error}");
+            }
+        }
+        inner.processes.clear();
+    }
+
+    fn signal(&self, index: usize, signal: Signal) {
+        let inner = self.lock();
+        let id = i32::try_from(inner.processes[index].child.id()).ok().and_then(Pid::from_raw);
+        if let Some(Err(error)) = id.map(|id| kill_process(id, signal)) {
+            log::warn!("cannot signal an entry VM process: {error}");
+        }
+    }
+
+    /// Starts processes again that have ended, and lets paused ones go on.
+    async fn keep_running(self) {
+        loop {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            let mut inner = self.lock();
+            if inner.processes.is_empty() {
+                return;
+            }
+            for index in 0..inner.processes.len() {
+                inner.look_after(index);
+            }
+        }
+    }
+}
+
+impl FleetInner {
+    fn look_after(&mut self, index: usize) {
+        let now = Instant::now();
+        let process = &mut self.processes[index];
+        if process.paused_until.is_some_and(|until| until <= now) {
+            process.paused_until = None;
+            let id = i32::try_from(process.child.id()).ok().and_then(Pid::from_raw);
+            if let Some(Err(error)) = id.map(|id| kill_process(id, Signal::CONT)) {
+                log::warn!("cannot let an entry VM process go on: {error}");
+            }
+            // A paused process could not work on its stop.
+            process.stopping_since = process.stopping_since.map(|_| now);
+        }
+        let is_overdue = process.stopping_since.is_some_and(|since| now - since > STOP_LIMIT);
+        if is_overdue && process.paused_until.is_none() {
+            self.broken
+                .push(format!("entry VM {index} did not end within {STOP_LIMIT:?} of the request to stop"));
+            process.stopping_since = None;
+        }
+        match process.child.try_wait() {
+            Ok(Some(status)) => {
+                use std::os::unix::process::ExitStatusExt;
+                if status.signal().is_none() && process.stopping_since.is_none() {
+                    self.broken.push(format!("entry VM {index} ended by itself: {status}"));
+                }
+                process.stopping_since = None;
+                process.paused_until = None;
+                match spawn(&self.binary, &process.settings) {
+                    Ok(child) => process.child = child,
+                    Err(error) => log::error!("cannot start an entry VM again: {error:#}"),
+                }
+            }
+            Ok(None) => {}
+            Err(error) => log::warn!("cannot look after an entry VM process: {error}"),
+        }
+    }
+}
+
+fn spawn(binary: &Path, settings: &Path) -> Result<Child> {
+    Command::new(binary)
+        .args(["relay", "--settings"])
+        .arg(settings)
+        .stdout(Stdio::null())
+        .spawn()
+        .with_context(|| format!("cannot start {}", binary.display()))
+}
+
+/// Loopback addresses of one entry VM. No connection is made from them, so that none can take a
+/// port while the process is down.
+fn addresses(index: usize) -> Vec<SocketAddr> {
+    let network = (std::process::id() % 200) as u8 + 10;
+    (0..6).map(|port| SocketAddr::from(([127, network, index as u8, 1], FIRST_PORT + port))).collect()
+}
+
+fn write_settings(index: usize, ports: &[SocketAddr], store: SocketAddr) -> String {
+    format!(
+        "[entry-vm]\nname = vm{index}\nfailure-domain = z\ncaller-address = {}\nready-address = {}\n\
+         lookup-address = {}\npeer-address = {}\ncontrol-address = {}\nmetrics-address = {}\n\
+         [platform]\naddress = {store}\ncalls-per-second = 200\n\
+         bounds = {{\"Grace\":\"{}ms\"}}\n[log]\nlevel = warn\njson = yes\n",
+        ports[0],
+        ports[1],
+        ports[2],
+        ports[3],
+        ports[4],
+        ports[5],
+        STOP_GRACE.as_millis()
+    )
+}
--- /dev/null
+++ b/crates/standin/src/soak/proxy.rs
@@ -0,0 +1,103 @@
+//! A loopback proxy with faults.
+
+use anyhow::Result;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+/// What the proxy does with bytes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ProxyMode {
+    /// Passes them on.
+    Through,
+    /// Passes them on after a delay.
+    Delayed(Duration),
+    /// Closes all connections, and new ones at once.
+    Reset,
+    /// Keeps connections open and passes nothing on.
+    Silent,
+    /// Passes requests on and no answers.
+    OneWay,
+}
+
+/// A running proxy.
+#[derive(Debug)]
+pub struct SoakProxy {
+    address: SocketAddr,
+    mode: watch::Sender<ProxyMode>,
+}
+
+impl SoakProxy {
+    /// Starts a proxy before `server`.
+    ///
+    /// # Errors
+    ///
+    /// When no port can be bound.
+    pub async fn start(server: SocketAddr) -> Result<Arc<Self>> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let (mode, watched) = watch::channel(ProxyMode::Through);
+        let proxy = Arc::new(Self { address: listener.local_addr()?, mode });
+        tokio::spawn(async move {
+            while let Ok((client, _)) = listener.accept().await {
+                tokio::spawn(carry(client, server, watched.clone()));
+            }
+        });
+        Ok(proxy)
+    }
+
+    /// Its address.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Changes what it does.
+    pub fn set(&self, mode: ProxyMode) {
+        self.mode.send_replace(mode);
+    }
+}
+
+async fn carry(client: TcpStream, server: SocketAddr, mut mode: watch::Receiver<ProxyMode>) {
+    if *mode.borrow() == ProxyMode::Reset {
+        return;
+    }
+    let Ok(upstream) = TcpStream::connect(server).await else { return };
+    let (from_client, to_client) = client.into_split();
+    let (from_server, to_server) = upstream.into_split();
+    tokio::select! {
+        () = pump(from_client, to_server, mode.clone(), false) => {}
+        () = pump(from_server, to_client, mode.clone(), true) => {}
+        _ = mode.wait_for(|mode| *mode == ProxyMode::Reset) => {}
+    }
+}
+
+async fn pump(
+    mut from: OwnedReadHalf,
+    mut to: OwnedWriteHalf,
+    mut mode: watch::Receiver<ProxyMode>,
+    is_answer: bool,
+) {
+    let mut buffer = [0; 8192];
+    loop {
+        let Ok(count) = from.read(&mut buffer).await else { return };
+        if count == 0 {
+            return;
+        }
+        let is_held =
+            |mode: &ProxyMode| *mode == ProxyMode::Silent || (*mode == ProxyMode::OneWay && is_answer);
+        if mode.wait_for(|mode| !is_held(mode)).await.is_err() {
+            return;
+        }
+        let delay = match *mode.borrow() {
+            ProxyMode::Delayed(delay) => delay,
+            _ => Duration::ZERO,
+        };
+        tokio::time::sleep(delay).await;
+        if to.write_all(&buffer[..count]).await.is_err() {
+            return;
+        }
+    }
+}
