--- a/crates/config/src/relay.rs
+++ b/crates/config/src/relay.rs
@@ -74,8 +74,8 @@
 pub struct RelayLimits {
     /// Caller connections.
     pub caller_connections: usize,
-    /// Bytes of request and answer bodies held at once.
-    pub body_bytes_held: usize,
+    /// Bytes of one request's body that the process takes in, whatever the configuration allows.
+    pub body_bytes: usize,
 }
 
 /// All settings.
@@ -181,7 +181,7 @@
 fn read_limits(section: SectionReader<'_>) -> RelayLimits {
     let settings = RelayLimits {
         caller_connections: section.parsed_or("caller-connections", "a whole number", 3000),
-        body_bytes_held: section.parsed_or("body-bytes-held", "a whole number", 96 * 1024 * 1024),
+        body_bytes: section.parsed_or("body-bytes", "a whole number", 32 * 1024 * 1024),
     };
     section.finish();
     settings
--- a/crates/relay/src/head.rs
+++ b/crates/relay/src/head.rs
@@ -22,7 +22,7 @@
     HeadTooLarge,
     /// The body is larger than the limit.
     BodyTooLarge,
-    /// The bodies of all requests together are larger than the process holds.
+    /// The body is allowed, and larger than the process takes in.
     NoRoom,
 }
 
--- a/crates/relay/src/listen.rs
+++ b/crates/relay/src/listen.rs
@@ -262,7 +262,7 @@
         if partial.body.len() > before {
             self.waiting_since = Instant::now();
         }
-        if partial.body.len() > self.state.settings.limits.body_bytes_held {
+        if partial.body.len() > self.state.settings.limits.body_bytes {
             return Err(RequestFault::NoRoom);
         }
         if !partial.body.is_done() || (self.holds_claim() && !self.running.is_empty()) {
