--- a/crates/relay/src/feed.rs
+++ b/crates/relay/src/feed.rs
@@ -32,6 +32,8 @@
 const PULSE_TIMEOUT: Duration = Duration::from_millis(250);
 /// Time for which the store is asked itself after no reader answered.
 const DIRECT_TIME: Duration = Duration::from_millis(1500);
+/// Pause after neither a reader nor the store answered.
+const OUTAGE_PAUSE: Duration = Duration::from_millis(500);
 /// Prefix without objects; listing it is the cheapest call.
 const PULSE_PREFIX: &str = "sniperelay-pulse/";
 /// Beginning of the prefixes under which any entry VM tells what it knows, however old.
@@ -252,8 +254,13 @@
         failures += 1;
         if failures >= readers.len() {
             failures = 0;
-            set_direct(&state, "no reader answers");
-            tokio::time::sleep(DIRECT_TIME).await;
+            // One cheap question, so that an outage is not answered by the calls of the whole fleet.
+            if is_store_answering(&state).await {
+                set_direct(&state, "no reader answers");
+                tokio::time::sleep(DIRECT_TIME).await;
+            } else {
+                tokio::time::sleep(OUTAGE_PAUSE).await;
+            }
         }
     }
 }
--- a/crates/relay/src/sync.rs
+++ b/crates/relay/src/sync.rs
@@ -34,6 +34,8 @@
 const MIN_COALESCE_PAUSE: Duration = Duration::from_millis(250);
 /// Longest such pause: half of the time in which a change must be in force.
 const MAX_COALESCE_PAUSE: Duration = Duration::from_secs(1);
+/// Pause after a reader failed, unless another source is found before.
+const READER_RETRY_PAUSE: Duration = Duration::from_millis(700);
 /// Pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(120);
 /// Time after the store's return in which entries that lapsed meanwhile may come back.
@@ -373,7 +375,10 @@
         if self.failed_at.replace(boot_clock::now()).is_none() {
             log::warn!(prefix = self.prefix; "store lost: {error}");
         }
-        tokio::time::sleep(RETRY_PAUSE).await;
+        // A reader that fails is replaced by `feed::choose_source`, which wakes this one.
+        let is_following = matches!(*self.source.borrow(), StoreSource::Reader(_));
+        let pause = if is_following { READER_RETRY_PAUSE } else { RETRY_PAUSE };
+        let (Ok(_) | Err(_)) = tokio::time::timeout(pause, self.source.changed()).await;
     }
 }
 
