A request of an earlier configuration with more ranks is described without a panic

Found by reading: a log line on a refused request looked up its rank in the service's present document, which may have fewer ranks; the task would have panicked and its caller been answered 502. Test first (index out of bounds), then mended.

--- a/crates/core/src/dispatch/shared.rs
+++ b/crates/core/src/dispatch/shared.rs
@@ -46,6 +46,8 @@
 impl ServiceDispatcher {
     /// How the service stands, as seen by a request of `rank`.
     pub fn standing(&self, rank: RankId, now: Instant) -> ServiceStanding {
+        // A request may come from a configuration with more ranks.
+        let rank = rank.min(self.ranks.len() - 1);
         let states = self.targets.iter().map(|(_, target)| target);
         let usable: Vec<&TargetState> = states.filter(|target| target.is_usable()).collect();
         let free: Vec<&TargetState> =
--- a/crates/core/tests/shared.rs
+++ b/crates/core/tests/shared.rs
@@ -420,3 +420,10 @@
     );
     assert!(!started && refused, "{:?}", fleet.actions);
 }
+
+#[test]
+fn a_rank_of_an_earlier_configuration_is_described_as_the_last_one() {
+    let fleet = Fleet::new(2);
+    let standing = fleet.dispatcher.standing(7, fleet.now);
+    assert_eq!((standing.waiting, standing.usable_targets, standing.free_targets), (0, 2, 2));
+}
--- a/crates/node/tests/logs.rs
+++ b/crates/node/tests/logs.rs
@@ -55,9 +55,10 @@
     // the buffer is still full.
     let count = || {
         let text = String::from_utf8(written.lock().unwrap().clone()).unwrap();
-        let dropped = text.lines().filter_map(|line| line.split_once("\"dropped_lines\":")).map(|(_, rest)| {
-            rest.trim_end_matches('}').parse::<usize>().unwrap()
-        });
+        let dropped = text
+            .lines()
+            .filter_map(|line| line.split_once("\"dropped_lines\":"))
+            .map(|(_, rest)| rest.trim_end_matches('}').parse::<usize>().unwrap());
         (text.lines().filter(|line| line.starts_with("line ")).count(), dropped.sum::<usize>())
     };
     let mut counted = count();
