--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -90,10 +90,12 @@
     pub platform_calls: AtomicU64,
     /// Calls to the platform that failed.
     pub platform_failures: AtomicU64,
+    /// Entries of targets that lapsed around an outage of the store and were held for a while.
+    pub entries_held: AtomicU64,
 }
 
 impl ProcessCounters {
-    fn named(&self) -> [(&'static str, &AtomicU64); 14] {
+    fn named(&self) -> [(&'static str, &AtomicU64); 15] {
         [
             ("lookups", &self.lookups),
             ("probe_calls", &self.probe_calls),
@@ -109,6 +111,7 @@
             ("documents_refused", &self.documents_refused),
             ("platform_calls", &self.platform_calls),
             ("platform_failures", &self.platform_failures),
+            ("entries_held", &self.entries_held),
         ]
     }
 }
--- a/crates/relay/src/feed.rs
+++ b/crates/relay/src/feed.rs
@@ -74,6 +74,8 @@
     /// When a reader last answered.
     heard_at: Mutex<Option<BootTime>>,
     is_reader: AtomicBool,
+    /// Whether neither a reader nor the store answered when last asked.
+    is_outage: AtomicBool,
     source: watch::Sender<StoreSource>,
 }
 
@@ -85,6 +87,7 @@
             confirmed_at: Mutex::default(),
             heard_at: Mutex::default(),
             is_reader: AtomicBool::new(false),
+            is_outage: AtomicBool::new(false),
             source: watch::Sender::new(StoreSource::Direct),
         }
     }
@@ -105,6 +108,11 @@
         self.is_reader.load(Ordering::Relaxed)
     }
 
+    /// Whether neither a reader nor the store answered when last asked.
+    pub fn is_outage(&self) -> bool {
+        self.is_outage.load(Ordering::Relaxed)
+    }
+
     /// Takes in a whole list.
     pub fn replace(&self, prefix: &str, list: &ObjectList) {
         let objects = list.items.iter().map(|item| (item.key.clone(), item.clone())).collect();
@@ -247,6 +255,7 @@
             continue;
         }
         if follow(&state, &readers[turn % readers.len()]).await {
+            state.feed.is_outage.store(false, Ordering::Relaxed);
             failures = 0;
             continue;
         }
@@ -255,7 +264,9 @@
         if failures >= readers.len() {
             failures = 0;
             // One cheap question, so that an outage is not answered by the calls of the whole fleet.
-            if is_store_answering(&state).await {
+            let is_answering = is_store_answering(&state).await;
+            state.feed.is_outage.store(!is_answering, Ordering::Relaxed);
+            if is_answering {
                 set_direct(&state, "no reader answers");
                 tokio::time::sleep(DIRECT_TIME).await;
             } else {
--- a/crates/relay/src/sync.rs
+++ b/crates/relay/src/sync.rs
@@ -83,7 +83,8 @@
             changes = watcher.next_changes() => changes,
             () = sleep_until(table.next_lapse()) => Vec::new(),
         };
-        table.apply(changes, watcher.regained_at());
+        let held = table.apply(changes, watcher.regained_at());
+        state.metrics.process().entries_held.fetch_add(held, Ordering::Relaxed);
         table.drop_lapsed(boot_clock::now());
         if watcher.is_current {
             state.adopt_targets(table.targets.clone());
@@ -106,7 +107,9 @@
 }
 
 impl LapsingTable {
-    fn apply(&mut self, changes: Vec<StoreChange>, regained_at: Option<BootTime>) {
+    /// Returns how many entries are held from now on.
+    fn apply(&mut self, changes: Vec<StoreChange>, regained_at: Option<BootTime>) -> u64 {
+        let before = self.lapsing.len();
         let now = boot_clock::now();
         let held_until = regained_at.map(|at| at + LAPSE_GRACE).filter(|until| now < *until);
         for change in changes {
@@ -115,6 +118,7 @@
                 StoreChange::Gone(key) => self.remove(&key, held_until),
             }
         }
+        self.lapsing.len().saturating_sub(before) as u64
     }
 
     fn insert(&mut self, object: &StoredObject) {
@@ -372,11 +376,14 @@
             self.must_list_fresh = true;
             return;
         }
-        if self.failed_at.replace(boot_clock::now()).is_none() {
+        // A reader that fails is replaced by `feed::choose_source`, which wakes this one; the store
+        // may be well.
+        let is_following = matches!(*self.source.borrow(), StoreSource::Reader(_));
+        if is_following && !self.state.feed.is_outage() {
+            log::info!(prefix = self.prefix; "reader lost: {error}");
+        } else if self.failed_at.replace(boot_clock::now()).is_none() {
             log::warn!(prefix = self.prefix; "store lost: {error}");
         }
-        // A reader that fails is replaced by `feed::choose_source`, which wakes this one.
-        let is_following = matches!(*self.source.borrow(), StoreSource::Reader(_));
         let pause = if is_following { READER_RETRY_PAUSE } else { RETRY_PAUSE };
         let (Ok(_) | Err(_)) = tokio::time::timeout(pause, self.source.changed()).await;
     }
--- a/crates/relay/tests/feed.rs
+++ b/crates/relay/tests/feed.rs
@@ -175,3 +175,36 @@
     };
     tokio::time::timeout(HANG_LIMIT, learn).await.expect("it never learned the new version");
 }
+
+#[tokio::test]
+async fn a_reader_that_stops_is_no_outage_of_the_store() {
+    let mut fleet = Fleet::start(7).await;
+    let target = registration("127.0.0.1:9".parse().unwrap(), "ready");
+    fleet.store.put("servers/i1", target.to_string());
+    fleet.until(|state| state.is_ready() && state.entry_vms.load().len() == 7).await;
+    while fleet.followers() != 4 {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    // Readers stop one after the other, so that every follower has to look for another one, while
+    // changes of a target keep all watches moving.
+    let mut stopping = Vec::new();
+    for round in 0..3 {
+        let reader = fleet.relays.iter().position(|relay| relay.state().feed.is_reader()).unwrap();
+        stopping.push(tokio::spawn(fleet.relays.remove(reader).stop()));
+        let name = format!("servers/gone-in-round-{round}");
+        fleet.store.put(&name, target.to_string());
+        for change in 0..30 {
+            let mut other = registration("127.0.0.1:8".parse().unwrap(), "ready");
+            other["WarmupLeft"] = format!("{change}ms").into();
+            fleet.store.put("servers/i2", other.to_string());
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        fleet.store.delete(&name);
+        tokio::time::sleep(Duration::from_millis(400)).await;
+    }
+    fleet.until(|state| state.entry_vms.load().len() == 4).await;
+    for relay in &fleet.relays {
+        let held = relay.state().metrics.process().entries_held.load(std::sync::atomic::Ordering::Relaxed);
+        assert_eq!(held, 0, "the store was there all the time");
+    }
+}
