--- a/crates/node/src/life.rs
+++ b/crates/node/src/life.rs
@@ -1,4 +1,4 @@
-//! Life cycle of the process as a typestate: serving, withdrawn, draining, stopped.
+//! Life cycle of the process as a typestate: serving, withdrawn, refusing, draining, stopped.
 //!
 //! Traffic threads read the phase from an atomic; only the holder of the typestate value can move
 //! it on, and only forward.
@@ -14,6 +14,8 @@
     Serving,
     /// No longer in lookup answers; serves callers that still hold one.
     Withdrawn,
+    /// Refuses new requests, which may not end in time; finishes what is in flight.
+    Refusing,
     /// Accepts no connections; finishes what is in flight.
     Draining,
     /// Finished.
@@ -30,7 +32,8 @@
         match self.0.load(Ordering::Acquire) {
             0 => LifePhase::Serving,
             1 => LifePhase::Withdrawn,
-            2 => LifePhase::Draining,
+            2 => LifePhase::Refusing,
+            3 => LifePhase::Draining,
             _ => LifePhase::Stopped,
         }
     }
@@ -44,6 +47,10 @@
 #[derive(Debug)]
 pub struct WithdrawnLife(LifeView);
 
+/// The process refuses new requests.
+#[derive(Debug)]
+pub struct RefusingLife(LifeView);
+
 /// The process finishes its requests.
 #[derive(Debug)]
 pub struct DrainingLife(LifeView);
@@ -68,6 +75,20 @@
         advance(&self.0, LifePhase::Draining);
         DrainingLife(self.0)
     }
+
+    /// Begins to refuse new requests.
+    pub fn refuse(self) -> RefusingLife {
+        advance(&self.0, LifePhase::Refusing);
+        RefusingLife(self.0)
+    }
+}
+
+impl RefusingLife {
+    /// Stops accepting connections.
+    pub fn drain(self) -> DrainingLife {
+        advance(&self.0, LifePhase::Draining);
+        DrainingLife(self.0)
+    }
 }
 
 impl DrainingLife {
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -20,6 +20,7 @@
 use sniperelay_hosted::headers::{self as wire, TargetReport};
 use sniperelay_node::boot_clock;
 use sniperelay_node::gate::{AttemptSlot, GatePass, GateSignal, ServiceEntry};
+use sniperelay_node::life::LifePhase;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -32,6 +33,9 @@
 /// When a caller may come back after targets refused: the next one may well take the request.
 const REFUSED_RETRY_AFTER: Duration = Duration::from_millis(20);
 
+/// When a caller may come back while this process stops: at once, at another entry VM.
+const STOP_RETRY_AFTER: Duration = Duration::from_millis(1);
+
 /// Answers one request.
 pub async fn answer_request(state: Arc<RelayState>, head: RequestHead, body: Bytes) -> CallerReply {
     match serve_request(&state, head, body).await {
@@ -42,6 +46,9 @@
 
 async fn serve_request(state: &Arc<RelayState>, head: RequestHead, body: Bytes) -> Result<CallerReply> {
     let arrived = Instant::now();
+    if state.life.phase() >= LifePhase::Refusing {
+        return Err(RelayRefusal::not_run(RefusalReason::Stopping, STOP_RETRY_AFTER));
+    }
     let Some(routes) = state.routes.load_full() else {
         return Err(RelayRefusal::not_run(RefusalReason::NoTarget, RETRY_AFTER));
     };
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -6,7 +6,8 @@
 //!
 //! | module | job |
 //! |---|---|
-//! | [`run`] | start, planned stop |
+//! | [`run`] | start, running until a signal |
+//! | [`stop`] | planned stop |
 //! | [`state`] | what all tasks share: routes, services, entry VMs, phase |
 //! | [`sync`] | the store's configuration, targets and entry VMs, kept up to date |
 //! | [`feed`] | what entry VMs that read the store hand on to the others |
@@ -34,6 +35,7 @@
 pub mod run;
 pub mod side;
 pub mod state;
+pub mod stop;
 pub mod sync;
 
 pub use run::{RunningRelay, run_until_signal};
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -1,8 +1,6 @@
-//! Start and planned stop.
+//! Start, and running until a signal.
 //!
-//! A planned stop: not ready and not registered at once; requests of callers that still hold a
-//! lookup answer are served, each with the word to close; then the connections that are idle are
-//! closed, what is in flight is finished, and the process ends before its time is up.
+//! The stop itself is in [`crate::stop`].
 
 use crate::feed::choose_source;
 use crate::listen::serve_callers;
@@ -10,7 +8,8 @@
 use crate::probe::ask_targets;
 use crate::side::serve_side;
 use crate::state::{RelayState, UPKEEP_INTERVAL};
-use crate::sync::{deregister, follow_entry_vms, watch_config, watch_targets};
+use crate::stop::RelayStop;
+use crate::sync::{follow_entry_vms, watch_config, watch_targets};
 use anyhow::{Context, Result};
 use sniperelay_config::RelaySettings;
 use sniperelay_config::relay::RelayEntry;
@@ -19,7 +18,6 @@
 use sniperelay_node::logs::LogControl;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{SignalKind, signal};
@@ -27,12 +25,6 @@
 
 /// Connections that may wait to be accepted.
 const BACKLOG: u32 = 1024;
-/// Part of the time to stop for which callers may still come.
-const SERVE_SHARE: f64 = 0.75;
-/// Part of the time to stop after which the process ends in any case.
-const END_SHARE: f64 = 0.95;
-/// Time between two looks at whether all connections have ended.
-const DRAIN_POLL: Duration = Duration::from_millis(50);
 /// Time between two passes over unused connections to targets.
 const IDLE_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -66,9 +58,14 @@
         &self.state
     }
 
+    /// Begins a planned stop: not ready, not registered.
+    pub fn begin_stop(self) -> RelayStop {
+        RelayStop::begin(self.state, self.life, self.closing)
+    }
+
     /// Performs a planned stop. Returns whether all connections ended in time.
     pub async fn stop(self) -> bool {
-        stop(self.state, self.life, self.closing).await
+        self.begin_stop().run().await
     }
 }
 
@@ -161,27 +158,3 @@
         state.pool.close_idle();
     }
 }
-
-async fn stop(state: Arc<RelayState>, life: ServingLife, closing: watch::Sender<bool>) -> bool {
-    let began = tokio::time::Instant::now();
-    let grace = state.bounds.stop_grace;
-    log::info!("planned stop: not ready, leaving the lookup answers");
-    let withdrawn = life.withdraw();
-    let deregistering = tokio::spawn({
-        let state = state.clone();
-        async move { deregister(&state).await }
-    });
-    tokio::time::sleep_until(began + grace.mul_f64(SERVE_SHARE)).await;
-    log::info!("planned stop: finishing requests in flight");
-    let draining = withdrawn.drain();
-    closing.send_replace(true);
-    let end = began + grace.mul_f64(END_SHARE);
-    while state.connections.load(Ordering::Relaxed) > 0 && tokio::time::Instant::now() < end {
-        tokio::time::sleep(DRAIN_POLL).await;
-    }
-    let left = state.connections.load(Ordering::Relaxed);
-    draining.stop();
-    deregistering.abort();
-    log::info!(left; "planned stop: done");
-    left == 0
-}
--- a/crates/relay/tests/path.rs
+++ b/crates/relay/tests/path.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use common::{Act, World, body, config, header, registration, request, sealed, status};
+use sniperelay_relay::stop::StopSchedule;
 use std::sync::atomic::Ordering;
 
 fn write(text: &str) -> Vec<Act> {
@@ -224,7 +225,7 @@
     }
     let state = world.relay.state().clone();
     let address = state.own_record().caller_address;
-    let stopping = tokio::spawn(world.relay.stop());
+    let stopping = world.relay.begin_stop();
     while state.is_ready() || !world.store.keys("sniperelay-entry-vms/").is_empty() {
         tokio::time::sleep(std::time::Duration::from_millis(5)).await;
     }
@@ -234,11 +235,30 @@
     late.send(&request("GET", "/read/1", "b", "")).await;
     let answer = late.receive().await.unwrap();
     assert_eq!((status(&answer), header(&answer, "connection").as_deref()), (200, Some("close")));
+    // Those that come when a target might not end in time any more are refused, and not run.
+    let refusing = stopping.refuse();
+    let mut last = common::Caller::open(address).await;
+    last.send(&request("POST", "/claim/2", "c", "x")).await;
+    let answer = last.receive().await.unwrap();
+    assert_eq!((status(&answer), header(&answer, "connection").as_deref()), (503, Some("close")));
+    assert!(header(&answer, "retry-after").is_some(), "{answer}");
+    assert_eq!(world.targets[0].received().len(), 2);
     world.targets[0].release(1);
     let answer = caller.receive().await.unwrap();
     assert_eq!((body(&answer), header(&answer, "connection").as_deref()), ("held", Some("close")));
-    drop((late, caller));
-    assert!(stopping.await.unwrap(), "all connections ended");
+    drop((late, last, caller));
+    assert!(refusing.finish().await, "all connections ended");
+}
+
+#[test]
+fn a_stop_refuses_before_a_request_may_be_cut_off_and_ends_before_it_is_killed() {
+    for grace in [1, 6, 20].map(std::time::Duration::from_secs) {
+        let schedule = StopSchedule::new(grace);
+        assert!(schedule.refuse <= std::time::Duration::from_secs(3), "{schedule:?}");
+        // What is cut off at the end is excused in the last sixth of the time to stop only.
+        assert!(schedule.end >= grace.mul_f64(5.0 / 6.0) && schedule.end < grace, "{schedule:?}");
+        assert!(schedule.refuse < schedule.drain && schedule.drain < schedule.end, "{schedule:?}");
+    }
 }
 
 #[tokio::test]
