--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -25,7 +25,7 @@
 use crate::queue::RankQueue;
 use crate::reason::{RefusalReason, RetryReason};
 use crate::share::ShareLedger;
-use crate::target::{TargetSettings, TargetSpec, TargetTable};
+use crate::target::{TargetSettings, TargetSpec, TargetTable, WorkReading};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use std::collections::HashMap;
@@ -167,7 +167,7 @@
     target: TargetKey,
     started: Instant,
     /// Account of the target's work at the start.
-    progress: Option<Duration>,
+    progress: Option<WorkReading>,
 }
 
 /// One request with attempts in flight or being retried.
--- a/crates/core/src/dispatch/attempt.rs
+++ b/crates/core/src/dispatch/attempt.rs
@@ -5,7 +5,7 @@
 use crate::pick::PickPolicy;
 use crate::queue::QueuedRequest;
 use crate::reason::RetryReason;
-use crate::target::LoadReport;
+use crate::target::{LoadReport, WorkReading};
 use std::time::{Duration, Instant};
 
 /// How an attempt failed.
@@ -81,7 +81,7 @@
             return AnswerVerdict::Discard;
         };
         let latency = now.saturating_duration_since(attempt.started);
-        let work = self.work_done(attempt, now);
+        let work = self.work_done(attempt, now).map(|done| done.likely);
         self.cancel_queued_copy(request);
         let Some(flight) = self.flights.get_mut(&request) else { return AnswerVerdict::Discard };
         let is_first = !std::mem::replace(&mut flight.is_answered, true);
@@ -146,9 +146,12 @@
     }
 
     /// Work done on an attempt so far, at the target's usual speed, if its reports tell.
-    pub(super) fn work_done(&self, attempt: &AttemptState, now: Instant) -> Option<Duration> {
-        let done = self.targets.get(attempt.target)?.progress(now)?;
-        Some(done.saturating_sub(attempt.progress?))
+    pub(super) fn work_done(&self, attempt: &AttemptState, now: Instant) -> Option<WorkReading> {
+        let (done, before) = (self.targets.get(attempt.target)?.progress(now)?, attempt.progress?);
+        Some(WorkReading {
+            likely: done.likely.saturating_sub(before.likely),
+            sure: done.sure.saturating_sub(before.sure),
+        })
     }
 
     fn record_hold(&mut self, request: RequestId, target: TargetKey, now: Instant) {
--- a/crates/core/src/dispatch/shared.rs
+++ b/crates/core/src/dispatch/shared.rs
@@ -9,7 +9,7 @@
 use crate::ids::{RankId, RequestId, TargetKey};
 use crate::queue::QueuedRequest;
 use crate::reason::RetryReason;
-use crate::target::{SharedReport, SharedTarget, TargetState};
+use crate::target::{SharedReport, SharedTarget, TargetState, WorkReading};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -23,6 +23,13 @@
 /// Expected time added for each part of a target's slots that is in use.
 const OCCUPANCY_WEIGHT: f64 = 0.5;
 
+/// Work on a request, relative to the usual, from which its target is asked whether it has turned
+/// slow. Less would ask about every second request.
+const OVERDUE_WORK: f64 = 1.1;
+/// Age from which the report of such a target is too old: two rounds of questions.
+const OVERDUE_REPORT_AGE: Duration = Duration::from_millis(40);
+/// Part of the targets that must have a free slot for second attempts on suspicion.
+const HEDGE_ROOM: f64 = 0.75;
 /// Time after the last request for which a service's targets are asked for reports.
 const REPORT_INTEREST: Duration = Duration::from_millis(300);
 
@@ -98,14 +105,30 @@
         self.report_age = age;
     }
 
-    /// Targets to ask for a report, while there is work: those whose last one is too old.
+    /// Targets to ask for a report, while there is work: those whose last one is too old, and sooner
+    /// those that may have turned slow under a request that could still be answered elsewhere.
     pub fn ask_for_reports(&mut self, now: Instant) -> Vec<(TargetKey, SocketAddr)> {
         let is_busy = self.worked_at.is_some_and(|at| now.saturating_duration_since(at) < REPORT_INTEREST);
         let Some(age) = self.report_age.filter(|_| is_busy) else { return Vec::new() };
-        let asked = self.targets.ask_for_reports(age, now).into_iter();
+        let mut asked = self.targets.ask_for_reports(age, now);
+        asked.extend(self.targets.ask_these(&self.overdue_targets(now), OVERDUE_REPORT_AGE, now));
+        let asked = asked.into_iter();
         asked.filter_map(|key| self.targets.get(key).map(|target| (key, target.address))).collect()
     }
 
+    /// Targets whose work on a request takes longer than usual, while another one could do it in time.
+    fn overdue_targets(&self, now: Instant) -> Vec<TargetKey> {
+        if !self.has_room_for_hedges() {
+            return Vec::new();
+        }
+        let is_overdue = |(request, flight): (&RequestId, &FlightState)| {
+            let attempt = self.repeatable_attempt(*request, flight, now)?;
+            let usual = self.ranks[flight.rank].usual_head.value().mul_f64(OVERDUE_WORK);
+            (self.work_so_far(attempt, now).likely > usual).then_some(attempt.target)
+        };
+        self.flights.iter().filter_map(is_overdue).collect()
+    }
+
     /// Takes in the size of an answer body, in bytes.
     pub fn record_size(&mut self, request: RequestId, bytes: usize) {
         let Some(flight) = self.flights.get(&request) else { return };
@@ -186,23 +209,34 @@
 
     /// Whether a request's only attempt will miss its deadline, while another one might not.
     fn is_lagging(&self, request: RequestId, flight: &FlightState, now: Instant) -> bool {
+        let Some(attempt) = self.repeatable_attempt(request, flight, now) else { return false };
+        let usual = self.ranks[flight.rank].usual_head.value();
+        now + self.remaining_time(attempt, usual, now) > flight.deadline
+    }
+
+    /// The only attempt of a request that may get another one and has time for it.
+    fn repeatable_attempt<'a>(
+        &self,
+        request: RequestId,
+        flight: &'a FlightState,
+        now: Instant,
+    ) -> Option<&'a AttemptState> {
         let may_repeat = flight.is_idempotent
             && !flight.is_answered
             && !flight.is_retried
             && flight.attempt_count < self.document.retry.max_attempts
             && !self.waiting.contains_key(&request);
-        let [attempt] = flight.attempts.as_slice() else { return false };
-        let usual = self.ranks[flight.rank].usual_head.value();
-        let has_time = now + usual < flight.deadline;
-        may_repeat && has_time && now + self.remaining_time(attempt, usual, now) > flight.deadline
+        let has_time = now + self.ranks[flight.rank].usual_head.value() < flight.deadline;
+        let [attempt] = flight.attempts.as_slice() else { return None };
+        (may_repeat && has_time).then_some(attempt)
     }
 
     /// Expected time until an attempt is answered. One that has had far more than the usual work
     /// done is taken for lost.
     fn remaining_time(&self, attempt: &AttemptState, usual: Duration, now: Instant) -> Duration {
         let Some(target) = self.targets.get(attempt.target) else { return LOST_TIME };
-        let done =
-            self.work_done(attempt, now).unwrap_or_else(|| now.saturating_duration_since(attempt.started));
+        let reading = self.work_so_far(attempt, now);
+        let done = if self.has_room_for_hedges() { reading.sure } else { reading.likely };
         if done > usual.mul_f64(LOST_WORK) {
             return LOST_TIME;
         }
@@ -210,6 +244,19 @@
         left.mul_f64(self.expected_factor(target, now))
     }
 
+    /// Whether a second attempt that turns out to be needless displaces nobody.
+    fn has_room_for_hedges(&self) -> bool {
+        let free = self.targets.free_lists().iter().map(Vec::len).sum::<usize>();
+        self.waiting.is_empty() && free as f64 >= HEDGE_ROOM * self.targets.len() as f64
+    }
+
+    /// Work done on an attempt. Where no report tells, the target counts as fast as usual.
+    fn work_so_far(&self, attempt: &AttemptState, now: Instant) -> WorkReading {
+        let elapsed = now.saturating_duration_since(attempt.started);
+        let as_usual = WorkReading { likely: elapsed, sure: elapsed };
+        self.work_done(attempt, now).unwrap_or(as_usual)
+    }
+
     fn is_tried(&self, queued: &QueuedRequest, target: TargetKey) -> bool {
         queued.avoid == Some(target) || self.has_attempt_at(queued, target)
     }
--- a/crates/core/src/target.rs
+++ b/crates/core/src/target.rs
@@ -13,7 +13,10 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-pub use state::{LoadReport, SharedReport, SharedTarget, SlotLoan, TargetLife, TargetSpec, TargetState};
+use state::WorkAccount;
+pub use state::{
+    LoadReport, SharedReport, SharedTarget, SlotLoan, TargetLife, TargetSpec, TargetState, WorkReading,
+};
 
 /// Age beyond which a load report says nothing any more.
 const REPORT_LIFETIME: Duration = Duration::from_millis(100);
@@ -127,8 +130,9 @@
     /// for the others' until the next report, or until it is too old to say anything.
     pub fn record_report(&mut self, key: TargetKey, report: SharedReport, now: Instant) {
         let Some(target) = self.targets.get_mut(key) else { return };
-        let done = target.progress(now).unwrap_or(Duration::ZERO);
-        target.progress = Some((done.as_secs_f64(), now));
+        let before = target.pace.map_or(report.pace, |(pace, _)| pace);
+        let account = target.progress.get_or_insert_with(|| WorkAccount::begin(now));
+        account.advance(before, report.pace, now);
         target.pace = Some((report.pace, now));
         target.foreign = report.occupied.saturating_sub(report.own);
         target.foreign_at = Some(now);
@@ -138,12 +142,21 @@
 
     /// Targets whose last report is older than `age`; they count as asked for one now.
     pub fn ask_for_reports(&mut self, age: Duration, now: Instant) -> Vec<TargetKey> {
-        let stale = self.targets.iter_mut().filter(|(_, target)| target.needs_report(age, now));
-        let asked = stale.map(|(key, target)| {
-            target.probed_at = Some(now);
-            key
-        });
-        asked.collect()
+        let all: Vec<TargetKey> = self.targets.keys().collect();
+        self.ask_these(&all, age, now)
+    }
+
+    /// Those of `keys` whose last report is older than `age`; they count as asked for one now.
+    pub fn ask_these(&mut self, keys: &[TargetKey], age: Duration, now: Instant) -> Vec<TargetKey> {
+        let mut asked = Vec::new();
+        for key in keys {
+            let Some(target) = self.targets.get_mut(*key) else { continue };
+            if target.needs_report(age, now) {
+                target.probed_at = Some(now);
+                asked.push(*key);
+            }
+        }
+        asked
     }
 
     /// Mean of the reported speeds, 1 being usual.
--- a/crates/core/src/target/state.rs
+++ b/crates/core/src/target/state.rs
@@ -65,6 +65,48 @@
     pub pace: f64,
 }
 
+/// Work done by one slot since some start, as the time that it takes at usual speed. Differences
+/// of two readings tell how much of a request's work is done, whatever speeds lay between.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct WorkReading {
+    /// By the speed that was reported before.
+    pub likely: Duration,
+    /// At least: a speed that was reported as less than before may have been so all the time.
+    pub sure: Duration,
+}
+
+/// Work done by one slot up to a point in time; it goes on by the speed last reported.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct WorkAccount {
+    /// In seconds.
+    likely: f64,
+    /// In seconds.
+    sure: f64,
+    counted: Instant,
+}
+
+impl WorkAccount {
+    pub(super) fn begin(now: Instant) -> Self {
+        Self { likely: 0.0, sure: 0.0, counted: now }
+    }
+
+    /// Counts the time up to a report that tells another speed than the one before.
+    pub(super) fn advance(&mut self, before: f64, reported: f64, now: Instant) {
+        let since = now.saturating_duration_since(self.counted).as_secs_f64();
+        self.likely += since / before;
+        self.sure += since / before.max(reported);
+        self.counted = now;
+    }
+
+    fn read(&self, pace: f64, now: Instant) -> WorkReading {
+        let since = now.saturating_duration_since(self.counted).as_secs_f64() / pace;
+        WorkReading {
+            likely: Duration::from_secs_f64(self.likely + since),
+            sure: Duration::from_secs_f64(self.sure + since),
+        }
+    }
+}
+
 /// A loan of one slot, given or taken.
 #[derive(Debug, Clone, Copy)]
 pub struct SlotLoan {
@@ -89,9 +131,7 @@
     pub instance: InstanceName,
     /// Time that work takes relative to the target's usual speed, as it last reported, and when.
     pub(super) pace: Option<(f64, Instant)>,
-    /// Work done by one slot since the start of the account, in seconds at usual speed, up to a
-    /// point in time; it goes on by the speed last reported.
-    pub(super) progress: Option<(f64, Instant)>,
+    pub(super) progress: Option<WorkAccount>,
     pub(super) warm_until: Option<Instant>,
     /// When it was last asked for a report.
     pub(super) probed_at: Option<Instant>,
@@ -162,12 +202,10 @@
         1.0 + (self.slowness - 1.0) * (-age.as_secs_f64() / SLOWNESS_MEMORY.as_secs_f64()).exp()
     }
 
-    /// Work done by one slot since the start of the account, at usual speed. Differences of two
-    /// readings tell how much of a request's work is done, whatever speeds lay between.
-    pub fn progress(&self, now: Instant) -> Option<Duration> {
-        let ((done, counted), (pace, _)) = (self.progress?, self.pace?);
-        let since = now.saturating_duration_since(counted).as_secs_f64();
-        Some(Duration::from_secs_f64(done + since / pace))
+    /// Reading of the account of work, if the target reports its speed.
+    pub fn progress(&self, now: Instant) -> Option<WorkReading> {
+        let (account, (pace, _)) = (self.progress?, self.pace?);
+        Some(account.read(pace, now))
     }
 
     /// Requests of others there, as last reported.
--- a/crates/core/tests/shared.rs
+++ b/crates/core/tests/shared.rs
@@ -330,6 +330,51 @@
     assert!(fleet.dispatcher.ask_for_reports(fleet.now).is_empty(), "not a home");
 }
 
+/// Pattern: a target turns slow just after a request was sent there, and nothing else reports it.
+#[test]
+fn a_target_is_asked_at_once_when_a_request_there_takes_longer_than_usual() {
+    let mut fleet = Fleet::new(2);
+    fleet.dispatcher.set_attempt_reserve(10.0);
+    fleet.dispatcher.set_report_age(Some(millis(150)));
+    fleet.report_all(1.0);
+    let (request, key, at) = fleet.start(0);
+    let index = usize::from(at != address(0));
+    fleet.now += millis(80);
+    assert!(fleet.dispatcher.ask_for_reports(fleet.now).is_empty(), "not overdue yet");
+    fleet.now += millis(12);
+    let asked = fleet.dispatcher.ask_for_reports(fleet.now);
+    assert_eq!(asked, vec![(key, at)]);
+    fleet.report(index, 0, 8.0);
+    fleet.report(1 - index, 0, 1.0);
+    fleet.dispatcher.tick(fleet.now, &mut fleet.actions);
+    let started = fleet.take_starts();
+    assert_eq!(started.len(), 1, "a second attempt");
+    assert_eq!((started[0].0, started[0].3), (request, Some(RetryReason::Hedge)));
+    let (claim, _, _) = fleet.start(1);
+    fleet.now += millis(100);
+    fleet.report_all(1.0);
+    fleet.now += millis(45);
+    assert!(fleet.dispatcher.ask_for_reports(fleet.now).is_empty(), "{claim} cannot be sent again");
+}
+
+/// Pattern: more requests than slots. A second attempt on suspicion would take the place of another.
+#[test]
+fn nothing_is_asked_or_sent_again_on_suspicion_while_requests_wait() {
+    let mut fleet = Fleet::new(2);
+    fleet.dispatcher.set_attempt_reserve(10.0);
+    fleet.dispatcher.set_report_age(Some(millis(150)));
+    fleet.report_all(1.0);
+    for _ in 0..12 {
+        fleet.submit(0);
+    }
+    let started = fleet.take_starts().len();
+    assert!(started > 0 && started < 12, "{started}");
+    fleet.now += millis(92);
+    assert!(fleet.dispatcher.ask_for_reports(fleet.now).is_empty());
+    fleet.dispatcher.tick(fleet.now, &mut fleet.actions);
+    assert!(fleet.take_starts().iter().all(|start| start.3.is_none()));
+}
+
 /// Bound: a fifth of the requests and the allowance, over all entry VMs.
 #[test]
 fn further_attempts_stay_within_the_share_and_the_reserve_in_every_window() {
