--- a/crates/core/src/dispatch/attempt.rs
+++ b/crates/core/src/dispatch/attempt.rs
@@ -6,7 +6,7 @@
 use crate::queue::QueuedRequest;
 use crate::reason::RetryReason;
 use crate::target::{LoadReport, WorkReading};
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 /// How an attempt failed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/relay/src/listen.rs
+++ b/crates/relay/src/listen.rs
@@ -15,7 +15,9 @@
 use http::Method;
 use sniperelay_core::route::CallerLimits;
 use sniperelay_node::life::LifePhase;
+use socket2::SockRef;
 use std::collections::VecDeque;
+use std::mem::MaybeUninit;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -163,6 +165,11 @@
                         return Ok(());
                     }
                 }
+                // The runtime learns of arrivals between turns; on a VM short of processor time a
+                // request may have waited here unseen while the time ran out.
+                ConnectionStep::Expired if has_unread(&self.stream) => {
+                    self.waiting_since = Instant::now();
+                }
                 ConnectionStep::Expired => {
                     if !self.is_between_requests() {
                         self.write_reply(
@@ -352,6 +359,12 @@
     }
 }
 
+/// Whether the socket holds bytes that were not read.
+fn has_unread(stream: &TcpStream) -> bool {
+    let mut byte = [MaybeUninit::<u8>::uninit(); 1];
+    SockRef::from(stream).peek(&mut byte).is_ok_and(|count| count > 0)
+}
+
 /// The answer to the oldest request; pending while there is none.
 async fn next_reply(running: &mut VecDeque<RunningRequest>) -> CallerReply {
     let Some(first) = running.front_mut() else { return std::future::pending().await };
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -248,6 +248,14 @@
         Self { stream: TcpStream::connect(address).await.unwrap(), buffer: Vec::new() }
     }
 
+    pub fn into_parts(self) -> (TcpStream, Vec<u8>) {
+        (self.stream, self.buffer)
+    }
+
+    pub fn from_parts(stream: TcpStream, buffer: Vec<u8>) -> Self {
+        Self { stream, buffer }
+    }
+
     pub async fn send(&mut self, text: &str) {
         self.stream.write_all(text.as_bytes()).await.unwrap();
     }
--- a/crates/relay/tests/path.rs
+++ b/crates/relay/tests/path.rs
@@ -4,7 +4,14 @@
 
 use common::{Act, World, body, config, header, registration, request, sealed, status};
 use sniperelay_relay::stop::StopSchedule;
+use std::io::Write;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
+use tokio::net::TcpStream;
+
+fn millis(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
 
 fn write(text: &str) -> Vec<Act> {
     vec![Act::Write(text.to_owned())]
@@ -250,6 +257,38 @@
     assert!(refusing.finish().await, "all connections ended");
 }
 
+/// Pattern: a VM short of processor time. In one turn of the runtime the idle time of a connection
+/// runs out, and before its task is run a request arrives.
+#[tokio::test]
+async fn a_request_that_arrives_while_the_idle_time_runs_out_is_answered() {
+    let world = World::start(vec![write(&sealed("ok"))]).await;
+    let mut limited = config("00000002");
+    limited["Limits"]["IdleTimeout"] = "1s".into();
+    world.store.put("config/main", limited.to_string());
+    world.until(|state| state.routes.load().as_ref().unwrap().config.version == 2).await;
+    let mut caller = world.connect().await;
+    caller.send(&request("GET", "/read/1", "a", "")).await;
+    assert_eq!(status(&caller.receive().await.unwrap()), 200);
+    let answered = tokio::time::Instant::now();
+    let (stream, buffer) = caller.into_parts();
+    let stream = stream.into_std().unwrap();
+    let sender = {
+        let mut stream = stream.try_clone().unwrap();
+        tokio::spawn(async move {
+            tokio::time::sleep_until(answered + millis(310)).await;
+            stream.write_all(request("GET", "/read/2", "b", "").as_bytes()).unwrap();
+        })
+    };
+    // Holds the thread until both the sender's time and the idle time have run out.
+    tokio::time::sleep_until(answered + millis(300)).await;
+    std::thread::sleep(millis(1000));
+    sender.await.unwrap();
+    stream.set_nonblocking(true).unwrap();
+    let mut caller = common::Caller::from_parts(TcpStream::from_std(stream).unwrap(), buffer);
+    let answer = caller.receive().await.expect("an answer");
+    assert_eq!((status(&answer), body(&answer)), (200, "ok"));
+}
+
 #[test]
 fn a_stop_refuses_before_a_request_may_be_cut_off_and_ends_before_it_is_killed() {
     for grace in [1, 6, 20].map(std::time::Duration::from_secs) {
