--- a/crates/node/src/control/run.rs
+++ b/crates/node/src/control/run.rs
@@ -129,6 +129,7 @@
     let counters = shared.metrics.process().clone();
     let link = PeerLink::start(inputs.peer_socket, configs, inbox_sender, counters)?;
     let platform = Arc::new(HttpPlatform::new(settings.platform.address, settings.platform.calls_per_second));
+    shared.metrics.export_calls(platform.counters());
     let flags = Arc::new(SyncFlags::default());
     let member_settings =
         MemberSettings { interval: settings.peers.heartbeat, seeds: settings.peers.seeds.clone() };
@@ -265,8 +266,8 @@
 fn record_cost(state: &ControlState) {
     let process = state.shared.metrics.process();
     let calls = state.platform.counters();
-    process.platform_calls.store(calls.made.load(Ordering::Relaxed), Ordering::Relaxed);
-    process.platform_failures.store(calls.failed.load(Ordering::Relaxed), Ordering::Relaxed);
+    process.platform_calls.store(calls.made(), Ordering::Relaxed);
+    process.platform_failures.store(calls.failed(), Ordering::Relaxed);
     process.peer_wire_bytes.store(state.link.wire_bytes(), Ordering::Relaxed);
     if let Some(cpu) = thread_cpu() {
         process.control_cpu_micros.store(cpu.as_micros() as u64, Ordering::Relaxed);
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -8,11 +8,14 @@
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
 use sniperelay_core::reason::{RefusalReason, RetryReason};
+use sniperelay_platform::transport::{CallCounters, CallResult, CallVerb};
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, PoisonError, RwLock};
 use std::time::Duration;
 
+/// Name under which the instruments are made.
+const METER_NAME: &str = "sniperelay";
 /// Bounds of the latency histograms, in seconds.
 const LATENCY_BOUNDS: &[f64] = &[
     0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.035, 0.05, 0.075, 0.1, 0.15, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0,
@@ -148,7 +151,7 @@
 /// All metrics of one entry VM.
 pub struct MetricSet {
     registry: Registry,
-    _provider: SdkMeterProvider,
+    provider: SdkMeterProvider,
     latency: Histogram<f64>,
     ranks: Arc<RwLock<RankTable>>,
     process: Arc<ProcessCounters>,
@@ -171,7 +174,7 @@
         let registry = Registry::new();
         let exporter = opentelemetry_prometheus::exporter().with_registry(registry.clone()).build()?;
         let provider = SdkMeterProvider::builder().with_reader(exporter).build();
-        let meter = provider.meter("sniperelay");
+        let meter = provider.meter(METER_NAME);
         let latency = meter
             .f64_histogram("sniperelay_answer_latency_seconds")
             .with_description("Time from a request's arrival to the beginning of its answer")
@@ -183,7 +186,7 @@
         register_process_counters(&meter, &process);
         let beliefs = Arc::new(BeliefGauges::default());
         register_beliefs(&meter, &beliefs);
-        Ok(Self { registry, _provider: provider, latency, ranks, process, beliefs })
+        Ok(Self { registry, provider, latency, ranks, process, beliefs })
     }
 
     /// Counters of the process.
@@ -209,6 +212,11 @@
         ranks.iter().map(|(key, counters)| (key.clone(), counters.clone())).collect()
     }
 
+    /// Exports the counters of calls to the platform.
+    pub fn export_calls(&self, calls: &Arc<CallCounters>) {
+        register_calls(&self.provider.meter(METER_NAME), calls);
+    }
+
     /// All metrics in the Prometheus text format.
     ///
     /// # Errors
@@ -288,6 +296,19 @@
     gauge.build();
 }
 
+fn register_calls(meter: &Meter, calls: &Arc<CallCounters>) {
+    let calls = calls.clone();
+    let counter = meter.u64_observable_counter("sniperelay_store_calls").with_callback(move |observer| {
+        for verb in CallVerb::ALL {
+            for result in CallResult::ALL {
+                let labels = [KeyValue::new("verb", verb.as_str()), KeyValue::new("result", result.as_str())];
+                observer.observe(calls.count(verb, result), &labels);
+            }
+        }
+    });
+    counter.build();
+}
+
 fn register_process_counters(meter: &Meter, process: &Arc<ProcessCounters>) {
     let counters = process.clone();
     let counter = meter.u64_observable_counter("sniperelay_process").with_callback(move |observer| {
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -2,13 +2,14 @@
 
 use crate::api::{EventList, ObjectList, ObjectVersion, PlatformApi, PlatformError, Result, StoredObject};
 use crate::pace::CallPace;
-use crate::transport::{CallCounters, PlatformTransport};
+use crate::transport::{CallCounters, CallVerb, PlatformTransport};
 use bytes::Bytes;
 use http::{Method, Request, StatusCode};
 use http_body_util::Full;
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 #[derive(Deserialize)]
@@ -39,20 +40,25 @@
     }
 
     /// Counters of the calls made.
-    pub fn counters(&self) -> &CallCounters {
+    pub fn counters(&self) -> &Arc<CallCounters> {
         self.transport.counters()
     }
 
     async fn call<T: DeserializeOwned>(
         &self,
-        method: Method,
+        verb: CallVerb,
         path: String,
         expected: Option<ObjectVersion>,
         body: &str,
         wait: Duration,
     ) -> Result<Option<T>> {
+        let method = match verb {
+            CallVerb::Put => Method::PUT,
+            CallVerb::Delete => Method::DELETE,
+            _ => Method::GET,
+        };
         let request = make_request(method, &path, expected, body, self.transport.address())?;
-        let answer = self.transport.call(request, wait).await?;
+        let answer = self.transport.call(verb, request, wait).await?;
         interpret(answer.status, &answer.body)
     }
 }
@@ -93,30 +99,30 @@
 
 impl PlatformApi for HttpPlatform {
     async fn get(&self, key: &str) -> Result<Option<StoredObject>> {
-        self.call(Method::GET, format!("/objects/{key}"), None, "", Duration::ZERO).await
+        self.call(CallVerb::Get, format!("/objects/{key}"), None, "", Duration::ZERO).await
     }
 
     async fn list(&self, prefix: &str) -> Result<ObjectList> {
         let path = format!("/list/{prefix}");
-        required(self.call(Method::GET, path, None, "", Duration::ZERO).await?)
+        required(self.call(CallVerb::List, path, None, "", Duration::ZERO).await?)
     }
 
     async fn put(&self, key: &str, expected: ObjectVersion, value: &str) -> Result<ObjectVersion> {
         let path = format!("/objects/{key}");
         let answer: Option<VersionAnswer> =
-            self.call(Method::PUT, path, Some(expected), value, Duration::ZERO).await?;
+            self.call(CallVerb::Put, path, Some(expected), value, Duration::ZERO).await?;
         Ok(required(answer)?.version)
     }
 
     async fn delete(&self, key: &str, expected: ObjectVersion) -> Result<ObjectVersion> {
         let path = format!("/objects/{key}");
         let answer: Option<VersionAnswer> =
-            self.call(Method::DELETE, path, Some(expected), "", Duration::ZERO).await?;
+            self.call(CallVerb::Delete, path, Some(expected), "", Duration::ZERO).await?;
         Ok(required(answer)?.version)
     }
 
     async fn watch(&self, prefix: &str, since: ObjectVersion, wait: Duration) -> Result<EventList> {
         let path = format!("/watch/{prefix}?since={since}&wait_ms={}", wait.as_millis());
-        required(self.call(Method::GET, path, None, "", wait).await?)
+        required(self.call(CallVerb::Watch, path, None, "", wait).await?)
     }
 }
--- a/crates/platform/src/transport.rs
+++ b/crates/platform/src/transport.rs
@@ -12,8 +12,8 @@
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
 use std::net::SocketAddr;
-use std::sync::Mutex;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
 
@@ -27,21 +27,115 @@
 /// Unanswered probes after which a connection is given up.
 const KEEPALIVE_PROBES: u32 = 2;
 
-/// Calls to the platform, counted.
+/// What a call asks for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CallVerb {
+    /// One object.
+    Get,
+    /// The objects under a prefix.
+    List,
+    /// The same, as they were at most seconds ago.
+    ListStale,
+    /// Changes under a prefix.
+    Watch,
+    /// To write an object.
+    Put,
+    /// To delete an object.
+    Delete,
+}
+
+impl CallVerb {
+    /// Every verb, in declaration order.
+    pub const ALL: [Self; 6] = [Self::Get, Self::List, Self::ListStale, Self::Watch, Self::Put, Self::Delete];
+
+    /// Name in counters.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Get => "get",
+            Self::List => "list",
+            Self::ListStale => "list-stale",
+            Self::Watch => "watch",
+            Self::Put => "put",
+            Self::Delete => "delete",
+        }
+    }
+}
+
+/// How a call ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CallResult {
+    /// Answered, whatever the answer.
+    Answered,
+    /// Turned away, or not sent for want of a connection: it was not carried out.
+    Refused,
+    /// No usable answer: it may have been carried out.
+    Unanswered,
+    /// Held back by the rate.
+    HeldByRate,
+    /// Held back by the circuit breaker.
+    HeldByBreaker,
+}
+
+impl CallResult {
+    /// Every result, in declaration order.
+    pub const ALL: [Self; 5] =
+        [Self::Answered, Self::Refused, Self::Unanswered, Self::HeldByRate, Self::HeldByBreaker];
+
+    /// Name in counters.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Answered => "answered",
+            Self::Refused => "refused",
+            Self::Unanswered => "unanswered",
+            Self::HeldByRate => "held-by-rate",
+            Self::HeldByBreaker => "held-by-breaker",
+        }
+    }
+
+    fn of(result: &Result<PlatformAnswer>) -> Self {
+        match result {
+            Err(PlatformError::Unanswered(_)) => Self::Unanswered,
+            Err(PlatformError::Refused(_)) => Self::Refused,
+            _ => Self::Answered,
+        }
+    }
+}
+
+/// Calls to the platform, counted by verb and result.
 #[derive(Debug, Default)]
 pub struct CallCounters {
-    /// Calls made.
-    pub made: AtomicU64,
-    /// Calls without a usable answer.
-    pub failed: AtomicU64,
-    /// Calls held back by the rate.
-    pub held_by_rate: AtomicU64,
-    /// Calls held back by the circuit breaker.
-    pub held_by_breaker: AtomicU64,
-    /// Bytes of request and answer bodies.
+    calls: [[AtomicU64; CallResult::ALL.len()]; CallVerb::ALL.len()],
+    /// Bytes of answer bodies.
     pub bytes: AtomicU64,
 }
 
+impl CallCounters {
+    /// Calls of this kind that ended so.
+    pub fn count(&self, verb: CallVerb, result: CallResult) -> u64 {
+        self.calls[verb as usize][result as usize].load(Ordering::Relaxed)
+    }
+
+    /// Calls made, whatever became of them.
+    pub fn made(&self) -> u64 {
+        self.sum(&[CallResult::Answered, CallResult::Refused, CallResult::Unanswered])
+    }
+
+    /// Calls made without a usable answer.
+    pub fn failed(&self) -> u64 {
+        self.sum(&[CallResult::Refused, CallResult::Unanswered])
+    }
+
+    fn sum(&self, results: &[CallResult]) -> u64 {
+        let of_verb =
+            |verb: CallVerb| results.iter().map(move |result| self.count(verb, *result)).sum::<u64>();
+        CallVerb::ALL.into_iter().map(of_verb).sum()
+    }
+
+    fn record(&self, verb: CallVerb, result: CallResult) {
+        self.calls[verb as usize][result as usize].fetch_add(1, Ordering::Relaxed);
+    }
+}
+
 /// An answer of the platform.
 #[derive(Debug)]
 pub struct PlatformAnswer {
@@ -56,13 +150,13 @@
 pub struct PlatformTransport {
     address: SocketAddr,
     pace: Mutex<CallPace>,
-    counters: CallCounters,
+    counters: Arc<CallCounters>,
 }
 
 impl PlatformTransport {
     /// A transport with this pace.
     pub fn new(address: SocketAddr, pace: CallPace) -> Self {
-        Self { address, pace: Mutex::new(pace), counters: CallCounters::default() }
+        Self { address, pace: Mutex::new(pace), counters: Arc::default() }
     }
 
     /// Address of the platform.
@@ -71,7 +165,7 @@
     }
 
     /// Counters of the calls made.
-    pub fn counters(&self) -> &CallCounters {
+    pub fn counters(&self) -> &Arc<CallCounters> {
         &self.counters
     }
 
@@ -81,26 +175,31 @@
     ///
     /// When the call was held back, refused or not answered. Answers that say `429` or `503` are
     /// refusals.
-    pub async fn call(&self, request: Request<Full<Bytes>>, wait: Duration) -> Result<PlatformAnswer> {
-        self.take_call()?;
-        self.counters.made.fetch_add(1, Ordering::Relaxed);
+    pub async fn call(
+        &self,
+        verb: CallVerb,
+        request: Request<Full<Bytes>>,
+        wait: Duration,
+    ) -> Result<PlatformAnswer> {
+        self.take_call(verb)?;
         let result = match tokio::time::timeout(wait + CALL_TIMEOUT, self.exchange(request)).await {
             Ok(result) => result.and_then(refuse_overload),
             Err(_) => Err(PlatformError::Unanswered("timed out".to_owned())),
         };
+        self.counters.record(verb, CallResult::of(&result));
         self.record(&result);
         result
     }
 
-    fn take_call(&self) -> Result<()> {
+    fn take_call(&self, verb: CallVerb) -> Result<()> {
         let mut pace = self.pace.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
         pace.try_take(Instant::now()).map_err(|refusal| match refusal {
             PaceRefusal::Rate => {
-                self.counters.held_by_rate.fetch_add(1, Ordering::Relaxed);
+                self.counters.record(verb, CallResult::HeldByRate);
                 PlatformError::HeldBack("the call rate is used up")
             }
             PaceRefusal::Open => {
-                self.counters.held_by_breaker.fetch_add(1, Ordering::Relaxed);
+                self.counters.record(verb, CallResult::HeldByBreaker);
                 PlatformError::HeldBack("the platform failed lately")
             }
         })
@@ -110,7 +209,6 @@
         let mut pace = self.pace.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
         match result {
             Err(PlatformError::Unanswered(_) | PlatformError::Refused(_)) => {
-                self.counters.failed.fetch_add(1, Ordering::Relaxed);
                 pace.record_failure(Instant::now(), &mut rand::rng());
             }
             _ => pace.record_success(),
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -115,6 +115,7 @@
             peers,
             settings,
         };
+        state.metrics.export_calls(state.store.counters());
         let own = state.own_record();
         state.entry_vms.store(Arc::new(BTreeMap::from([(own.name.clone(), own)])));
         Ok(state)
@@ -122,11 +123,9 @@
 
     /// Brings the counters and gauges up to date that are kept elsewhere.
     pub fn update_metrics(&self) {
-        let copy =
-            |from: &AtomicU64, to: &AtomicU64| to.store(from.load(Ordering::Relaxed), Ordering::Relaxed);
         let (calls, process) = (self.store.counters(), self.metrics.process());
-        copy(&calls.made, &process.platform_calls);
-        copy(&calls.failed, &process.platform_failures);
+        process.platform_calls.store(calls.made(), Ordering::Relaxed);
+        process.platform_failures.store(calls.failed(), Ordering::Relaxed);
         let beliefs = self.metrics.beliefs();
         let set = |gauge: &AtomicU64, value: u64| gauge.store(value, Ordering::Relaxed);
         set(
--- a/crates/relay/tests/path.rs
+++ b/crates/relay/tests/path.rs
@@ -312,4 +312,12 @@
     assert!(has("sniperelay_belief", "name=\"configuration_version\""), "{text}");
     assert!(has("sniperelay_refusals", "reason=\"target-refused\""));
     assert!(has("sniperelay_process", "name=\"platform_calls\""));
+    let calls = |labels: &str| {
+        let line =
+            text.lines().find(|line| line.starts_with("sniperelay_store_calls") && line.contains(labels));
+        line.and_then(|line| line.rsplit(' ').next()).and_then(|value| value.parse::<f64>().ok()).unwrap()
+    };
+    assert!(calls("result=\"answered\",verb=\"list-stale\"") >= 3.0, "{text}");
+    assert!(calls("result=\"answered\",verb=\"put\"") >= 1.0, "registered");
+    assert_eq!(calls("result=\"unanswered\",verb=\"watch\""), 0.0);
 }
