serve: a response is accepted only for its own attempt

Cause: nothing in a response of a target named the request it belongs to. A second copy of an answer that arrived after the next request had been written on the kept connection was delivered to that request's caller; a copy of a refusal turned a claim that ran into not-run. Change: each attempt carries Sniperelay-Attempt with a random ID, which targets return. Another ID, or none on a reused connection, closes the connection and counts as a lost connection (unknown, another attempt where allowed). A connection without an ID carries one request only. Entry VMs return the ID of their own callers. Response heads are limited to 64 KiB. Ruled out: bytes that arrive while a connection is idle; the HTTP library closes it.

--- a/crates/node/src/traffic/attempt.rs
+++ b/crates/node/src/traffic/attempt.rs
@@ -1,4 +1,8 @@
 //! One attempt to send a request to a target.
+//!
+//! A response counts as the response to this attempt only if it returns the attempt's ID. On a new
+//! connection, a response without an ID is accepted, too, because nothing else can arrive there; such a
+//! connection is not reused.
 
 use crate::dispatcher_handle::AttemptSlot;
 use crate::shared_state::ClaimedKey;
@@ -6,7 +10,7 @@
 use crate::traffic::headers;
 use crate::traffic::pool::{PooledConnection, TargetPool};
 use crate::wall_clock;
-use http::{Request, Response};
+use http::{HeaderValue, Request, Response};
 use hyper::body::Incoming;
 use sniperelay_core::dispatch::AttemptFailure;
 use std::net::SocketAddr;
@@ -92,8 +96,12 @@
             return AttemptResult::NotSent;
         }
         headers::set_number(request.headers_mut(), headers::DEADLINE_MS, remaining.as_millis() as u64);
+        let attempt_id = HeaderValue::from(rand::random::<u64>());
+        request.headers_mut().insert(headers::ATTEMPT, attempt_id.clone());
         match sender.try_send_request(request).await {
-            Ok(response) => return classify_response(response, connection, slot, key.as_deref()),
+            Ok(response) => {
+                return classify_response(response, &attempt_id, connection, slot, key.as_deref());
+            }
             Err(mut error) => match error.take_message() {
                 // The connection was already closed, and no byte of the request was written to it.
                 Some(unsent) if connection.is_reused => {
@@ -112,10 +120,22 @@
 
 fn classify_response(
     response: Response<Incoming>,
-    connection: PooledConnection,
+    attempt_id: &HeaderValue,
+    mut connection: PooledConnection,
     slot: Option<AttemptSlot>,
     key: Option<&ClaimedKey>,
 ) -> AttemptResult {
+    match response.headers().get(headers::ATTEMPT) {
+        Some(returned_id) if returned_id == attempt_id => {}
+        None if !connection.is_reused => connection.forbid_reuse(),
+        returned_id => {
+            log::warn!(
+                "response from {} belongs to another request (attempt {returned_id:?}); connection closed",
+                connection.address()
+            );
+            return AttemptResult::Failed { failure: AttemptFailure::ConnectionLost, slot };
+        }
+    }
     if response.headers().contains_key(headers::REFUSED) && response.status().is_server_error() {
         key.iter().for_each(|key| key.mark_refused());
         return AttemptResult::Failed { failure: AttemptFailure::Refused, slot };
--- a/crates/node/src/traffic/caller_connection.rs
+++ b/crates/node/src/traffic/caller_connection.rs
@@ -3,6 +3,7 @@
 use crate::lifecycle::LifecyclePhase;
 use crate::shared_state::NodeState;
 use crate::traffic::body::ResponseBody;
+use crate::traffic::headers;
 use crate::traffic::lookup::{LOOKUP_PATH, handle_lookup};
 use crate::traffic::request_handler::handle_request;
 use crate::traffic::response::{Refusal, refusal_response};
@@ -100,6 +101,7 @@
     request: Request<Incoming>,
 ) -> Result<Response<ResponseBody>, Infallible> {
     let version = request.version();
+    let attempt_id = request.headers().get(headers::ATTEMPT).cloned();
     let phase = node_state.lifecycle.phase();
     let mut response = if request.uri().path() == LOOKUP_PATH {
         handle_lookup(&node_state, caller, request.uri())
@@ -112,5 +114,9 @@
         // Makes callers with persistent connections look up the service again.
         response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
+    if let Some(id) = attempt_id {
+        // The caller may be an entry VM that recognizes its responses by this ID.
+        response.headers_mut().insert(headers::ATTEMPT, id);
+    }
     Ok(response)
 }
--- a/crates/node/src/traffic/headers.rs
+++ b/crates/node/src/traffic/headers.rs
@@ -38,6 +38,9 @@
 pub const LOAD: HeaderName = HeaderName::from_static("sniperelay-load");
 /// Marks a response in which a target reports that it refused the request without executing it.
 pub const REFUSED: HeaderName = HeaderName::from_static("sniperelay-refused");
+/// Identifies an attempt on its connection. A target returns it, which proves that a response belongs
+/// to this attempt and is not a late copy of an earlier one.
+pub const ATTEMPT: HeaderName = HeaderName::from_static("sniperelay-attempt");
 /// State of a target: `live` or `leaving`.
 pub const TARGET_STATE: HeaderName = HeaderName::from_static("sniperelay-target-state");
 /// Idempotency key of a non-idempotent request.
@@ -78,16 +81,18 @@
     strip_hop_by_hop(headers);
     headers.remove(header::EXPECT);
     headers.remove(FORWARDED_BY_PEER);
+    headers.remove(ATTEMPT);
     append(headers, header::VIA, VIA_VALUE);
     append(headers, header::FORWARDED, &format_forwarded(caller));
 }
 
 /// Prepares the headers of a response for the caller: removes hop-by-hop headers and the target's load
-/// and state, and adds `Via`.
+/// state and attempt ID, and adds `Via`.
 pub fn prepare_response_headers(headers: &mut HeaderMap) {
     strip_hop_by_hop(headers);
     headers.remove(LOAD);
     headers.remove(TARGET_STATE);
+    headers.remove(ATTEMPT);
     append(headers, header::VIA, VIA_VALUE);
 }
 
--- a/crates/node/src/traffic/pool.rs
+++ b/crates/node/src/traffic/pool.rs
@@ -21,6 +21,9 @@
 const MAX_IDLE_TIME: Duration = Duration::from_secs(15);
 /// Maximum number of idle connections per target.
 const MAX_IDLE_PER_TARGET: usize = 8;
+/// Size of the read buffer of a connection, and thereby maximum size of a response head, in bytes. A
+/// target that sends a longer head fails the attempt.
+pub const READ_BUFFER_BYTES: usize = 64 * 1024;
 
 type RequestSender = http1::SendRequest<RequestBody>;
 
@@ -56,6 +59,8 @@
     idle: Arc<Mutex<IdleMap>>,
     /// Whether the connection has carried requests before.
     pub is_reused: bool,
+    /// Whether the connection is closed instead of being returned to the pool.
+    is_reuse_forbidden: bool,
 }
 
 impl TargetPool {
@@ -107,7 +112,11 @@
         let stream =
             tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await.map_err(timed_out)??;
         stream.set_nodelay(true)?;
-        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.map_err(io::Error::other)?;
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(READ_BUFFER_BYTES)
+            .handshake(TokioIo::new(stream))
+            .await
+            .map_err(io::Error::other)?;
         let driver = tokio::spawn(async move {
             if let Err(error) = connection.await {
                 log::debug!("connection to {address} ended with an error: {error}");
@@ -123,7 +132,14 @@
         driver: AbortHandle,
         is_reused: bool,
     ) -> PooledConnection {
-        PooledConnection { address, sender: Some(sender), driver, idle: self.idle.clone(), is_reused }
+        PooledConnection {
+            address,
+            sender: Some(sender),
+            driver,
+            idle: self.idle.clone(),
+            is_reused,
+            is_reuse_forbidden: false,
+        }
     }
 }
 
@@ -133,6 +149,17 @@
         self.sender.as_mut()
     }
 
+    /// Returns the address of the target.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Closes the connection after this request instead of returning it to the pool, because a later
+    /// response could not be told from a second copy of this one.
+    pub fn forbid_reuse(&mut self) {
+        self.is_reuse_forbidden = true;
+    }
+
     /// Returns the connection to the pool for the next request.
     pub fn return_to_pool(self) {
         self.return_to_pool_for(MAX_IDLE_TIME);
@@ -140,6 +167,9 @@
 
     /// Returns the connection to the pool, where it may stay idle for at most `max_idle_time`.
     pub fn return_to_pool_for(mut self, max_idle_time: Duration) {
+        if self.is_reuse_forbidden {
+            return;
+        }
         let Some(sender) = self.sender.take() else { return };
         let connection = IdleConnection {
             sender,
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! Helpers for the tests of the daemon: small clusters and raw HTTP.
 #![allow(dead_code, reason = "each test file uses a part of the helpers")]
 
+pub mod raw_target;
+
 use sniperelay_standin::cluster::{ClusterOptions, ClusterStandin};
 use sniperelay_standin::deployment::{DeploymentSpec, cooperative};
 use std::net::SocketAddr;
--- a/crates/standin/src/target.rs
+++ b/crates/standin/src/target.rs
@@ -215,6 +215,18 @@
     }
 
     async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Result<Response<TargetBody>, BodyError> {
+        let attempt_id = request.headers().get(headers::ATTEMPT).cloned();
+        let mut response = self.handle_request(request).await?;
+        if let Some(id) = attempt_id {
+            response.headers_mut().insert(headers::ATTEMPT, id);
+        }
+        Ok(response)
+    }
+
+    async fn handle_request(
+        self: Arc<Self>,
+        request: Request<Incoming>,
+    ) -> Result<Response<TargetBody>, BodyError> {
         if request.uri().path() == "/load" {
             self.control.probes.fetch_add(1, Ordering::Relaxed);
             return Ok(self.make_response(StatusCode::OK, full_body("{}")));
