serve: a response body ends cleanly only if it did at its target

Shown before: 4,327,663 of 30,000,000 bytes, then the last chunk; the same over HTTP/2 (test http_2_response_cut_..., clean end of the stream). A body without length or chunks ended cleanly wherever its connection did (test response_delimited_by_..., failed at 10 bytes). Change: new module response_body: the clean end is a part of its own in the buffer; a body that the message does not delimit ends with an error; limits response-bytes and response-time-ms; broken bodies are counted apart, so that valid heads in between do not keep a target from being ejected (core test target_whose_bodies_break_off_...); metric responses_cut. Endless heads and bodies, fast and dripping, also of probes: endless_responses.rs. Memory per response: 16 frames of at most 64 KiB.

--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -72,7 +72,12 @@
     pub header_bytes: usize,
     /// Maximum size of a request's body, in bytes.
     pub body_bytes: u64,
-    /// Timeout for receiving the request headers from a caller, and again for the body.
+    /// Maximum size of a response body, in bytes.
+    pub response_bytes: u64,
+    /// Maximum time from the head of a response to the end of its body.
+    pub response_time: Duration,
+    /// Timeout for receiving the request headers from a caller, and again for the body. Also the maximum
+    /// time without progress in a response body.
     pub caller_timeout: Duration,
     /// Maximum number of idempotency keys that are stored.
     pub claim_keys: usize,
@@ -193,6 +198,8 @@
         caller_connections: section.parsed_or("caller-connections", "a whole number", 10_000),
         header_bytes: section.parsed_or("header-bytes", "a whole number", 32 * 1024),
         body_bytes: section.parsed_or("body-bytes", "a whole number", 16 * 1024 * 1024),
+        response_bytes: section.parsed_or("response-bytes", "a whole number", 256 * 1024 * 1024),
+        response_time: section.millis_or("response-time-ms", Duration::from_secs(300)),
         caller_timeout: section.millis_or("caller-patience-ms", Duration::from_secs(10)),
         claim_keys: section.parsed_or("claim-keys", "a whole number", 200_000),
         claim_epoch: section.millis_or("claim-epoch-ms", Duration::from_secs(30)),
@@ -201,6 +208,12 @@
     if settings.header_bytes < 8192 {
         section.report("header-bytes", "must be at least 8192");
     }
+    if settings.response_bytes == 0 {
+        section.report("response-bytes", "must be at least 1");
+    }
+    if settings.response_time.is_zero() {
+        section.report("response-time-ms", "must be at least 1");
+    }
     if settings.claim_epoch < Duration::from_millis(100) {
         section.report("claim-epoch-ms", "must be at least 100");
     }
--- a/crates/core/src/dispatch/attempt.rs
+++ b/crates/core/src/dispatch/attempt.rs
@@ -150,6 +150,17 @@
         self.return_idle_loan(target, actions);
     }
 
+    /// Records that the body of a response from this target was complete.
+    pub fn record_complete_body(&mut self, target: TargetKey) {
+        self.targets.record_complete_body(target);
+    }
+
+    /// Records that the body of a response from this target broke off. Repeated cases eject the target,
+    /// although its response heads are valid.
+    pub fn record_broken_body(&mut self, target: TargetKey, now: Instant) {
+        self.targets.record_broken_body(target, now);
+    }
+
     /// Returns the work done on an attempt so far, as time at the target's usual speed. Returns
     /// `None` if the target does not report its speed.
     pub(super) fn work_done(&self, attempt: &AttemptState, now: Instant) -> Option<WorkReading> {
--- a/crates/core/src/target.rs
+++ b/crates/core/src/target.rs
@@ -197,6 +197,7 @@
             borrowed: Vec::new(),
             last_response_at: None,
             consecutive_failures: 0,
+            consecutive_broken_bodies: 0,
             ejections: 0,
             ejected_until: None,
             suspended_until: None,
@@ -323,7 +324,9 @@
         }
         target.last_response_at = Some(now);
         target.consecutive_failures = 0;
-        target.ejections = 0;
+        if target.consecutive_broken_bodies == 0 {
+            target.ejections = 0;
+        }
         target.relative_latency += RELATIVE_LATENCY_WEIGHT * (latency_ratio - target.relative_latency);
         if latency_ratio < STRAGGLER_RATIO {
             let full_limit = f64::from(self.settings.slots);
@@ -344,16 +347,43 @@
 
     /// Records a failed attempt. Ejects the target after repeated failures.
     pub fn record_failure(&mut self, key: TargetKey, now: Instant) {
-        let may_exclude = self.may_exclude();
         let Some(target) = self.targets.get_mut(key) else { return };
         target.consecutive_failures += 1;
-        if target.consecutive_failures >= EJECT_FAILURES && target.ejected_until.is_none() && may_exclude {
+        if target.consecutive_failures >= EJECT_FAILURES {
+            self.eject(key, now);
+        }
+        self.update_lists(key);
+    }
+
+    /// Records that the body of a response was complete.
+    pub fn record_complete_body(&mut self, key: TargetKey) {
+        if let Some(target) = self.targets.get_mut(key) {
+            target.consecutive_broken_bodies = 0;
+        }
+    }
+
+    /// Records a response whose body broke off after a valid head. Ejects the target after repeated cases.
+    /// They are counted apart from failures, because each valid head ends a series of failures.
+    pub fn record_broken_body(&mut self, key: TargetKey, now: Instant) {
+        let Some(target) = self.targets.get_mut(key) else { return };
+        target.consecutive_broken_bodies += 1;
+        if target.consecutive_broken_bodies >= EJECT_FAILURES {
+            self.eject(key, now);
+        }
+        self.update_lists(key);
+    }
+
+    /// Ejects a target, unless it is ejected already or too many targets are excluded. The caller updates
+    /// the free lists.
+    fn eject(&mut self, key: TargetKey, now: Instant) {
+        let may_exclude = self.may_exclude();
+        let Some(target) = self.targets.get_mut(key) else { return };
+        if target.ejected_until.is_none() && may_exclude {
             let duration = FIRST_EJECTION * 2u32.pow(target.ejections.min(8));
             target.ejected_until = Some(now + duration.min(MAX_EJECTION));
             target.ejections += 1;
             self.excluded_count += 1;
         }
-        self.update_lists(key);
     }
 
     /// Ends the ejection of a target. Its limit restarts at one request and rises with its
--- a/crates/core/src/target/state.rs
+++ b/crates/core/src/target/state.rs
@@ -152,6 +152,8 @@
     pub(super) borrowed: Vec<SlotLoan>,
     pub(super) last_response_at: Option<Instant>,
     pub(super) consecutive_failures: u32,
+    /// Number of responses since the last complete one whose bodies broke off.
+    pub(super) consecutive_broken_bodies: u32,
     /// Number of ejections since the last response.
     pub(super) ejections: u32,
     pub(super) ejected_until: Option<Instant>,
--- a/crates/core/tests/dispatch.rs
+++ b/crates/core/tests/dispatch.rs
@@ -541,3 +541,34 @@
         prop_assert_eq!(ended, fleet.next_request - 1, "number of ended requests differs from number of submitted requests");
     }
 }
+
+/// Valid heads with broken bodies do not alternate between success and failure: a target that never
+/// completes a body is ejected like one that fails, for longer each time.
+#[test]
+fn target_whose_bodies_break_off_is_ejected_until_one_is_complete() {
+    let mut fleet = SimulatedFleet::new(document(), &specs(6, 4));
+    let targets = |fleet: &SimulatedFleet| {
+        let table = fleet.dispatcher.targets();
+        let key = table.find(address(0)).unwrap();
+        (key, table.get(key).unwrap().is_ejected())
+    };
+    let (key, _) = targets(&fleet);
+    let now = fleet.now;
+    for _ in 0..2 {
+        fleet.dispatcher.record_broken_body(key, now);
+    }
+    fleet.dispatcher.record_complete_body(key);
+    for broken in 1..=3 {
+        assert!(!targets(&fleet).1, "ejected after {} broken bodies in a row", broken - 1);
+        fleet.dispatcher.record_broken_body(key, now);
+    }
+    assert!(targets(&fleet).1);
+    // The first ejection lasts 200 ms, the next one twice as long.
+    let mut actions = Vec::new();
+    fleet.dispatcher.tick(now + Duration::from_millis(201), &mut actions);
+    assert!(!targets(&fleet).1);
+    fleet.dispatcher.record_broken_body(key, now + Duration::from_millis(201));
+    assert!(targets(&fleet).1);
+    fleet.dispatcher.tick(now + Duration::from_millis(402), &mut actions);
+    assert!(targets(&fleet).1, "the second ejection was not longer");
+}
--- a/crates/node/src/dispatcher_handle.rs
+++ b/crates/node/src/dispatcher_handle.rs
@@ -289,6 +289,17 @@
         })
     }
 
+    /// Records that the response body is complete, and releases the slot.
+    pub fn record_complete_body(self) {
+        self.handle.run_operation(|dispatcher, _, _| dispatcher.record_complete_body(self.target));
+    }
+
+    /// Records that the response body broke off or exceeded a limit after the response had started, and
+    /// releases the slot.
+    pub fn record_broken_body(self) {
+        self.handle.run_operation(|dispatcher, now, _| dispatcher.record_broken_body(self.target, now));
+    }
+
     /// Records that the attempt has failed, releases its slot, and returns whether the request is
     /// retried.
     pub fn record_failure(mut self, failure: AttemptFailure) -> FailureDecision {
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -99,10 +99,12 @@
     pub entries_held: AtomicU64,
     /// Requests refused before a service was selected: no route, no configuration, or shutting down.
     pub early_refusals: AtomicU64,
+    /// Response bodies cut because they broke off at the target or exceeded a limit.
+    pub responses_cut: AtomicU64,
 }
 
 impl ProcessCounters {
-    fn named(&self) -> [(&'static str, &AtomicU64); 16] {
+    fn named(&self) -> [(&'static str, &AtomicU64); 17] {
         [
             ("lookups", &self.lookups),
             ("probe_calls", &self.probe_calls),
@@ -120,6 +122,7 @@
             ("platform_failures", &self.platform_failures),
             ("entries_held", &self.entries_held),
             ("early_refusals", &self.early_refusals),
+            ("responses_cut", &self.responses_cut),
         ]
     }
 }
--- a/crates/node/src/traffic/body.rs
+++ b/crates/node/src/traffic/body.rs
@@ -1,20 +1,11 @@
-//! Request and response bodies.
-//!
-//! A response body that is truncated must also be truncated for the caller. Body errors are
-//! therefore forwarded, so that the server closes the caller's connection without a clean end. The
-//! slot of an attempt is held until its response body has ended or the attempt is cancelled.
+//! Request bodies on their way from a caller to a target, and the body types of both directions.
 
-use crate::dispatcher_handle::AttemptSlot;
-use crate::traffic::pool::PooledConnection;
 use bytes::Bytes;
-use http_body::{Body, Frame, SizeHint};
+use http_body::{Body, Frame};
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::body::Incoming;
-use std::pin::Pin;
-use std::task::{Context, Poll};
 use std::time::Duration;
-use tokio::sync::mpsc;
 
 /// Error of a request or response body.
 pub type BodyError = Box<dyn std::error::Error + Send + Sync>;
@@ -25,128 +16,12 @@
 
 /// Maximum size of a request body that is read completely before a slot is requested, in bytes.
 pub const MAX_BUFFERED_BYTES: usize = 64 * 1024;
-/// Maximum size of a response body that is forwarded without the frame buffer, in bytes.
-const MAX_DIRECT_BYTES: u64 = 64 * 1024;
-/// Maximum number of buffered frames of a larger response body.
-const MAX_BUFFERED_FRAMES: usize = 16;
 
 /// Returns a body with the given content.
 pub fn full_body(content: impl Into<Bytes>) -> UnsyncBoxBody<Bytes, BodyError> {
     Full::new(content.into()).map_err(|never| match never {}).boxed_unsync()
 }
 
-/// Body of a response from a target, with the slot and the connection that it holds.
-#[derive(Debug)]
-pub struct TargetBody {
-    incoming: Incoming,
-    held: Option<(Option<AttemptSlot>, PooledConnection)>,
-}
-
-impl TargetBody {
-    /// Creates the body of a response whose head was just received.
-    pub fn new(incoming: Incoming, slot: Option<AttemptSlot>, connection: PooledConnection) -> Self {
-        Self { incoming, held: Some((slot, connection)) }
-    }
-
-    /// Releases the slot. Returns the connection to the pool after a clean end, and closes it otherwise.
-    fn release(&mut self, is_clean: bool) {
-        if let Some((slot, connection)) = self.held.take() {
-            if is_clean {
-                connection.return_to_pool();
-            }
-            drop(slot);
-        }
-    }
-}
-
-impl Body for TargetBody {
-    type Data = Bytes;
-    type Error = BodyError;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        let polled = Pin::new(&mut self.incoming).poll_frame(context);
-        match &polled {
-            Poll::Ready(None) => self.release(true),
-            Poll::Ready(Some(Err(_))) => self.release(false),
-            Poll::Ready(Some(Ok(_))) if self.incoming.is_end_stream() => self.release(true),
-            _ => {}
-        }
-        polled.map(|frame| frame.map(|result| result.map_err(BodyError::from)))
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.incoming.is_end_stream()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.incoming.size_hint()
-    }
-}
-
-/// Converts the body received from a target to the body sent to the caller.
-///
-/// A body that may be larger than `MAX_DIRECT_BYTES` passes through a bounded buffer. If the buffer
-/// stays full for `idle_timeout`, the body is dropped, so that a slow caller does not hold the slot. If
-/// the target sends nothing for this time, the body fails.
-pub fn forward_body(mut body: TargetBody, idle_timeout: Duration) -> ResponseBody {
-    if body.is_end_stream() {
-        body.release(true);
-    }
-    let is_small = body.size_hint().upper().is_some_and(|bytes| bytes <= MAX_DIRECT_BYTES);
-    if is_small {
-        return body.boxed_unsync();
-    }
-    let (sender, receiver) = mpsc::channel(MAX_BUFFERED_FRAMES);
-    let size = body.size_hint();
-    tokio::spawn(forward_frames(body, sender, idle_timeout));
-    ChannelBody { receiver, size }.boxed_unsync()
-}
-
-async fn forward_frames(
-    mut body: TargetBody,
-    sender: mpsc::Sender<Result<Frame<Bytes>, BodyError>>,
-    idle_timeout: Duration,
-) {
-    loop {
-        let frame = match tokio::time::timeout(idle_timeout, body.frame()).await {
-            Ok(Some(frame)) => frame,
-            Ok(None) => return,
-            Err(_) => Err("timeout while reading the response body from the target".into()),
-        };
-        let is_broken = frame.is_err();
-        let sent = tokio::time::timeout(idle_timeout, sender.send(frame)).await;
-        if is_broken || !matches!(sent, Ok(Ok(()))) {
-            return;
-        }
-    }
-}
-
-/// Receiving end of a buffered body. It reports the announced size, so that a body that ends before
-/// this size does not end cleanly.
-struct ChannelBody {
-    receiver: mpsc::Receiver<Result<Frame<Bytes>, BodyError>>,
-    size: SizeHint,
-}
-
-impl Body for ChannelBody {
-    type Data = Bytes;
-    type Error = BodyError;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        self.receiver.poll_recv(context)
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.size
-    }
-}
-
 /// Reason for which a request body could not be read.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ReadFailure {
--- a/crates/node/src/traffic/mod.rs
+++ b/crates/node/src/traffic/mod.rs
@@ -9,7 +9,8 @@
 //! | [`request_handler`] | processing of one request up to its response |
 //! | [`attempt`] | one attempt to send a request to a target |
 //! | [`pool`] | connections to targets |
-//! | [`body`] | request and response bodies |
+//! | [`body`] | request bodies |
+//! | [`response_body`] | response bodies, their limits and their clean or broken ends |
 //! | [`headers`] | header names and rules for forwarded headers |
 //! | [`response`] | responses made by sniperelay itself |
 
@@ -23,3 +24,4 @@
 pub mod pool;
 pub mod request_handler;
 pub mod response;
+pub mod response_body;
--- a/crates/node/src/traffic/request_handler.rs
+++ b/crates/node/src/traffic/request_handler.rs
@@ -8,26 +8,26 @@
 use crate::shared_state::{ClaimedKey, NodeState, TrafficEvent};
 use crate::traffic::attempt::{AttemptDeadline, AttemptResult, run_attempt};
 use crate::traffic::body::{
-    InboundBody, ReadFailure, RequestBody, ResponseBody, TargetBody, forward_body, full_body, read_body,
-    stream_body,
+    InboundBody, ReadFailure, RequestBody, ResponseBody, full_body, read_body, stream_body,
 };
 use crate::traffic::claim_check::{KeyAction, claim_key};
 use crate::traffic::headers;
 use crate::traffic::inbound_request::{InboundRequest, check_request};
 use crate::traffic::pool::PooledConnection;
 use crate::traffic::response::{Refusal, refusal_response};
+use crate::traffic::response_body::{AttemptResources, BodyLimits, TargetBody, forward_body};
 use futures_util::StreamExt;
 use futures_util::future::{AbortHandle, Abortable, Aborted, BoxFuture, FutureExt};
 use futures_util::stream::FuturesUnordered;
 use http::request::Parts;
 use http::{HeaderValue, Request, Response, header};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use sniperelay_core::dispatch::{AttemptFailure, FailureDecision, ResponseDecision};
 use sniperelay_core::ids::TargetKey;
 use sniperelay_core::reason::{RefusalReason, RetryReason};
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 type Result<T> = std::result::Result<T, Refusal>;
 
@@ -115,8 +115,8 @@
     let attempt = run_attempt(pool, peer, request, deadline, None, None);
     match tokio::time::timeout_at(inbound.final_deadline.into(), attempt).await {
         Ok(AttemptResult::Responded { response, connection, .. }) => {
-            let idle_timeout = outbound.node_state.settings.limits.caller_timeout;
-            Ok(forward_response(*response, AttemptResources { connection, slot: None }, idle_timeout))
+            let resources = AttemptResources { connection, slot: None };
+            Ok(forward_response(&outbound.node_state, *response, resources))
         }
         _ => Err(key_elsewhere()),
     }
@@ -318,6 +318,10 @@
     ) -> Option<Result<Response<ResponseBody>>> {
         self.record_target_state(&response, slot.address());
         self.may_have_run = true;
+        if response.body().size_hint().lower() > self.outbound.node_state.settings.limits.response_bytes {
+            log::warn!("response from {} announces a body larger than the limit", slot.address());
+            return self.handle_failure(AttemptFailure::ConnectionLost, slot);
+        }
         if response.status().is_server_error() && self.inbound.is_idempotent {
             return self.handle_server_error(response, connection, slot);
         }
@@ -347,7 +351,7 @@
     }
 
     fn respond(&self, response: Response<Incoming>, resources: AttemptResources) -> Response<ResponseBody> {
-        forward_response(response, resources, self.outbound.node_state.settings.limits.caller_timeout)
+        forward_response(&self.outbound.node_state, response, resources)
     }
 
     fn record_target_state(&self, response: &Response<Incoming>, target: SocketAddr) {
@@ -375,22 +379,23 @@
     }
 }
 
-/// Resources that are held until the response body has ended.
-struct AttemptResources {
-    connection: PooledConnection,
-    slot: Option<AttemptSlot>,
-}
-
 fn forward_response(
+    node_state: &NodeState,
     response: Response<Incoming>,
     resources: AttemptResources,
-    idle_timeout: Duration,
 ) -> Response<ResponseBody> {
-    let (mut parts, incoming) = response.into_parts();
-    headers::prepare_response_headers(&mut parts.headers);
-    let body = TargetBody::new(incoming, resources.slot, resources.connection);
-    let mut forwarded = Response::new(forward_body(body, idle_timeout));
-    *forwarded.status_mut() = parts.status;
-    *forwarded.headers_mut() = parts.headers;
+    let settings = &node_state.settings.limits;
+    let limits = BodyLimits {
+        bytes: settings.response_bytes,
+        time: settings.response_time,
+        idle_time: settings.caller_timeout,
+    };
+    let status = response.status();
+    let mut headers = response.headers().clone();
+    headers::prepare_response_headers(&mut headers);
+    let body = TargetBody::new(response, resources, limits, node_state.metrics.process().clone());
+    let mut forwarded = Response::new(forward_body(body, limits));
+    *forwarded.status_mut() = status;
+    *forwarded.headers_mut() = headers;
     forwarded
 }
