A hedge that is not sent does not make a running request not run

Cause (found by reading): a request whose second attempt found its deadline passed before it was written was refused as not-run at once, although its first attempt was still in flight; serve and relay kept the same boolean in two copies. Change: core module execution keeps what is known over all attempts; both request handlers use it. An unsent attempt is final only if no other one is in flight; a cancelled attempt counts as one that may have run. Conclusion: the rule of not-run is in one place for both daemons.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -17,6 +17,7 @@
 //! | [`pick`] | target selection |
 //! | [`dispatch`] | admission, late binding, retries and hedges for one service |
 //! | [`route`] | routes by host and path prefix, and the service documents derived from them |
+//! | [`execution`] | what is known about the execution of a request, over all of its attempts |
 //! | [`budget`] | retry and hedge budgets, as a ratio to first attempts |
 //! | [`probe_schedule`] | wall-clock schedule that keeps probes within their budget |
 //! | [`ids`] | identifier types |
@@ -38,6 +39,7 @@
 pub mod edit;
 pub mod edition;
 pub mod estimate;
+pub mod execution;
 pub mod fair_share;
 pub mod finding;
 pub mod home;
--- a/crates/node/src/traffic/request_handler.rs
+++ b/crates/node/src/traffic/request_handler.rs
@@ -23,6 +23,7 @@
 use http::{HeaderValue, Request, Response, header};
 use hyper::body::{Body, Incoming};
 use sniperelay_core::dispatch::{AttemptFailure, FailureDecision, ResponseDecision};
+use sniperelay_core::execution::ExecutionRecord;
 use sniperelay_core::ids::TargetKey;
 use sniperelay_core::reason::{RefusalReason, RetryReason};
 use std::net::{IpAddr, SocketAddr};
@@ -178,8 +179,7 @@
     deadline: AttemptDeadline,
     attempts: FuturesUnordered<AttemptFuture>,
     abort_handles: Vec<(TargetKey, AbortHandle)>,
-    /// Whether an attempt was handed to a target connection and was not refused by the target.
-    may_have_run: bool,
+    execution: ExecutionRecord,
     last_failure_reason: Option<RefusalReason>,
 }
 
@@ -197,7 +197,7 @@
             deadline,
             attempts: FuturesUnordered::new(),
             abort_handles: Vec::new(),
-            may_have_run: false,
+            execution: ExecutionRecord::default(),
             last_failure_reason: None,
         }
     }
@@ -269,7 +269,8 @@
             // A streamed body cannot be sent twice. The request fails unless an earlier attempt is still
             // in flight.
             let reason = self.last_failure_reason.unwrap_or(RefusalReason::ConnectionLost);
-            return self.attempts.is_empty().then(|| Err(self.refusal(reason)));
+            let is_final = !self.execution.has_attempt_in_flight();
+            return is_final.then(|| Err(self.refusal(reason)));
         };
         let target = slot.target();
         let pool = self.outbound.node_state.pool.clone();
@@ -277,6 +278,7 @@
         let (handle, registration) = AbortHandle::new_pair();
         self.abort_handles.push((target, handle));
         self.attempts.push(Abortable::new(attempt, registration).boxed());
+        self.execution.record_start();
         None
     }
 
@@ -285,8 +287,16 @@
         result: std::result::Result<AttemptResult, Aborted>,
     ) -> Option<Result<Response<ResponseBody>>> {
         match result {
-            Err(Aborted) => None,
-            Ok(AttemptResult::NotSent) => Some(Err(self.refusal(RefusalReason::DeadlinePassed))),
+            Err(Aborted) => {
+                self.execution.record_cancellation();
+                None
+            }
+            Ok(AttemptResult::NotSent) => {
+                self.execution.record_unsent();
+                // Another attempt may still respond.
+                let is_final = !self.execution.has_attempt_in_flight();
+                is_final.then(|| Err(self.refusal(RefusalReason::DeadlinePassed)))
+            }
             Ok(AttemptResult::Failed { failure, slot }) => self.handle_failure(failure, slot?),
             Ok(AttemptResult::Responded { response, connection, slot }) => {
                 self.handle_response(*response, connection, slot?)
@@ -304,7 +314,7 @@
             AttemptFailure::Refused => RefusalReason::TargetRefused,
             AttemptFailure::ConnectionLost | AttemptFailure::ServerError => RefusalReason::ConnectionLost,
         };
-        self.may_have_run |= !failure.proves_not_run();
+        self.execution.record_failure(failure);
         self.last_failure_reason = Some(reason);
         let is_final = slot.record_failure(failure) == FailureDecision::Final;
         is_final.then(|| Err(self.refusal(reason)))
@@ -317,11 +327,11 @@
         slot: AttemptSlot,
     ) -> Option<Result<Response<ResponseBody>>> {
         self.record_target_state(&response, slot.address());
-        self.may_have_run = true;
         if response.body().size_hint().lower() > self.outbound.node_state.settings.limits.response_bytes {
             log::warn!("response from {} announces a body larger than the limit", slot.address());
             return self.handle_failure(AttemptFailure::ConnectionLost, slot);
         }
+        self.execution.record_response();
         if response.status().is_server_error() && self.inbound.is_idempotent {
             return self.handle_server_error(response, connection, slot);
         }
@@ -366,16 +376,13 @@
 
     /// Returns the refusal for a request that timed out. A target may have executed an attempt in
     /// flight, but not a request that is still queued.
-    fn timeout_refusal(&mut self) -> Refusal {
-        if self.attempts.is_empty() {
-            return self.refusal(RefusalReason::DeadlinePassed);
-        }
-        self.may_have_run = true;
-        self.refusal(RefusalReason::TargetTimeout)
+    fn timeout_refusal(&self) -> Refusal {
+        let is_running = self.execution.has_attempt_in_flight();
+        self.refusal(if is_running { RefusalReason::TargetTimeout } else { RefusalReason::DeadlinePassed })
     }
 
     fn refusal(&self, reason: RefusalReason) -> Refusal {
-        if self.may_have_run { Refusal::unknown(reason) } else { Refusal::not_run(reason) }
+        Refusal { outcome: self.execution.outcome(), ..Refusal::not_run(reason) }
     }
 }
 
--- a/crates/relay/src/request_handler.rs
+++ b/crates/relay/src/request_handler.rs
@@ -15,6 +15,7 @@
 use futures_util::stream::FuturesUnordered;
 use http::{HeaderMap, StatusCode};
 use sniperelay_core::dispatch::{AttemptFailure, FailureDecision, ResponseDecision};
+use sniperelay_core::execution::ExecutionRecord;
 use sniperelay_core::ids::{RankId, TargetKey};
 use sniperelay_core::reason::{Outcome, RefusalReason, RetryReason};
 use sniperelay_core::route::RouteSpec;
@@ -148,8 +149,7 @@
     abort_handles: Vec<(TargetKey, AbortHandle)>,
     /// Attempts made so far, for log lines.
     attempt_records: Vec<AttemptRecord>,
-    /// Whether the request may have run: an attempt was sent and its target did not refuse it.
-    may_have_run: bool,
+    execution: ExecutionRecord,
     last_failure_reason: Option<RefusalReason>,
     /// Server error of a target, which is sent to the caller if no later attempt succeeds.
     fallback_response: Option<Box<TargetResponse>>,
@@ -174,7 +174,7 @@
             attempts: FuturesUnordered::new(),
             abort_handles: Vec::new(),
             attempt_records: Vec::new(),
-            may_have_run: false,
+            execution: ExecutionRecord::default(),
             last_failure_reason: None,
             fallback_response: None,
         }
@@ -340,6 +340,7 @@
         let (handle, registration) = AbortHandle::new_pair();
         self.abort_handles.push((target, handle));
         self.attempts.push(Abortable::new(attempt, registration).boxed());
+        self.execution.record_start();
     }
 
     fn handle_attempt_result(
@@ -347,9 +348,15 @@
         result: std::result::Result<AttemptResult, Aborted>,
     ) -> Option<Result<CallerResponse>> {
         match result {
-            Err(Aborted) => None,
+            Err(Aborted) => {
+                self.execution.record_cancellation();
+                None
+            }
             Ok(AttemptResult::NotSent) => {
-                Some(Err(self.make_refusal(RefusalReason::DeadlinePassed, DEFAULT_RETRY_AFTER)))
+                self.execution.record_unsent();
+                // Another attempt may still respond.
+                let is_final = !self.execution.has_attempt_in_flight();
+                is_final.then(|| Err(self.make_refusal(RefusalReason::DeadlinePassed, DEFAULT_RETRY_AFTER)))
             }
             Ok(AttemptResult::Failed { failure, cause, report, is_leaving, slot }) => {
                 self.record_attempt_end(slot.address(), cause);
@@ -379,7 +386,7 @@
             AttemptFailure::Refused => RefusalReason::TargetRefused,
             AttemptFailure::ConnectionLost | AttemptFailure::ServerError => RefusalReason::ConnectionLost,
         };
-        self.may_have_run |= !failure.proves_not_run();
+        self.execution.record_failure(failure);
         self.last_failure_reason = Some(reason);
         let is_final = slot.record_failure(failure) == FailureDecision::Final;
         is_final.then(|| Err(self.make_refusal(reason, TARGET_REFUSED_RETRY_AFTER)))
@@ -391,7 +398,6 @@
         report: Option<TargetReport>,
         slot: AttemptSlot,
     ) -> Option<Result<CallerResponse>> {
-        self.may_have_run = true;
         record_report(&slot, report);
         if !response.status.is_success() && response.status.is_server_error() {
             return self.handle_server_error(response, slot);
@@ -400,6 +406,7 @@
             // Without the target's header that the request was not executed, the status proves nothing.
             return self.handle_failure(AttemptFailure::ServerError, slot);
         }
+        self.execution.record_response();
         slot.record_response_size(response.body.len());
         if slot.record_response(None, false) == ResponseDecision::Discard {
             return None;
@@ -422,19 +429,16 @@
 
     /// Returns the refusal of a request whose timeout has expired. With an attempt in flight, the request
     /// may be running; a request that is still queued is not.
-    fn timeout_refusal(&mut self) -> RelayRefusal {
-        if self.attempts.is_empty() {
-            return self.make_refusal(RefusalReason::DeadlinePassed, DEFAULT_RETRY_AFTER);
-        }
-        self.may_have_run = true;
-        self.make_refusal(RefusalReason::TargetTimeout, DEFAULT_RETRY_AFTER)
+    fn timeout_refusal(&self) -> RelayRefusal {
+        let is_running = self.execution.has_attempt_in_flight();
+        let reason = if is_running { RefusalReason::TargetTimeout } else { RefusalReason::DeadlinePassed };
+        self.make_refusal(reason, DEFAULT_RETRY_AFTER)
     }
 
     fn make_refusal(&self, reason: RefusalReason, retry_after: Duration) -> RelayRefusal {
-        if self.may_have_run {
-            RelayRefusal::unknown(reason)
-        } else {
-            RelayRefusal::not_run(reason, retry_after)
+        match self.execution.outcome() {
+            Outcome::NotRun => RelayRefusal::not_run(reason, retry_after),
+            Outcome::Ran | Outcome::Unknown => RelayRefusal::unknown(reason),
         }
     }
 }
