relay: a refusal is taken for its own request only

Cause: the ID of the request was not compared on refusals (X-Not-Executed, 421). A late second copy of an earlier refusal on a kept connection made a claim not-run, with 503, while the target ran it: test late_second_copy_of_a_refusal_does_not_make_a_claim_not_run failed with 503. A probe returned its connection to the pool although the response in it was none to a probe. Change: a refusal must return the ID; without one it counts on a new connection only. Probe connections with another response are closed. Ruled out: second copies of responses with a seal, and bytes after a complete response (guards in the same file pass before and after).

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -31,6 +31,9 @@
 /// the target may have dropped the connection, and the request would be lost.
 const NON_IDEMPOTENT_MAX_IDLE: Duration = Duration::from_secs(1);
 
+/// Cause of a failed attempt whose response belongs to another request, for log lines.
+const FOREIGN_ANSWER: &str = "answer names another request";
+
 /// Parts of a request that are the same in all of its attempts.
 #[derive(Debug)]
 pub struct OutboundRequest {
@@ -171,7 +174,9 @@
     let is_leaving = platform_headers::is_misdirected(&response);
     let keep_alive = keep_alive_time(response.headers());
     let is_not_executed = platform_headers::is_not_executed(&response);
-    let defect = find_defect(outbound, &response).filter(|_| !is_not_executed);
+    let is_own = is_own_response(outbound, &response, connection.is_reused);
+    let defect =
+        if is_own { find_defect(&response).filter(|_| !is_not_executed) } else { Some(FOREIGN_ANSWER) };
     if let Some(cause) = defect {
         return failed_attempt(AttemptFailure::ConnectionLost, cause, slot);
     }
@@ -202,12 +207,21 @@
     AttemptResult::Completed { response: Box::new(response), report, slot }
 }
 
-/// Returns why a response cannot be accepted as the response to this request.
-fn find_defect(outbound: &OutboundRequest, response: &Response<Incoming>) -> Option<&'static str> {
-    let headers = response.headers();
-    if headers.get(platform_headers::REQUEST_ID) != outbound.headers.get(platform_headers::REQUEST_ID) {
-        return Some("answer names another request");
+/// Returns whether a response belongs to this request and is no late copy of the response to another one.
+///
+/// It must return the ID of the request. A refusal may lack the ID; it is then accepted on a new
+/// connection only, where no other response can arrive.
+fn is_own_response(outbound: &OutboundRequest, response: &Response<Incoming>, is_reused: bool) -> bool {
+    let expected_id = outbound.headers.get(platform_headers::REQUEST_ID);
+    match response.headers().get(platform_headers::REQUEST_ID) {
+        None if platform_headers::is_not_executed(response) => !is_reused || expected_id.is_none(),
+        returned_id => returned_id == expected_id,
     }
+}
+
+/// Returns why a response to this request cannot be accepted as complete.
+fn find_defect(response: &Response<Incoming>) -> Option<&'static str> {
+    let headers = response.headers();
     if headers.contains_key(header::CONTENT_ENCODING) {
         return Some("answer is encoded");
     }
--- a/crates/relay/src/load_probe.rs
+++ b/crates/relay/src/load_probe.rs
@@ -75,9 +75,11 @@
     let report = read_report(response.headers());
     let instance = read_instance(response.headers()).map(str::to_owned);
     Limited::new(response.into_body(), MAX_RESPONSE_BYTES).collect().await.ok()?;
+    // A response without an instance is none to a probe: another response has arrived in its place.
+    let instance = instance?;
     connection.return_to_pool();
     let expected = entry
         .dispatcher_handle
         .read(|dispatcher| dispatcher.targets().get(target).map(|target| target.instance.clone()));
-    report.filter(|_| instance.is_some() && instance == expected)
+    report.filter(|_| Some(instance) == expected)
 }
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -23,6 +23,9 @@
     Hold,
     /// Closes the connection without a response.
     Close,
+    /// Writes the first text like [`Self::Respond`], then the second one again and again, with this pause
+    /// in between, until the peer closes the connection.
+    Endless(String, String, std::time::Duration),
 }
 
 /// A target that responds according to a script. The last action is repeated.
@@ -34,6 +37,10 @@
     released: tokio::sync::Semaphore,
     /// Number of connections that the entry VM closed while the target held a response.
     pub early_closes: AtomicUsize,
+    /// Bytes written by [`ScriptedAction::Endless`].
+    pub endless_bytes: AtomicUsize,
+    /// Response to health checks; a valid one if there is none.
+    health_action: Option<ScriptedAction>,
 }
 
 pub fn sealed_response(body: &str) -> String {
@@ -45,6 +52,13 @@
 
 impl ScriptedTarget {
     pub async fn start(script: Vec<ScriptedAction>) -> Arc<Self> {
+        Self::start_with_health(None, script).await
+    }
+
+    pub async fn start_with_health(
+        health_action: Option<ScriptedAction>,
+        script: Vec<ScriptedAction>,
+    ) -> Arc<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let target = Arc::new(Self {
             address: listener.local_addr().unwrap(),
@@ -52,6 +66,8 @@
             script: Mutex::new(script),
             released: tokio::sync::Semaphore::new(0),
             early_closes: AtomicUsize::new(0),
+            endless_bytes: AtomicUsize::new(0),
+            health_action,
         });
         let server = target.clone();
         tokio::spawn(async move {
@@ -80,6 +96,9 @@
         let mut buffer = Vec::new();
         while let Some(request) = read_message(&mut stream, &mut buffer).await {
             if request.starts_with("GET /health") {
+                if let Some(ScriptedAction::Endless(first, repeated, pause)) = &self.health_action {
+                    return self.write_endless(&mut stream, first, repeated, *pause).await;
+                }
                 let response = "HTTP/1.1 200 OK\r\nX-Instance-Id: i\r\nX-Instance-Load: 0,0,4,100\r\nContent-Length: 0\r\n\r\n";
                 if stream.write_all(response.as_bytes()).await.is_err() {
                     return;
@@ -117,8 +136,30 @@
                     }
                 }
                 ScriptedAction::Close => return,
+                ScriptedAction::Endless(first, repeated, pause) => {
+                    let first = first.replace("{id}", &id);
+                    return self.write_endless(&mut stream, &first, &repeated, pause).await;
+                }
+            }
+        }
+    }
+
+    async fn write_endless(
+        &self,
+        stream: &mut TcpStream,
+        first: &str,
+        repeated: &str,
+        pause: std::time::Duration,
+    ) {
+        let mut is_open = stream.write_all(first.as_bytes()).await.is_ok();
+        while is_open {
+            is_open = stream.write_all(repeated.as_bytes()).await.is_ok();
+            self.endless_bytes.fetch_add(repeated.len(), Ordering::Relaxed);
+            if !pause.is_zero() {
+                tokio::time::sleep(pause).await;
             }
         }
+        self.early_closes.fetch_add(1, Ordering::Relaxed);
     }
 }
 
