Peers and store: messages without end are cut, withdrawn certificates end connections

Cause: (1) a message stream of a peer was read without a timeout, so that 100 dripping streams per connection could be held for ever; (2) a reload of certificates left the connections of peers with withdrawn ones open. Change: 5 s for a stream; each connection ends when the certificates are replaced after its handshake began. Heads of the store's and of readers' responses are limited to 64 KiB, bodies to 16 MiB (64 MiB before, too much for a VM of 160 MB); heads of API requests to 16 KiB. Ruled out: endless responses of the store or a reader were bounded in time before (guard call_with_an_endless_response_ends_without_one).

--- a/crates/node/src/peer/link.rs
+++ b/crates/node/src/peer/link.rs
@@ -13,10 +13,15 @@
 use std::net::{SocketAddr, UdpSocket};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 use tokio::sync::mpsc::Sender;
+use tokio::sync::watch;
 
 /// Maximum number of messages queued for a connection that is being established.
 const MAX_QUEUED_MESSAGES: usize = 64;
+/// Timeout for receiving a message on a stream. Messages of [`MAX_MESSAGE_BYTES`] take well under a second
+/// between regions.
+const STREAM_TIMEOUT: Duration = Duration::from_secs(5);
 /// Maximum size of a message that is sent as a datagram, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 1100;
 
@@ -40,6 +45,9 @@
     table: Arc<Mutex<LinkTable>>,
     inbox: Sender<PeerMessage>,
     counters: Arc<ProcessCounters>,
+    /// Number of times that the certificates and keys have been replaced. A connection that was
+    /// authenticated with an earlier version is closed.
+    config_version: Arc<watch::Sender<u64>>,
 }
 
 impl PeerLink {
@@ -58,7 +66,8 @@
         let mut endpoint = Endpoint::new(EndpointConfig::default(), Some(configs.server), socket, runtime)
             .context("cannot use the peer socket")?;
         endpoint.set_default_client_config(configs.client);
-        let link = Self { endpoint, table: Arc::default(), inbox, counters };
+        let config_version = Arc::new(watch::Sender::new(0));
+        let link = Self { endpoint, table: Arc::default(), inbox, counters, config_version };
         tokio::spawn(link.clone().accept_peers());
         Ok(link)
     }
@@ -72,10 +81,12 @@
         Ok(self.endpoint.local_addr()?)
     }
 
-    /// Replaces the certificates and keys for new connections.
+    /// Replaces the certificates and keys, and closes the open connections, so that peers whose
+    /// certificates are no longer accepted cannot use them any more. The others reconnect on demand.
     pub fn replace_configs(&mut self, configs: PeerConfigs) {
         self.endpoint.set_server_config(Some(configs.server));
         self.endpoint.set_default_client_config(configs.client);
+        self.config_version.send_modify(|version| *version += 1);
     }
 
     /// Blocks the links to these addresses and unblocks all others.
@@ -152,6 +163,7 @@
     }
 
     async fn connect(self, address: SocketAddr) {
+        let config_version = self.config_version.subscribe();
         let connecting = self.endpoint.connect(address, PEER_NAME);
         let connected = match connecting {
             Ok(connecting) => connecting.await.map_err(anyhow::Error::from),
@@ -160,7 +172,7 @@
         match connected {
             Ok(connection) => {
                 self.register_connection(address, connection.clone());
-                self.receive(address, connection).await;
+                self.receive(address, connection, config_version).await;
             }
             Err(error) => self.handle_connect_failure(address, &error),
         }
@@ -188,12 +200,13 @@
     async fn accept_peers(self) {
         while let Some(incoming) = self.endpoint.accept().await {
             let link = self.clone();
+            let config_version = self.config_version.subscribe();
             tokio::spawn(async move {
                 let address = incoming.remote_address();
                 match incoming.await {
                     Ok(connection) => {
                         link.register_connection(address, connection.clone());
-                        link.receive(address, connection).await;
+                        link.receive(address, connection, config_version).await;
                     }
                     Err(error) => {
                         log::warn!("refused connection from peer {address}: {error}");
@@ -204,9 +217,18 @@
         }
     }
 
-    async fn receive(&self, address: SocketAddr, connection: Connection) {
+    async fn receive(
+        &self,
+        address: SocketAddr,
+        connection: Connection,
+        mut config_version: watch::Receiver<u64>,
+    ) {
         loop {
             let bytes = tokio::select! {
+                Ok(()) = config_version.changed() => {
+                    connection.close(0u32.into(), b"certificates replaced");
+                    return;
+                }
                 datagram = connection.read_datagram() => datagram.map(|bytes| bytes.to_vec()),
                 stream = connection.accept_uni() => match stream {
                     Ok(stream) => {
@@ -224,9 +246,12 @@
     }
 
     async fn receive_stream(self, address: SocketAddr, mut stream: quinn::RecvStream) {
-        match stream.read_to_end(MAX_MESSAGE_BYTES).await {
-            Ok(bytes) => self.handle_message(address, &bytes),
-            Err(_) => self.count(&self.counters.peer_messages_lost, 1),
+        match tokio::time::timeout(STREAM_TIMEOUT, stream.read_to_end(MAX_MESSAGE_BYTES)).await {
+            Ok(Ok(bytes)) => self.handle_message(address, &bytes),
+            result => {
+                log::warn!("message from peer {address} not received completely: {result:?}");
+                self.count(&self.counters.peer_messages_lost, 1);
+            }
         }
     }
 
--- a/crates/node/tests/peer_certificates.rs
+++ b/crates/node/tests/peer_certificates.rs
@@ -5,9 +5,9 @@
 use sniperelay_core::ids::IncarnationId;
 use sniperelay_node::metrics::ProcessCounters;
 use sniperelay_node::peer::link::PeerLink;
-use sniperelay_node::peer::tls::load_configs;
+use sniperelay_node::peer::tls::{PEER_NAME, load_configs};
 use sniperelay_standin::certificates::{CertificateFiles, Validity, write_certificate_files};
-use sniperelay_wire::PeerMessage;
+use sniperelay_wire::{MAX_MESSAGE_BYTES, PeerMessage};
 use std::path::Path;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -98,6 +98,51 @@
     assert!(!is_refused(&left, &mut right).await);
 }
 
+/// A peer whose certificate has been withdrawn may not go on over a connection that it opened before.
+#[tokio::test(flavor = "multi_thread")]
+async fn replaced_certificates_end_the_connections_of_peers_with_withdrawn_ones() {
+    let old = write_certificate_files(&directory("withdrawn"), Validity::Current).unwrap();
+    let new = write_certificate_files(&directory("issued"), Validity::Current).unwrap();
+    let left = start_peer(&old);
+    let mut right = start_peer(&old);
+    assert!(!is_refused(&left, &mut right).await);
+    right.link.replace_configs(load_configs(&settings_of(&new)).unwrap());
+    let address = right.link.local_address().unwrap();
+    while left.counters.peers_refused.load(Ordering::Relaxed) == 0 {
+        left.link.send(address, &message(1));
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        assert!(right.inbox.try_recv().is_err(), "a message was accepted over the old connection");
+    }
+}
+
+/// A peer that sends a message without end, fast or slowly, has its stream stopped.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_without_end_is_stopped_and_counted() {
+    let files = write_certificate_files(&directory("endless"), Validity::Current).unwrap();
+    for (size, pause) in [(64 * 1024, Duration::ZERO), (1, Duration::from_millis(50))] {
+        let right = start_peer(&files);
+        let configs = load_configs(&settings_of(&files)).unwrap();
+        let mut endpoint = quinn::Endpoint::client("127.0.0.1:0".parse().unwrap()).unwrap();
+        endpoint.set_default_client_config(configs.client);
+        let connecting = endpoint.connect(right.link.local_address().unwrap(), PEER_NAME).unwrap();
+        let connection = connecting.await.unwrap();
+        let mut stream = connection.open_uni().await.unwrap();
+        let part = vec![0; size];
+        let mut sent = 0;
+        let write_until_stopped = async {
+            while stream.write_all(&part).await.is_ok() {
+                sent += size;
+                tokio::time::sleep(pause).await;
+            }
+        };
+        tokio::time::timeout(TIMEOUT, write_until_stopped).await.expect("the stream was never stopped");
+        assert!(sent < 2 * MAX_MESSAGE_BYTES + 2 * 1024 * 1024, "{sent} bytes were accepted");
+        while right.counters.peer_messages_lost.load(Ordering::Relaxed) == 0 {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    }
+}
+
 #[test]
 fn error_names_the_file_that_cannot_be_read() {
     let files = write_certificate_files(&directory("broken"), Validity::Current).unwrap();
--- a/crates/platform/src/api.rs
+++ b/crates/platform/src/api.rs
@@ -15,8 +15,9 @@
 
 /// Maximum size of an object's value, in bytes.
 pub const MAX_VALUE_BYTES: usize = 1024 * 1024;
-/// Maximum size of a response body that a client reads, in bytes.
-pub const MAX_RESPONSE_BYTES: usize = 64 * 1024 * 1024;
+/// Maximum size of a response body that a client reads, in bytes: three times a list of 16,000 targets
+/// with entries of 350 bytes.
+pub const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
 
 /// A stored object.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/platform/src/transport.rs
+++ b/crates/platform/src/transport.rs
@@ -25,6 +25,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1200);
 /// Idle time after which a connection is probed, and interval between probes.
 const KEEPALIVE_TIME: Duration = Duration::from_secs(1);
+/// Size of the read buffer of a connection, and thereby maximum size of a response head, in bytes.
+const READ_BUFFER_BYTES: usize = 64 * 1024;
 /// Number of unacknowledged probes after which a connection is closed.
 const KEEPALIVE_PROBES: u32 = 2;
 
@@ -219,7 +221,9 @@
 
     async fn exchange(&self, request: Request<Full<Bytes>>) -> Result<PlatformResponse> {
         let stream = self.connect().await?;
-        let (mut sender, connection) = http1::handshake(TokioIo::new(stream))
+        let (mut sender, connection) = http1::Builder::new()
+            .max_buf_size(READ_BUFFER_BYTES)
+            .handshake(TokioIo::new(stream))
             .await
             .map_err(|error| PlatformError::Refused(error.to_string()))?;
         let driver = AbortOnDrop(tokio::spawn(connection));
--- a/crates/relay/src/http_api.rs
+++ b/crates/relay/src/http_api.rs
@@ -26,6 +26,8 @@
 const METRICS_PATH: &str = "/metrics";
 /// Timeout for reading a request's head.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(3);
+/// Maximum size of a request's head, in bytes.
+const MAX_HEAD_BYTES: usize = 16 * 1024;
 /// Pause after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -49,7 +51,7 @@
                 async move { Ok::<_, Infallible>(handle_api_request(&state, request.uri()).await) }
             });
             let mut builder = http1::Builder::new();
-            builder.timer(TokioTimer::new()).header_read_timeout(HEADER_TIMEOUT);
+            builder.timer(TokioTimer::new()).header_read_timeout(HEADER_TIMEOUT).max_buf_size(MAX_HEAD_BYTES);
             if let Err(error) = builder.serve_connection(TokioIo::new(stream), service).await {
                 log::debug!("API connection ended: {error}");
             }
