Planned stops finish requests that have just been accepted

Cause: (1) the listener was dropped with connections in its backlog, which the kernel resets; (2) serve: the HTTP library ends connections at once that are idle or whose first byte has not been read, although bytes of a request wait in the socket; (3) relay: an idle connection was closed without looking for unread bytes, a new one without waiting for its first request; (4) relay: a connection counted as open only when its task ran, so that the process could end before. Change: the backlog is taken over when the listener closes; received bytes are read before a connection counts as idle; a connection without a request is kept for 250 ms. Ruled out: callers that send after the close; such requests are not read. Conclusion: the same guarantee in both daemons; a stop lasts at most 250 ms longer.

--- a/crates/node/src/traffic/caller_connection.rs
+++ b/crates/node/src/traffic/caller_connection.rs
@@ -1,8 +1,12 @@
 //! Connections from callers over HTTP/1.1 and HTTP/2, their limits and their graceful shutdown.
+//!
+//! A request that has arrived when the shutdown begins gets its response, also if its connection has not
+//! been accepted yet or its bytes have not been read. A connection that has just been opened may still
+//! send its first request for [`FIRST_REQUEST_GRACE`].
 
 use crate::lifecycle::LifecyclePhase;
 use crate::shared_state::NodeState;
-use crate::traffic::body::ResponseBody;
+use crate::traffic::body::{BodyError, ResponseBody};
 use crate::traffic::headers;
 use crate::traffic::lookup::{LOOKUP_PATH, handle_lookup};
 use crate::traffic::request_handler::handle_request;
@@ -12,17 +16,20 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto;
-use hyper_util::server::graceful::GracefulShutdown;
 use sniperelay_core::reason::RefusalReason;
 use std::convert::Infallible;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Semaphore, watch};
+use tokio::sync::{Semaphore, SetOnce, watch};
 
 /// Pause after a failed accept, for example when no file descriptor is available.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+/// Time for which a connection without a request is kept open during a shutdown. Callers send their first
+/// request as soon as they are connected: at most one round trip between regions later.
+pub const FIRST_REQUEST_GRACE: Duration = Duration::from_millis(250);
 /// Maximum number of concurrent streams on one HTTP/2 connection.
 const MAX_CONCURRENT_STREAMS: u32 = 256;
 
@@ -34,48 +41,126 @@
     listener: TcpListener,
     mut drain: watch::Receiver<bool>,
 ) -> bool {
-    let graceful = GracefulShutdown::new();
-    let permits = Arc::new(Semaphore::new(node_state.settings.limits.caller_connections));
+    let acceptor = ConnectionAcceptor::new(node_state, drain.clone());
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
             _ = drain.wait_for(|is_draining| *is_draining) => break,
         };
         match accepted {
-            Ok((stream, caller)) => serve_connection(&node_state, stream, caller, &graceful, &permits),
+            Ok((stream, caller)) => acceptor.serve(stream, caller),
             Err(error) => {
                 log::warn!("cannot accept a connection from a caller: {error}");
                 tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             }
         }
     }
-    drop(listener);
-    tokio::time::timeout(node_state.settings.entry.drain_limit, graceful.shutdown()).await.is_ok()
+    for (stream, caller) in take_backlog(listener) {
+        acceptor.serve(stream, caller);
+    }
+    acceptor.wait_for_connections().await
 }
 
-fn serve_connection(
-    node_state: &Arc<NodeState>,
-    stream: TcpStream,
-    caller: SocketAddr,
-    graceful: &GracefulShutdown,
-    permits: &Arc<Semaphore>,
-) {
-    let Ok(permit) = permits.clone().try_acquire_owned() else {
-        node_state.metrics.rank("-", "-").count_refusal(RefusalReason::ConnectionLimit);
-        return;
+/// Closes a listener and returns the connections that were waiting to be accepted. Without this they
+/// would be reset, although their callers may already have sent requests.
+pub fn take_backlog(listener: TcpListener) -> Vec<(TcpStream, SocketAddr)> {
+    let listener = match listener.into_std() {
+        Ok(listener) => listener,
+        Err(error) => {
+            log::warn!("cannot accept the last connections from callers: {error}");
+            return Vec::new();
+        }
     };
-    let _ = stream.set_nodelay(true);
-    let state = node_state.clone();
-    let service = service_fn(move |request| route_request(state.clone(), caller, request));
-    let connection =
-        connection_builder(node_state).serve_connection(TokioIo::new(stream), service).into_owned();
-    let watched = graceful.watch(connection);
-    tokio::spawn(async move {
-        if let Err(error) = watched.await {
-            log::debug!("connection from caller {caller} ended with an error: {error}");
+    // The listener does not block: the first error ends the backlog.
+    let accepted = std::iter::from_fn(|| listener.accept().ok());
+    let adopt = |(stream, caller): (std::net::TcpStream, SocketAddr)| {
+        let adopted = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
+        adopted
+            .inspect_err(|error| log::warn!("cannot serve a connection from {caller}: {error}"))
+            .ok()
+            .map(|stream| (stream, caller))
+    };
+    accepted.filter_map(adopt).collect()
+}
+
+/// Starts a task for each accepted connection, up to the connection limit.
+struct ConnectionAcceptor {
+    node_state: Arc<NodeState>,
+    drain: watch::Receiver<bool>,
+    /// One permit for each connection.
+    permits: Arc<Semaphore>,
+    connection_limit: u32,
+}
+
+impl ConnectionAcceptor {
+    fn new(node_state: Arc<NodeState>, drain: watch::Receiver<bool>) -> Self {
+        let connection_limit =
+            u32::try_from(node_state.settings.limits.caller_connections).unwrap_or(u32::MAX);
+        let permits = Arc::new(Semaphore::new(connection_limit as usize));
+        Self { node_state, drain, permits, connection_limit }
+    }
+
+    fn serve(&self, stream: TcpStream, caller: SocketAddr) {
+        let Ok(permit) = self.permits.clone().try_acquire_owned() else {
+            self.node_state.metrics.rank("-", "-").count_refusal(RefusalReason::ConnectionLimit);
+            return;
+        };
+        if let Err(error) = stream.set_nodelay(true) {
+            log::debug!("cannot set TCP_NODELAY on the connection from {caller}: {error}");
         }
-        drop(permit);
+        let (node_state, drain) = (self.node_state.clone(), self.drain.clone());
+        tokio::spawn(async move {
+            if let Err(error) = serve_connection(node_state, stream, caller, drain).await {
+                log::debug!("connection from caller {caller} ended with an error: {error}");
+            }
+            drop(permit);
+        });
+    }
+
+    /// Waits until all connections have ended. Returns false if the drain limit passes first.
+    async fn wait_for_connections(&self) -> bool {
+        let all_permits = self.permits.acquire_many(self.connection_limit);
+        tokio::time::timeout(self.node_state.settings.entry.drain_limit, all_permits).await.is_ok()
+    }
+}
+
+/// Serves one connection until it ends. When `drain` becomes true, requests that have arrived are
+/// finished, and the connection is closed.
+async fn serve_connection(
+    node_state: Arc<NodeState>,
+    stream: TcpStream,
+    caller: SocketAddr,
+    mut drain: watch::Receiver<bool>,
+) -> Result<(), BodyError> {
+    let first_request = Arc::new(SetOnce::new());
+    let has_request = first_request.clone();
+    let builder = connection_builder(&node_state);
+    let service = service_fn(move |request| {
+        // Already set by an earlier request of the connection, unless this is the first one.
+        let _ = has_request.set(());
+        route_request(node_state.clone(), caller, request)
     });
+    let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
+    tokio::select! {
+        ended = connection.as_mut() => return ended,
+        _ = drain.wait_for(|is_draining| *is_draining) => {}
+    }
+    let ready_to_close = async {
+        let first_request = tokio::time::timeout(FIRST_REQUEST_GRACE, first_request.wait());
+        // After the grace period the connection is closed without a request.
+        let _ = first_request.await;
+        // The runtime learns of received bytes when a task yields. They are read before the connection is
+        // found to be idle.
+        tokio::task::yield_now().await;
+        tokio::task::yield_now().await;
+    };
+    tokio::select! {
+        biased;
+        ended = connection.as_mut() => return ended,
+        () = ready_to_close => {}
+    }
+    connection.as_mut().graceful_shutdown();
+    connection.await
 }
 
 fn connection_builder(node_state: &NodeState) -> auto::Builder<TokioExecutor> {
--- a/crates/relay/src/caller_connection.rs
+++ b/crates/relay/src/caller_connection.rs
@@ -15,6 +15,7 @@
 use http::Method;
 use sniperelay_core::route::CallerLimits;
 use sniperelay_node::lifecycle::LifecyclePhase;
+use sniperelay_node::traffic::caller_connection::{FIRST_REQUEST_GRACE, take_backlog};
 use socket2::SockRef;
 use std::collections::VecDeque;
 use std::mem::MaybeUninit;
@@ -50,32 +51,45 @@
     idle_timeout: Duration::from_secs(10),
 };
 
-/// Accepts connections until `drain` becomes true.
+/// Accepts connections until `drain` becomes true. The connections that wait to be accepted then are
+/// served, too.
 pub async fn serve_callers(state: Arc<RelayState>, listener: TcpListener, mut drain: watch::Receiver<bool>) {
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            _ = drain.wait_for(|is_draining| *is_draining) => return,
+            _ = drain.wait_for(|is_draining| *is_draining) => break,
         };
         match accepted {
-            Ok((stream, _)) => {
-                if state.connections.load(Ordering::Relaxed) >= state.settings.limits.caller_connections {
-                    log::warn!("connection limit reached; closed a new caller connection");
-                    continue;
-                }
-                tokio::spawn(serve_connection(state.clone(), stream, drain.clone()));
-            }
+            Ok((stream, _)) => start_connection(&state, stream, &drain),
             Err(error) => {
                 log::warn!("cannot accept a caller connection: {error}");
                 tokio::time::sleep(ACCEPT_PAUSE).await;
             }
         }
     }
+    for (stream, _) in take_backlog(listener) {
+        start_connection(&state, stream, &drain);
+    }
 }
 
-async fn serve_connection(state: Arc<RelayState>, stream: TcpStream, drain: watch::Receiver<bool>) {
+/// Starts to serve a connection, unless the connection limit is reached. The connection counts as open
+/// from here on, so that a shutdown does not end before its task has run.
+fn start_connection(state: &Arc<RelayState>, stream: TcpStream, drain: &watch::Receiver<bool>) {
+    if state.connections.load(Ordering::Relaxed) >= state.settings.limits.caller_connections {
+        log::warn!("connection limit reached; closed a new caller connection");
+        return;
+    }
     state.connections.fetch_add(1, Ordering::Relaxed);
-    let _guard = ConnectionGuard(state.clone());
+    let guard = ConnectionGuard(state.clone());
+    tokio::spawn(serve_connection(state.clone(), stream, drain.clone(), guard));
+}
+
+async fn serve_connection(
+    state: Arc<RelayState>,
+    stream: TcpStream,
+    drain: watch::Receiver<bool>,
+    _guard: ConnectionGuard,
+) {
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!("cannot set TCP_NODELAY on a caller connection: {error}");
     }
@@ -136,6 +150,9 @@
     error: Option<RequestError>,
     /// Time since which the connection has waited for the rest of a request or for a new request.
     waiting_since: Instant,
+    /// Whether a request has been received.
+    has_request: bool,
+    opened_at: Instant,
 }
 
 impl CallerConnection {
@@ -149,6 +166,8 @@
             running: VecDeque::new(),
             error: None,
             waiting_since: Instant::now(),
+            has_request: false,
+            opened_at: Instant::now(),
         }
     }
 
@@ -167,9 +186,13 @@
                     }
                 }
                 // The runtime learns of received bytes only when it polls for events. On a VM that is
-                // short of CPU time, a request may have arrived unnoticed while the timeout expired.
-                ConnectionEvent::TimedOut if self.is_between_requests() && has_unread_bytes(&self.stream) => {
+                // short of CPU time, a request may have arrived unnoticed while the timeout expired or
+                // the shutdown began.
+                ConnectionEvent::TimedOut | ConnectionEvent::Draining
+                    if self.is_between_requests() && has_unread_bytes(&self.stream) =>
+                {
                     self.waiting_since = Instant::now();
+                    tokio::task::yield_now().await;
                 }
                 ConnectionEvent::TimedOut => {
                     if !self.is_between_requests() {
@@ -193,13 +216,21 @@
         let may_read = self.error.is_none() && has_room;
         let expiry = self.waiting_since + self.read_timeout();
         let is_between = is_idle && self.is_between_requests();
+        let grace = if self.has_request { Duration::ZERO } else { FIRST_REQUEST_GRACE };
+        let may_close_at = self.opened_at + grace;
+        let drain = &mut self.drain;
+        let draining = async {
+            // The sender lives as long as the process.
+            drop(drain.wait_for(|is_draining| *is_draining).await);
+            tokio::time::sleep_until(may_close_at).await;
+        };
         self.buffer.reserve(READ_CHUNK_BYTES);
         tokio::select! {
             biased;
             response = next_response(&mut self.running) => Ok(ConnectionEvent::Response(response)),
             read = self.stream.read_buf(&mut self.buffer), if may_read => read.map(ConnectionEvent::Read),
             () = tokio::time::sleep_until(expiry), if is_idle => Ok(ConnectionEvent::TimedOut),
-            _ = self.drain.wait_for(|is_draining| *is_draining), if is_between => Ok(ConnectionEvent::Draining),
+            () = draining, if is_between => Ok(ConnectionEvent::Draining),
         }
     }
 
@@ -228,6 +259,7 @@
         while self.error.is_none() && self.may_start_more() {
             match self.take_request() {
                 Ok(Some((head, body))) => {
+                    self.has_request = true;
                     self.start_request(head, body);
                     self.waiting_since = Instant::now();
                 }
