Slots: a borrowed slot is usable while its owner uses the others

It had borrowed one slot, its target reported 2 requests of other entry VMs, and the limit subtracted these from the one borrowed slot: 0. Its queue stood still until the report expired after 100 ms; the predicted wait rose to 440 ms of 250, and reads were refused as deadline-unreachable (own 0, borrowed 1, foreign 2, in flight 0 in each of the refusals). Ruled out: the stop itself, loans that do not arrive, the estimates of latency (reserved 21 ms). Change: requests of others reduce the limit only as far as they exceed the share of the others.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -293,7 +293,11 @@
         let mapping: Vec<RankId> = old_names.iter().map(|name| find(name).unwrap_or(last)).collect();
         self.queued_keys.clear();
         for (old_rank, mut rank_state) in old_ranks.into_iter().enumerate() {
-            self.migrate_rank(mapping[old_rank], &mut rank_state);
+            let rank = mapping[old_rank];
+            if find(&old_names[old_rank]).is_some() {
+                self.migrate_estimates(rank, &rank_state);
+            }
+            self.migrate_queue(rank, &mut rank_state);
         }
         self.requests.values_mut().for_each(|state| state.rank = mapping[state.rank]);
         self.fair_shares =
@@ -305,13 +309,16 @@
         self.targets.tick(now);
     }
 
-    fn migrate_rank(&mut self, rank: RankId, old: &mut RankState) {
+    fn migrate_estimates(&mut self, rank: RankId, old: &RankState) {
         self.ranks[rank].latency_p50 = old.latency_p50;
         self.ranks[rank].latency_p90 = old.latency_p90;
         self.ranks[rank].latency_p98 = old.latency_p98;
         self.ranks[rank].usual_latency = old.usual_latency;
         self.ranks[rank].response_bytes = old.response_bytes;
         self.ranks[rank].hold_time = old.hold_time;
+    }
+
+    fn migrate_queue(&mut self, rank: RankId, old: &mut RankState) {
         while let Some(queued) = old.queue.pop_front() {
             let request = queued.request;
             let key = self.ranks[rank].queue.push_back(queued);
--- a/crates/core/src/target.rs
+++ b/crates/core/src/target.rs
@@ -2,13 +2,11 @@
 //!
 //! A target's *limit* is the number of requests that this entry VM may have in flight at the
 //! target: the slots that it owns or has borrowed, minus the slots that it has lent out and the
-//! slots that other entry VMs are reported to use.
+//! slots that other entry VMs are reported to use beyond their own share.
 //!
 //! Targets with free slots are kept in two index lists, one for the local failure domain and one
 //! for all others, so the cost of picking a target does not depend on the number of targets. The
-//! entry of a target in the lists is updated on every change of that target, with one exception:
-//! [`TargetTable::set_slots`] may raise the limits of targets without updating the lists. A target
-//! that has a free slot as a result is listed after its own next change or the next target list.
+//! entry of a target in the lists is updated on every change of that target.
 
 mod state;
 
@@ -124,6 +122,7 @@
             let Some(key) = self.find(target.spec.address) else { continue };
             let state = &mut self.targets[key];
             state.instance.clone_from(&target.instance);
+            state.total_slots = 0;
             state.warm_up_until = (!target.warm_up.is_zero()).then(|| now + target.warm_up);
         }
     }
@@ -188,6 +187,7 @@
             work_meter: None,
             warm_up_until: None,
             last_probe_at: None,
+            total_slots: self.settings.slots,
             owned_slots: spec.owned_slots,
             ramp_limit,
             is_on_trial: false,
@@ -243,9 +243,16 @@
     pub fn set_slots(&mut self, slots: u32) {
         let has_grown = slots > self.settings.slots;
         self.settings.slots = slots;
-        if has_grown {
-            let full_limit = f64::from(slots);
-            self.targets.values_mut().for_each(|target| target.ramp_limit = full_limit);
+        let keys: Vec<TargetKey> = self.targets.keys().collect();
+        for key in keys {
+            let target = &mut self.targets[key];
+            if target.instance.is_empty() {
+                target.total_slots = slots;
+            }
+            if has_grown {
+                target.ramp_limit = f64::from(slots);
+            }
+            self.update_lists(key);
         }
     }
 
--- a/crates/core/src/target/state.rs
+++ b/crates/core/src/target/state.rs
@@ -141,6 +141,8 @@
     pub(super) warm_up_until: Option<Instant>,
     /// Time at which a report was last requested from the target.
     pub(super) last_probe_at: Option<Instant>,
+    /// Number of slots of the target, of which each belongs to one entry VM; 0 if its slots are shared.
+    pub(super) total_slots: u32,
     pub(super) owned_slots: u32,
     /// Upper bound of the limit while the target ramps up.
     pub(super) ramp_limit: f64,
@@ -164,10 +166,14 @@
 }
 
 impl TargetState {
-    /// Returns the number of requests that this entry VM may have in flight at the target.
+    /// Returns the number of requests that this entry VM may have in flight at the target: the slots that
+    /// it owns or has borrowed, without those that it has lent and those that other entry VMs use beyond
+    /// their own share.
     pub fn limit(&self) -> u32 {
         let granted = self.owned_slots + self.borrowed.len() as u32;
-        let used = self.foreign_in_flight + self.lent.len() as u32;
+        let foreign_share = self.total_slots.saturating_sub(granted);
+        let foreign_excess = self.foreign_in_flight.saturating_sub(foreign_share);
+        let used = foreign_excess + self.lent.len() as u32;
         granted.saturating_sub(used).min(self.ramp_limit as u32)
     }
 
--- a/crates/core/tests/dispatch.rs
+++ b/crates/core/tests/dispatch.rs
@@ -9,7 +9,7 @@
 use sniperelay_core::ids::{RequestId, TargetKey};
 use sniperelay_core::pick::PickPolicy;
 use sniperelay_core::reason::{RefusalReason, RetryReason};
-use sniperelay_core::target::{TargetLifecycle, TargetSpec};
+use sniperelay_core::target::{LoadReport, TargetLifecycle, TargetSpec};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -572,3 +572,66 @@
     fleet.dispatcher.tick(now + Duration::from_millis(402), &mut actions);
     assert!(targets(&fleet).1, "the second ejection was not longer");
 }
+
+/// An entry VM that owns no slots of a target and has borrowed one while its owner uses the others, as a VM
+/// does whose planned stop has begun while callers still come.
+#[test]
+fn borrowed_slot_is_usable_while_the_owner_uses_the_others() {
+    // Each row: requests that the target reports beside those of this entry VM, and whether the one
+    // borrowed slot may be used.
+    for (foreign, is_usable) in [(0, true), (2, true), (3, true), (4, false)] {
+        let mut fleet = SimulatedFleet::new(document(), &specs(1, 0));
+        let now = fleet.now;
+        let mut actions = Vec::new();
+        let request = fleet.submit(0);
+        fleet.dispatcher.receive_loans(9, &[address(0)], now, &mut actions);
+        let key = fleet.dispatcher.targets().find(address(0)).unwrap();
+        let report = LoadReport { busy: foreign + 1, queued: 0 };
+        let metadata = ResponseMetadata { report: Some(report), is_error: false };
+        fleet.dispatcher.response_started(request, key, metadata, now, &mut actions);
+        // The next request arrives before the slot is free again, so that the loan is kept.
+        let next = fleet.submit(0);
+        actions.clear();
+        fleet.dispatcher.attempt_ended(request, key, now, &mut actions);
+        let is_started = actions
+            .iter()
+            .any(|action| matches!(action, DispatchAction::Start { request, .. } if *request == next));
+        assert_eq!(is_started, is_usable, "{foreign} requests from other entry VMs");
+    }
+}
+
+#[test]
+fn larger_slot_count_is_used_without_waiting_for_another_change() {
+    let mut fleet = SimulatedFleet::new(document(), &specs(1, 4));
+    let now = fleet.now;
+    fleet.dispatcher.replace_targets(&specs(2, 4), now, &mut fleet.actions);
+    // The first target is full, and the new one has its first request.
+    (0..6).for_each(|_| _ = fleet.submit(0));
+    let key = fleet.dispatcher.targets().find(address(1)).unwrap();
+    let in_flight = |fleet: &SimulatedFleet| fleet.dispatcher.targets().get(key).unwrap().in_flight;
+    assert_eq!(in_flight(&fleet), 1);
+    let larger = ServiceDocument { slots_per_target: 5, ..document() };
+    fleet.dispatcher.replace_document(Arc::new(larger), now);
+    fleet.submit(0);
+    assert!(in_flight(&fleet) > 1, "the free slots of the new target were not used");
+}
+
+#[test]
+fn removed_rank_does_not_change_the_estimates_of_the_rank_that_takes_its_queue() {
+    let mut fleet = SimulatedFleet::new(document(), &specs(1, 4));
+    // Responses of the rank that stays take 10 ms, those of the removed one 5 s.
+    for (rank, service_time) in [(1, Duration::from_millis(10)), (2, Duration::from_secs(5))] {
+        fleet.service_times = BTreeMap::from([(address(0), service_time)]);
+        for _ in 0..40 {
+            fleet.submit(rank);
+            fleet.run_until(fleet.now + service_time + Duration::from_millis(10));
+        }
+    }
+    fleet.refused.clear();
+    let mut shorter = document();
+    shorter.ranks.remove(2);
+    fleet.dispatcher.replace_document(Arc::new(shorter), fleet.now);
+    (0..20).for_each(|_| _ = fleet.submit(1));
+    fleet.run_until(fleet.now + Duration::from_millis(20));
+    assert_eq!(fleet.refused, [], "600 ms are enough for responses that take 10 ms");
+}
