Tests of the process: wait until a paused process has stopped; addresses of their own for each copy

Change: the test waits for state T of every thread in /proc, then writes, so that the claim is sent to a process that is surely stopped: as strict as before. Host addresses depend on the process ID.

--- a/crates/cli/tests/process.rs
+++ b/crates/cli/tests/process.rs
@@ -93,11 +93,13 @@
     }
 }
 
-/// Returns a free loopback address. Each call uses a new host address, so that neither another test
-/// nor an outgoing connection takes the port before the process binds it.
+/// Returns a free loopback address. Each call uses a new host address, which also depends on the process
+/// ID, so that no other test, copy of this program or outgoing connection takes the port before the process
+/// binds it.
 fn free_address() -> SocketAddr {
     static NEXT_HOST: AtomicU8 = AtomicU8::new(1);
-    let host = [127, 77, 0, NEXT_HOST.fetch_add(1, Ordering::Relaxed)];
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    let host = [127, 64 | (high & 0x3f), low, NEXT_HOST.fetch_add(1, Ordering::Relaxed)];
     TcpListener::bind(SocketAddr::from((host, 0))).unwrap().local_addr().unwrap()
 }
 
@@ -179,6 +181,29 @@
         assert!(status.success());
     }
 
+    /// Stops the process and waits until each of its threads has stopped. The signal only asks for that: on a
+    /// busy machine, threads run on for a while after it has been sent.
+    async fn pause(&self) {
+        self.signal("-STOP");
+        let deadline = tokio::time::Instant::now() + PROCESS_TIMEOUT;
+        while !self.thread_states().iter().all(|state| state == "T") {
+            assert!(tokio::time::Instant::now() < deadline, "the process did not stop");
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+    }
+
+    /// Returns the state letter of each thread, from `/proc`.
+    fn thread_states(&self) -> Vec<String> {
+        let tasks = std::fs::read_dir(format!("/proc/{}/task", self.child.id())).unwrap();
+        let stat = tasks.map(|task| std::fs::read_to_string(task.unwrap().path().join("stat")).unwrap());
+        // The state follows the name, which is in parentheses and may contain spaces.
+        let state = |stat: String| {
+            let (_, fields) = stat.rsplit_once(')').unwrap();
+            fields.split_whitespace().next().unwrap().to_owned()
+        };
+        stat.map(state).collect()
+    }
+
     /// Returns the exit code, or `None` if a signal ended the process.
     async fn wait_exit(&mut self) -> Option<i32> {
         for _ in 0..PROCESS_TIMEOUT.as_millis() / 20 {
@@ -254,7 +279,7 @@
     stream.read_exact(&mut interim_response).await.unwrap();
     assert!(interim_response.starts_with(b"HTTP/1.1 100"));
     let accepted = process.target.control.accepted.load(Ordering::Relaxed);
-    process.signal("-STOP");
+    process.pause().await;
     stream.write_all(b"x").await.unwrap();
     tokio::time::sleep(Duration::from_millis(1500)).await;
     process.signal("-CONT");
