An entry VM can be dropped anywhere, and ends its threads

Cause: the runtime of the traffic threads was dropped in async code when a start failed after it had been created, when another VM of a cluster failed, or when an entry VM was dropped; the runtime's drop then panics and hides the first error. The control thread of a dropped entry VM ran on and kept its sockets. Shown before: startup.rs, both tests failed with 'Cannot drop a runtime in a context where blocking is not allowed'. Change: owners of the traffic threads and of the control thread whose drop ends them in the background; kill is a drop. A cluster that does not become ready says which entry VM lacks what. Measured: startup.rs 2 of 2, guarantees.rs 9 of 9.

--- a/crates/node/src/entry_vm.rs
+++ b/crates/node/src/entry_vm.rs
@@ -2,6 +2,7 @@
 
 use crate::control::control_loop::ControlInputs;
 use crate::control::{ControlEvent, ControlHandle, StopStage, control_loop::run_control_thread};
+use crate::entry_threads::{ControlThread, TrafficThreads};
 use crate::lifecycle::ServingState;
 use crate::logs::LogControl;
 use crate::metrics::MetricSet;
@@ -15,7 +16,6 @@
 use std::sync::Arc;
 use std::thread::JoinHandle;
 use std::time::Duration;
-use tokio::runtime::Runtime;
 use tokio::sync::mpsc::unbounded_channel;
 use tokio::sync::{Notify, watch};
 
@@ -28,11 +28,10 @@
 pub struct EntryVm {
     node_state: Arc<NodeState>,
     lifecycle: ServingState,
-    traffic_runtime: Runtime,
+    traffic_threads: TrafficThreads,
     caller_task: tokio::task::JoinHandle<bool>,
     drain_sender: watch::Sender<bool>,
-    control_handle: ControlHandle,
-    control_thread: JoinHandle<Result<()>>,
+    control_thread: ControlThread,
     stop_request: Arc<Notify>,
     caller_address: SocketAddr,
 }
@@ -52,7 +51,7 @@
         let peer_socket = bind_peer_socket(settings.entry.peer_address)?;
         settings.entry.peer_address = peer_socket.local_addr()?;
         let caller_address = settings.entry.caller_address;
-        let traffic_runtime = start_traffic_runtime(settings.entry.traffic_threads)?;
+        let traffic_threads = TrafficThreads::start(settings.entry.traffic_threads)?;
         let (lifecycle, lifecycle_view) = ServingState::start();
         let (traffic_sender, traffic_events) = unbounded_channel();
         let (peer_sender, outgoing) = unbounded_channel();
@@ -76,20 +75,20 @@
             log_control,
         };
         let control_thread = start_control_thread(node_state.clone(), inputs)?;
+        let control_thread = ControlThread::new(ControlHandle::new(event_sender), control_thread);
         let (drain_sender, drain_receiver) = watch::channel(false);
         let listener = {
-            let _context = traffic_runtime.enter();
+            let _context = traffic_threads.handle().enter();
             tokio::net::TcpListener::from_std(caller_listener)?
         };
-        let caller_task = traffic_runtime.spawn(serve_callers(node_state.clone(), listener, drain_receiver));
-        let control_handle = ControlHandle::new(event_sender);
+        let serving = serve_callers(node_state.clone(), listener, drain_receiver);
+        let caller_task = traffic_threads.handle().spawn(serving);
         Ok(Self {
             node_state,
             lifecycle,
-            traffic_runtime,
+            traffic_threads,
             caller_task,
             drain_sender,
-            control_handle,
             control_thread,
             stop_request,
             caller_address,
@@ -118,7 +117,7 @@
 
     /// Returns the handle to the control loop.
     pub fn control_handle(&self) -> &ControlHandle {
-        &self.control_handle
+        self.control_thread.handle()
     }
 
     /// Completes when an operator requests a planned stop.
@@ -135,7 +134,7 @@
     pub async fn stop(self) -> Result<bool> {
         log::info!("planned stop: withdrawing from lookup responses");
         let withdrawn = self.lifecycle.withdraw();
-        self.control_handle.announce(StopStage::Withdraw).await;
+        self.control_thread.handle().announce(StopStage::Withdraw).await;
         // Callers cache lookup responses for `lookup_ttl`, and peers list this address until they have
         // received the announcement.
         tokio::time::sleep(self.node_state.settings.entry.lookup_ttl + ANNOUNCEMENT_DELAY).await;
@@ -144,20 +143,16 @@
         let _ = self.drain_sender.send(true);
         let is_clean = self.caller_task.await.context("caller task failed")?;
         draining.stop();
-        self.control_handle.announce(StopStage::End).await;
-        let control_thread = self.control_thread;
-        tokio::task::spawn_blocking(move || control_thread.join())
-            .await?
-            .map_err(|_| anyhow!("control thread panicked"))??;
-        self.traffic_runtime.shutdown_background();
+        self.control_thread.handle().announce(StopStage::End).await;
+        self.control_thread.join().await?;
+        drop(self.traffic_threads);
         log::info!("planned stop: finished, all connections ended in time: {is_clean}");
         Ok(is_clean)
     }
 
     /// Ends all threads immediately, as a failure of the VM would. For fault tests.
     pub fn kill(self) {
-        self.traffic_runtime.shutdown_background();
-        self.control_handle.send(ControlEvent::Kill);
+        drop(self);
     }
 }
 
@@ -171,15 +166,6 @@
     UdpSocket::bind(address).with_context(|| format!("cannot bind peer-address {address}"))
 }
 
-fn start_traffic_runtime(threads: usize) -> Result<Runtime> {
-    tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(threads)
-        .thread_name("traffic")
-        .enable_all()
-        .build()
-        .context("cannot start the traffic threads")
-}
-
 fn make_own_record(settings: &NodeSettings) -> MemberRecord {
     MemberRecord {
         incarnation: rand::random(),
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,6 +6,7 @@
 //!
 //! | module | contents |
 //! |---|---|
+//! | [`entry_threads`] | owners of the threads of an entry VM |
 //! | [`entry_vm`] | start and stop of the threads of an entry VM |
 //! | [`shared_state`] | state shared by the threads: services, membership, claims, lifecycle phase |
 //! | [`dispatcher_handle`] | shared access to the dispatcher of a service, and signal channels of its requests |
@@ -22,6 +23,7 @@
 pub mod boot_clock;
 pub mod control;
 pub mod dispatcher_handle;
+pub mod entry_threads;
 pub mod entry_vm;
 pub mod lifecycle;
 pub mod logs;
--- a/crates/standin/src/cluster.rs
+++ b/crates/standin/src/cluster.rs
@@ -196,12 +196,37 @@
     pub async fn wait_ready(&self) -> Result<()> {
         let deadline = Instant::now() + READY_TIMEOUT;
         while !self.entry_vms.iter().all(|entry_vm| self.is_ready(entry_vm)) {
-            ensure!(Instant::now() < deadline, "the cluster was not ready within {READY_TIMEOUT:?}");
+            ensure!(
+                Instant::now() < deadline,
+                "the cluster was not ready within {READY_TIMEOUT:?}: {}",
+                self.missing_state()
+            );
             tokio::time::sleep(Duration::from_millis(20)).await;
         }
         Ok(())
     }
 
+    /// Returns what the entry VMs that are not ready know, for error messages.
+    fn missing_state(&self) -> String {
+        let unready = self.entry_vms.iter().filter(|entry_vm| !self.is_ready(entry_vm));
+        let describe = |entry_vm: &EntryVm| {
+            let shared = entry_vm.node_state();
+            let services = shared.services.load();
+            let targets = services
+                .values()
+                .map(|entry| entry.dispatcher_handle.read(|dispatcher| dispatcher.targets().len()));
+            format!(
+                "{} has {} services, {} targets and {} of {} members",
+                entry_vm.caller_address(),
+                services.len(),
+                targets.sum::<usize>(),
+                shared.members.load().candidates.len(),
+                self.entry_vms.len()
+            )
+        };
+        unready.map(describe).collect::<Vec<_>>().join("; ")
+    }
+
     fn is_ready(&self, entry_vm: &EntryVm) -> bool {
         let shared = entry_vm.node_state();
         let services = shared.services.load();
