Membership: a pause of this member makes no suspected member dead

Change: the suspicion starts anew. The proptests of homes, execution and memory_budget have fixed seeds; a failure names the seed.

--- a/crates/core/src/member/failure.rs
+++ b/crates/core/src/member/failure.rs
@@ -12,8 +12,8 @@
 const TOMBSTONE_INTERVALS: u32 = 600;
 
 impl MemberTable {
-    /// Restarts the suspicion timeouts after a pause of this process, because messages missed during
-    /// the pause do not indicate a failure.
+    /// Restarts the suspicion and death timeouts after a pause of this process, because messages missed
+    /// during the pause do not indicate a failure.
     pub(super) fn compensate_for_pause(&mut self, now: Instant) {
         let gap = self.last_tick.map_or(Duration::ZERO, |last| now.saturating_duration_since(last));
         self.last_tick = Some(now);
@@ -21,6 +21,9 @@
             self.entries.values_mut().for_each(|entry| {
                 entry.watched_since = entry.watched_since.map(|_| now);
                 entry.heard_at = entry.heard_at.map(|_| now);
+                if entry.record.health == MemberHealth::Suspect {
+                    entry.changed_at = now;
+                }
             });
         }
     }
--- a/crates/core/tests/execution.rs
+++ b/crates/core/tests/execution.rs
@@ -62,7 +62,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { rng_seed: prop::test_runner::RngSeed::Fixed(7), ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig { rng_seed: prop::test_runner::RngSeed::Fixed(7), failure_persistence: None, ..ProptestConfig::default() })]
 
     #[test]
     fn not_run_is_stated_only_if_every_attempt_proves_it(
--- a/crates/core/tests/homes.rs
+++ b/crates/core/tests/homes.rs
@@ -1,6 +1,7 @@
 //! Tests of the choice of homes by capacity and of the assignment of targets to cells.
 
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 use sniperelay_core::home::{HomeCandidate, SizedCandidate, cell_targets, choose_homes_by_capacity};
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
@@ -38,7 +39,12 @@
     assert_eq!(cell_targets(99, &homes, &targets), None, "99 is not a home");
 }
 
+/// Seed of the cases below; a failure prints it with the case.
+const SEED: u64 = 5;
+
 proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(SEED), failure_persistence: None, ..ProptestConfig::default() })]
+
     /// Every target belongs to a cell of at most two homes, and no home serves more than its even share
     /// of the targets plus one.
     #[test]
@@ -49,12 +55,12 @@
         let cell_count = homes.len().div_ceil(2);
         for home in &homes {
             let cell = cell_targets(home.incarnation, &homes, &targets).unwrap();
-            prop_assert!(cell.len() <= targets.len().div_ceil(cell_count) + 1);
+            prop_assert!(cell.len() <= targets.len().div_ceil(cell_count) + 1, "seed {}", SEED);
             for address in cell {
                 owners.entry(address).or_default().insert(home.incarnation);
             }
         }
-        prop_assert_eq!(owners.len(), targets.len());
-        prop_assert!(owners.values().all(|homes| (1..=2).contains(&homes.len())));
+        prop_assert_eq!(owners.len(), targets.len(), "seed {}", SEED);
+        prop_assert!(owners.values().all(|homes| (1..=2).contains(&homes.len())), "seed {}", SEED);
     }
 }
--- a/crates/core/tests/members.rs
+++ b/crates/core/tests/members.rs
@@ -231,3 +231,28 @@
     // 16 members have 4 neighbours, 128 have 7.
     assert!(many <= few * 7.0 / 4.0 * 1.2, "{few:.1} messages/s at 16 members, {many:.1} at 128");
 }
+
+/// Messages missed during a pause indicate no failure: neither of a member that was healthy before it, nor
+/// of one that was already suspected.
+#[test]
+fn a_pause_of_this_member_makes_no_suspected_member_dead() {
+    // There is no third member, which would declare the suspected one dead in the meantime.
+    let mut cluster = TestCluster::new(2);
+    cluster.run_for(Duration::from_secs(10));
+    cluster.paused.push(address(1));
+    let incarnation = record(1, 0).incarnation;
+    let health = |cluster: &TestCluster| cluster.tables[&address(0)].get(incarnation).unwrap().health;
+    while health(&cluster) != MemberHealth::Suspect {
+        cluster.step();
+    }
+    // Both are paused now. When they continue, the suspected member can refute the suspicion at once.
+    cluster.paused.push(address(0));
+    cluster.run_for(Duration::from_secs(30));
+    cluster.paused.clear();
+    for _ in 0..40 {
+        cluster.step();
+        assert_ne!(health(&cluster), MemberHealth::Dead, "declared dead right after the pause");
+    }
+    cluster.run_for(Duration::from_secs(5));
+    assert_eq!(health(&cluster), MemberHealth::Alive);
+}
--- a/crates/core/tests/memory_budget.rs
+++ b/crates/core/tests/memory_budget.rs
@@ -40,7 +40,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { rng_seed: prop::test_runner::RngSeed::Fixed(11), ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig { rng_seed: prop::test_runner::RngSeed::Fixed(11), failure_persistence: None, ..ProptestConfig::default() })]
 
     #[test]
     fn shares_never_exceed_the_limit(
