Stand-in cluster: entry VMs and targets are registered under different hosts

An entry VM whose UDP port had the number of a target's TCP port replaced the registration of that target, and the cluster never became ready. Change: peer addresses of the stand-in cluster are on 127.0.0.2. Test entry_vms_and_targets_of_a_cluster_are_registered_under_different_hosts.

--- a/crates/node/tests/startup.rs
+++ b/crates/node/tests/startup.rs
@@ -42,3 +42,16 @@
     .await;
     cluster.shut_down();
 }
+
+/// VMs are registered by address. An entry VM whose UDP port had the number of a target's TCP port replaced
+/// the registration of that target.
+#[tokio::test(flavor = "multi_thread")]
+async fn entry_vms_and_targets_of_a_cluster_are_registered_under_different_hosts() {
+    let cluster = start_cluster(2, 2).await;
+    for entry_vm in &cluster.entry_vms {
+        for target in cluster.targets.values().flatten() {
+            assert_ne!(entry_vm.peer_address().ip(), target.address().ip());
+        }
+    }
+    cluster.shut_down();
+}
--- a/crates/standin/src/cluster.rs
+++ b/crates/standin/src/cluster.rs
@@ -22,6 +22,9 @@
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
 /// Maximum number of requests queued at a target before it refuses more.
 const TARGET_QUEUE_LIMIT: u32 = 64;
+/// Host of the peer addresses. It differs from that of the targets, because VMs are registered by address,
+/// and a UDP port may have the same number as the TCP port of a target.
+const PEER_HOST: &str = "127.0.0.2";
 /// Operator token of the team `admin`.
 pub const ADMIN_TOKEN: &str = "standin-admin-token";
 
@@ -165,7 +168,7 @@
             self.entry_vms.iter().take(3).map(|entry_vm| entry_vm.peer_address().to_string()).collect();
         let options = &self.options;
         format!(
-            "[entry-vm]\nfailure-domain = {domain}\ncaller-address = 127.0.0.1:0\npeer-address = 127.0.0.1:0\n\
+            "[entry-vm]\nfailure-domain = {domain}\ncaller-address = 127.0.0.1:0\npeer-address = {PEER_HOST}:0\n\
              operator-address = 127.0.0.1:0\ntraffic-threads = {}\nlookup-keep-ms = {}\n\
              [platform]\naddress = {}\nlist-interval-ms = 500\nstatus-interval-ms = 2000\n\
              [peers]\nseeds = {}\nheartbeat-ms = {}\nca-file = {}\ncertificate-file = {}\nkey-file = {}\n\
