relay: two processes of one name do not replace each other's registration again and again

Cause: each process overwrote a registration of its name that was not its own. Around a hand-over, with the old process still running, both did so in turn: two_processes_of_one_name_send_each_request_once failed with 52 calls to the store within 3 s (each request was sent once). Change: a process that has registered gives way to a registration written after its own, until that is removed; module own_registration.

--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -11,6 +11,7 @@
 //! | [`shutdown`] | graceful shutdown |
 //! | [`shared_state`] | state shared by all tasks: routes, services, entry VMs, phase |
 //! | [`store_sync`] | synchronization of configuration, targets and entry VMs with the store |
+//! | [`own_registration`] | whether this process registers itself, beside others of its name |
 //! | [`sync_progress`] | progress of reading the store: revisions, lists that are too old, outages |
 //! | [`replication`] | replication of the store's contents from readers to followers |
 //! | [`failure_detector`] | liveness checks of neighbours; removal of failed entry VMs |
@@ -31,6 +32,7 @@
 pub mod failure_detector;
 pub mod http_api;
 pub mod load_probe;
+pub mod own_registration;
 pub mod replication;
 pub mod request_body;
 pub mod request_handler;
--- a/crates/relay/src/store_sync.rs
+++ b/crates/relay/src/store_sync.rs
@@ -7,6 +7,7 @@
 //! the previous one. Objects are listed again only if the store no longer has the changes since that
 //! revision.
 
+use crate::own_registration::{FoundRegistration, OwnRegistration};
 use crate::replication::{StoreSource, fetch_seed_snapshot};
 use crate::shared_state::{EntryVmMap, RelayState, TargetMap};
 use crate::sync_progress::{NextRead, ReadOutcome, StoreAvailability, SyncProgress};
@@ -245,6 +246,13 @@
         self.progress.is_caught_up()
     }
 
+    /// Returns the registration under the name of this process among the entry VMs that have been read.
+    fn find_registration(&self, vms: &EntryVmMap) -> Option<FoundRegistration> {
+        let own = self.state.own_record();
+        let version = *self.known_versions.get(&format!("{ENTRY_VM_PREFIX}{}", own.name))?;
+        Some(FoundRegistration { version, is_own: *vms.get(&own.name)? == own })
+    }
+
     /// Waits for changes. May return an empty list.
     async fn next_changes(&mut self) -> Vec<StoreChange> {
         if std::mem::take(&mut self.is_coalescing) {
@@ -404,18 +412,26 @@
 pub async fn watch_entry_vms(state: Arc<RelayState>) {
     let mut watcher = PrefixWatcher::new(state.clone(), ENTRY_VM_PREFIX);
     let mut vms = EntryVmMap::new();
+    let mut registration = OwnRegistration::default();
+    let mut is_replaced = false;
     let mut is_first_read = true;
     loop {
         let changes = watcher.next_changes().await;
         for change in changes {
             apply_entry_vm(&mut vms, change);
         }
+        let found = watcher.find_registration(&vms);
         if state.lifecycle.phase() != LifecyclePhase::Serving {
             vms.remove(&state.settings.entry.name);
-        } else if watcher.progress.has_list()
-            && vms.get(&state.settings.entry.name) != Some(&state.own_record())
-        {
-            register_entry_vm(&state, &mut watcher, &mut vms).await;
+        } else if watcher.progress.has_list() && registration.is_due(found) {
+            if let Some(version) = register_entry_vm(&state, &mut watcher, &mut vms).await {
+                registration.record_written(version);
+            }
+        } else if registration.is_replaced(found) && !std::mem::replace(&mut is_replaced, true) {
+            log::warn!(
+                "another process has registered as {}; its registration is kept",
+                state.settings.entry.name
+            );
         }
         publish_entry_vms(&state, &vms);
         if is_first_read {
@@ -449,7 +465,13 @@
 
 /// Registers this entry VM and overwrites an existing registration under its name: a restarted
 /// process replaces the registration of the previous one.
-async fn register_entry_vm(state: &RelayState, watcher: &mut PrefixWatcher, vms: &mut EntryVmMap) {
+///
+/// Returns the version of the registration, or `None` if it could not be written.
+async fn register_entry_vm(
+    state: &RelayState,
+    watcher: &mut PrefixWatcher,
+    vms: &mut EntryVmMap,
+) -> Option<u64> {
     let own = state.own_record();
     let key = format!("{ENTRY_VM_PREFIX}{}", own.name);
     let mut expected = watcher.known_versions.get(&key).copied().unwrap_or(0);
@@ -459,15 +481,17 @@
                 log::info!(version; "registered as {}", own.name);
                 watcher.known_versions.insert(key, version);
                 vms.insert(own.name.clone(), own);
-                return;
+                return Some(version);
             }
             Err(PlatformError::Conflict { current }) => expected = current,
             Err(error) => {
                 log::warn!("cannot register this entry VM: {error}");
-                return;
+                return None;
             }
         }
     }
+    log::warn!("cannot register this entry VM: its registration keeps changing");
+    None
 }
 
 /// Maximum number of attempts to register when another process writes the same object.
--- a/crates/standin/src/hosted.rs
+++ b/crates/standin/src/hosted.rs
@@ -77,7 +77,8 @@
 fn list_objects(standin: &PlatformStandin, request: &HostedRequest<'_>) -> (StatusCode, Value) {
     let prefix = format!("{}/", request.path);
     let after = request.field("after").map(|name| format!("{prefix}{name}"));
-    let (revision, objects) = standin.list(&prefix);
+    let may_be_old = request.field("AllowStale") == Some("1");
+    let (revision, objects) = if may_be_old { standin.list_stale(&prefix) } else { standin.list(&prefix) };
     let rest = objects.iter().filter(|object| after.as_ref().is_none_or(|after| object.key > *after));
     let page: Vec<Value> = rest.clone().take(MAX_PAGE_ITEMS).map(stored_json).collect();
     let has_more = rest.count() > page.len();
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -84,6 +84,8 @@
 pub struct PlatformStandin {
     address: SocketAddr,
     store: Mutex<ObjectStore>,
+    /// Revision and objects that lists return to callers that accept old ones, if not the current ones.
+    frozen: Mutex<Option<(u64, Vec<StoredObject>)>>,
     changed: watch::Sender<u64>,
     started: Instant,
     /// Injected faults and counters.
@@ -101,6 +103,7 @@
         let standin = Arc::new(Self {
             address: listener.local_addr()?,
             store: Mutex::default(),
+            frozen: Mutex::default(),
             changed: watch::Sender::new(0),
             started: Instant::now(),
             control: PlatformControl::default(),
@@ -144,6 +147,23 @@
         store.log.clear();
     }
 
+    /// From now on, lists that may be old return the objects as they are now.
+    pub fn freeze_stale_lists(&self) {
+        let frozen = self.list("");
+        *self.frozen.lock().unwrap_or_else(PoisonError::into_inner) = Some(frozen);
+    }
+
+    /// Returns a revision and the objects whose keys start with `prefix`, as they were at some time before.
+    pub fn list_stale(&self, prefix: &str) -> (u64, Vec<StoredObject>) {
+        let Some((revision, mut objects)) =
+            self.frozen.lock().unwrap_or_else(PoisonError::into_inner).clone()
+        else {
+            return self.list(prefix);
+        };
+        objects.retain(|object| object.key.starts_with(prefix));
+        (revision, objects)
+    }
+
     /// Returns the largest number of calls received within one second since the start.
     pub fn peak_calls_per_second(&self) -> u64 {
         let counts = self.control.calls_by_second.lock().unwrap_or_else(PoisonError::into_inner);
