Settings that had no effect: ramp-ms, on-time-percent, connections-per-target

Change: a new target reaches its full limit after ramp-ms at the earliest (its responses alone ended the ramp-up before); the status shows the share that should be answered on time and says when a rank is below it; a home keeps no more idle connections to a target than its share of connections-per-target. Documents need no change. Shown before: ramp_up_takes_at_least_the_time_that_the_document_sets failed at 1000 ms (full limit after half of it); the other two had no code to test.

--- a/crates/cli/src/status.rs
+++ b/crates/cli/src/status.rs
@@ -41,16 +41,24 @@
         status.claim_keys,
     );
     println!(
-        "  {:<16}{:<14}{:>8}{:>6}{:>10}{:>8}{:>8}",
-        "service", "rank", "version", "home", "on time", "late", "queued"
+        "  {:<16}{:<14}{:>8}{:>6}{:>10}{:>8}{:>8}{:>9}",
+        "service", "rank", "version", "home", "on time", "late", "queued", "target"
     );
     for (name, service) in &status.services {
         for (rank_name, rank) in &service.ranks {
             let home = if service.is_home { "yes" } else { "no" };
             println!(
-                "  {name:<16}{rank_name:<14}{:>8}{home:>6}{:>10}{:>8}{:>8}",
-                service.generation, rank.on_time, rank.late, rank.queued
+                "  {name:<16}{rank_name:<14}{:>8}{home:>6}{:>10}{:>8}{:>8}{:>8.1}%",
+                service.generation,
+                rank.on_time,
+                rank.late,
+                rank.queued,
+                rank.on_time_target * 100.0
             );
+            if rank.misses_target() {
+                let share = rank.on_time_share().unwrap_or_default() * 100.0;
+                println!("  {:<30}BELOW TARGET: {share:.2} % answered on time", "");
+            }
             rank.refusals
                 .iter()
                 .for_each(|(reason, count)| println!("  {:<30}refused, {reason}: {count}", ""));
--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -217,6 +217,7 @@
         let target_settings = TargetSettings {
             local_domain: settings.local_domain.clone(),
             slots: document.slots_per_target,
+            ramp: document.ramp,
             is_unlimited: settings.policy.is_baseline(),
         };
         let rng = SmallRng::seed_from_u64(settings.seed);
@@ -305,6 +306,7 @@
         self.retry_budget = AttemptBudget::new(document.retry.retry_share);
         self.hedge_budget = AttemptBudget::new(document.retry.hedge_share);
         self.targets.set_slots(document.slots_per_target);
+        self.targets.set_ramp(document.ramp);
         self.document = document;
         self.targets.tick(now);
     }
--- a/crates/core/src/target.rs
+++ b/crates/core/src/target.rs
@@ -36,9 +36,6 @@
 const SUSPEND_TIME: Duration = Duration::from_millis(60);
 /// Relative latency above which a target is a straggler.
 const STRAGGLER_RATIO: f64 = 3.0;
-/// Increase of a ramping target's limit, in requests, for each response whose relative latency is
-/// below [`STRAGGLER_RATIO`].
-const RAMP_STEP: f64 = 0.25;
 /// Weight of a new sample in a target's relative latency.
 const RELATIVE_LATENCY_WEIGHT: f64 = 0.25;
 /// Weight of a new report in the mean slowdown of a service's targets.
@@ -51,6 +48,8 @@
     pub local_domain: DomainName,
     /// Number of slots per target.
     pub slots: u32,
+    /// Minimum time from a new target's first response until it is used at its full limit.
+    pub ramp: Duration,
     /// Whether limits are ignored, as in the baseline policies.
     pub is_unlimited: bool,
 }
@@ -190,6 +189,7 @@
             total_slots: self.settings.slots,
             owned_slots: spec.owned_slots,
             ramp_limit,
+            ramp_since: None,
             is_on_trial: false,
             foreign_in_flight: 0,
             foreign_reported_at: None,
@@ -216,7 +216,7 @@
         target.lifecycle = spec.lifecycle;
         target.owned_slots = spec.owned_slots;
         if has_returned {
-            target.ramp_limit = 1.0;
+            target.restart_ramp();
         }
         self.update_lists(key);
     }
@@ -238,6 +238,11 @@
         self.excluded_count -= usize::from(target.suspended_until.is_some());
     }
 
+    /// Sets the minimum time in which new targets reach their full limit.
+    pub fn set_ramp(&mut self, ramp: Duration) {
+        self.settings.ramp = ramp;
+    }
+
     /// Sets the number of slots per target. Owned slots change with the next target list. A larger
     /// number also ends the ramp-up of all targets.
     pub fn set_slots(&mut self, slots: u32) {
@@ -337,8 +342,11 @@
         target.relative_latency += RELATIVE_LATENCY_WEIGHT * (latency_ratio - target.relative_latency);
         if latency_ratio < STRAGGLER_RATIO {
             let full_limit = f64::from(self.settings.slots);
-            let step = if std::mem::take(&mut target.is_on_trial) { full_limit } else { RAMP_STEP };
-            target.ramp_limit = (target.ramp_limit + step).min(full_limit);
+            if std::mem::take(&mut target.is_on_trial) {
+                target.ramp_limit = full_limit;
+            } else {
+                target.raise_ramp_limit(full_limit, self.settings.ramp, now);
+            }
         }
         if let Some(report) = report {
             let own_occupied = target.in_flight + target.lent.len() as u32;
@@ -487,7 +495,7 @@
         if target.ejected_until.is_some_and(|until| until <= now) {
             target.ejected_until = None;
             target.consecutive_failures = EJECT_FAILURES - 1;
-            target.ramp_limit = 1.0;
+            target.restart_ramp();
             self.excluded_count -= 1;
         }
         if target.suspended_until.is_some_and(|until| until <= now) {
--- a/crates/core/src/target/state.rs
+++ b/crates/core/src/target/state.rs
@@ -9,6 +9,8 @@
 const SLOWDOWN_TIME_CONSTANT: Duration = Duration::from_millis(250);
 /// Time constant of the exponential decay of a measured relative latency's weight.
 const RELATIVE_LATENCY_TIME_CONSTANT: Duration = Duration::from_secs(2);
+/// Increase of a ramping target's limit, in requests, for each response with a normal latency.
+const RAMP_STEP: f64 = 0.25;
 /// Factor by which the expected slowdown of a target is raised while it warms up.
 const WARM_UP_SLOWDOWN: f64 = 2.0;
 
@@ -146,6 +148,8 @@
     pub(super) owned_slots: u32,
     /// Upper bound of the limit while the target ramps up.
     pub(super) ramp_limit: f64,
+    /// Time of the first response since the ramp-up began.
+    pub(super) ramp_since: Option<Instant>,
     pub(super) is_on_trial: bool,
     /// Number of requests from other entry VMs, as last reported.
     pub(super) foreign_in_flight: u32,
@@ -177,6 +181,23 @@
         granted.saturating_sub(used).min(self.ramp_limit as u32)
     }
 
+    /// Begins the ramp-up again, with one request at a time.
+    pub(super) fn restart_ramp(&mut self) {
+        self.ramp_limit = 1.0;
+        self.ramp_since = None;
+    }
+
+    /// Raises the limit after a response: by [`RAMP_STEP`], and no faster than linearly over `ramp`.
+    pub(super) fn raise_ramp_limit(&mut self, full_limit: f64, ramp: Duration, now: Instant) {
+        let since = *self.ramp_since.get_or_insert(now);
+        let elapsed = now.saturating_duration_since(since);
+        let is_over = elapsed >= ramp;
+        let share = if is_over { 1.0 } else { elapsed.as_secs_f64() / ramp.as_secs_f64() };
+        let time_limit = 1.0 + (full_limit - 1.0) * share;
+        let raised = (self.ramp_limit + RAMP_STEP).min(time_limit).min(full_limit);
+        self.ramp_limit = self.ramp_limit.max(raised);
+    }
+
     /// Returns whether the target is neither ejected nor suspended nor leaving.
     pub fn is_usable(&self) -> bool {
         self.lifecycle == TargetLifecycle::Live
--- a/crates/core/tests/dispatch.rs
+++ b/crates/core/tests/dispatch.rs
@@ -635,3 +635,26 @@
     fleet.run_until(fleet.now + Duration::from_millis(20));
     assert_eq!(fleet.refused, [], "600 ms are enough for responses that take 10 ms");
 }
+
+/// Load pattern: a target is added under a load whose responses alone would end the ramp-up in a fraction of
+/// the time that the document sets for it.
+#[test]
+fn ramp_up_takes_at_least_the_time_that_the_document_sets() {
+    for ramp_ms in [0, 1000, 4000] {
+        let ramp = Duration::from_millis(ramp_ms);
+        let mut fleet = SimulatedFleet::new(ServiceDocument { ramp, ..document() }, &specs(4, 4));
+        fleet.service_times = (0..5).map(|index| (address(index), Duration::from_millis(10))).collect();
+        fleet.run_load([600.0, 0.0, 0.0], Duration::from_secs(1));
+        let now = fleet.now;
+        fleet.dispatcher.replace_targets(&specs(5, 4), now, &mut fleet.actions);
+        let key = fleet.dispatcher.targets().find(address(4)).unwrap();
+        let limit = |fleet: &SimulatedFleet| fleet.dispatcher.targets().get(key).unwrap().limit();
+        let is_full_at_half = {
+            fleet.run_load([600.0, 0.0, 0.0], (ramp / 2).max(Duration::from_millis(500)));
+            limit(&fleet) == 4
+        };
+        assert_eq!(is_full_at_half, ramp_ms == 0, "{ramp_ms} ms");
+        fleet.run_load([600.0, 0.0, 0.0], ramp / 2 + Duration::from_secs(1));
+        assert_eq!(limit(&fleet), 4, "{ramp_ms} ms");
+    }
+}
--- a/crates/node/src/control/snapshots.rs
+++ b/crates/node/src/control/snapshots.rs
@@ -5,6 +5,7 @@
 use crate::control::status::publish_status;
 use crate::dispatcher_handle::{DispatcherHandle, ServiceEntry};
 use crate::shared_state::{MemberSnapshot, ServiceMap};
+use crate::traffic::pool::{IdleLimits, MAX_IDLE_PER_TARGET};
 use sniperelay_core::dispatch::DispatchSettings;
 use sniperelay_core::document::ServiceDocument;
 use sniperelay_core::home::{HomeCandidate, assign_owners, choose_homes};
@@ -88,12 +89,15 @@
     let current = state.node_state.services.load_full();
     let mut targets = group_targets(&state.vm_list.records);
     let mut services = ServiceMap::new();
+    let mut idle_limits = IdleLimits::new();
     for active in state.documents.values() {
         let document = &active.document;
         let entry = update_entry(state, &current, document);
         let homes = snapshot.homes.get(&document.name).map_or(&[][..], Vec::as_slice);
         let records = targets.remove(document.name.as_str()).unwrap_or_default();
         let specs = make_target_specs(state, document, homes, &records);
+        let max_idle = max_idle_connections(document);
+        idle_limits.extend(records.iter().map(|record| (record.address, max_idle)));
         let is_other = |home: &&HomeCandidate| home.incarnation != state.node_state.incarnation;
         let lenders: Vec<IncarnationId> =
             homes.iter().filter(is_other).map(|home| home.incarnation).collect();
@@ -101,6 +105,14 @@
         services.insert(document.name.clone(), entry);
     }
     state.node_state.services.store(Arc::new(services));
+    state.node_state.pool.set_idle_limits(idle_limits);
+}
+
+/// Returns the maximum number of idle connections to each target of a service. The connections that a target
+/// accepts from all entry VMs together are divided among the homes of its service.
+fn max_idle_connections(document: &ServiceDocument) -> usize {
+    let share = document.connections_per_target as usize / document.home_count.max(1);
+    share.clamp(1, MAX_IDLE_PER_TARGET)
 }
 
 fn group_targets(records: &[VmRecord]) -> HashMap<&str, Vec<&VmRecord>> {
--- a/crates/node/src/control/status.rs
+++ b/crates/node/src/control/status.rs
@@ -20,12 +20,29 @@
     pub late: u64,
     /// Number of queued requests.
     pub queued: usize,
+    /// Share of the requests that the document wants to be answered on time, 0 to 1; 0 if unknown.
+    #[serde(default)]
+    pub on_time_target: f64,
     /// Refusals by reason; reasons with a count of zero are omitted.
     pub refusals: BTreeMap<String, u64>,
     /// Retries by reason; reasons with a count of zero are omitted.
     pub retries: BTreeMap<String, u64>,
 }
 
+impl RankStatus {
+    /// Returns the share of the requests that were answered on time, 0 to 1, or `None` if there were none.
+    /// Refused requests count as not on time.
+    pub fn on_time_share(&self) -> Option<f64> {
+        let total = self.on_time + self.late + self.refusals.values().sum::<u64>();
+        (total > 0).then(|| self.on_time as f64 / total as f64)
+    }
+
+    /// Returns whether the share answered on time is below the one that the document wants.
+    pub fn misses_target(&self) -> bool {
+        self.on_time_share().is_some_and(|share| share < self.on_time_target)
+    }
+}
+
 /// Status of one service.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
 pub struct ServiceStatus {
@@ -155,6 +172,7 @@
     });
     for (policy, counters) in entry.document.ranks.iter().zip(&entry.counters) {
         let rank = status.ranks.entry(policy.name.clone()).or_default();
+        rank.on_time_target = policy.on_time_share;
         rank.on_time = counters.on_time.load(Ordering::Relaxed);
         rank.late = counters.late.load(Ordering::Relaxed);
         rank.refusals =
--- a/crates/node/src/traffic/pool.rs
+++ b/crates/node/src/traffic/pool.rs
@@ -5,6 +5,7 @@
 
 use crate::boot_clock::{self, BootTime};
 use crate::traffic::body::RequestBody;
+use arc_swap::ArcSwap;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use std::collections::HashMap;
@@ -19,8 +20,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Maximum idle time of a connection in the pool.
 const MAX_IDLE_TIME: Duration = Duration::from_secs(15);
-/// Maximum number of idle connections per target.
-const MAX_IDLE_PER_TARGET: usize = 8;
+/// Maximum number of idle connections per target, unless the target has a lower limit of its own.
+pub const MAX_IDLE_PER_TARGET: usize = 8;
 /// Size of the read buffer of a connection, and thereby maximum size of a response head, in bytes. A
 /// target that sends a longer head fails the attempt.
 pub const READ_BUFFER_BYTES: usize = 64 * 1024;
@@ -44,10 +45,14 @@
 
 type IdleMap = HashMap<SocketAddr, Vec<IdleConnection>>;
 
+/// Maximum number of idle connections by target.
+pub type IdleLimits = HashMap<SocketAddr, usize>;
+
 /// Pool of idle connections by address.
 #[derive(Debug, Default, Clone)]
 pub struct TargetPool {
     idle: Arc<Mutex<IdleMap>>,
+    idle_limits: Arc<ArcSwap<IdleLimits>>,
 }
 
 /// A connection taken from the pool for one request. Dropping it closes the connection.
@@ -57,6 +62,7 @@
     sender: Option<RequestSender>,
     driver: AbortHandle,
     idle: Arc<Mutex<IdleMap>>,
+    idle_limits: Arc<ArcSwap<IdleLimits>>,
     /// Whether the connection has carried requests before.
     pub is_reused: bool,
     /// Whether the connection is closed instead of being returned to the pool.
@@ -85,6 +91,11 @@
         self.connect(address).await
     }
 
+    /// Replaces the limits of idle connections. They take effect when connections are returned.
+    pub fn set_idle_limits(&self, limits: IdleLimits) {
+        self.idle_limits.store(Arc::new(limits));
+    }
+
     /// Closes connections whose maximum idle time has passed.
     pub fn close_idle(&self) {
         let now = boot_clock::now();
@@ -137,6 +148,7 @@
             sender: Some(sender),
             driver,
             idle: self.idle.clone(),
+            idle_limits: self.idle_limits.clone(),
             is_reused,
             is_reuse_forbidden: false,
         }
@@ -177,10 +189,13 @@
             idle_since: boot_clock::now(),
             max_idle_time,
         };
+        let limit = self.idle_limits.load().get(&self.address).copied().unwrap_or(MAX_IDLE_PER_TARGET);
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let connections = idle.entry(self.address).or_default();
-        if connections.len() < MAX_IDLE_PER_TARGET {
+        if connections.len() < limit {
             connections.push(connection);
+        } else {
+            connection.driver.abort();
         }
     }
 }
--- a/crates/node/tests/http.rs
+++ b/crates/node/tests/http.rs
@@ -237,3 +237,34 @@
     drop((first, second));
     cluster.shut_down();
 }
+
+/// The document limits the connections to a target. Idle ones beyond the share of one home are closed.
+#[tokio::test(flavor = "multi_thread")]
+async fn idle_connections_respect_the_limit_of_the_document() {
+    use sniperelay_node::traffic::pool::MAX_IDLE_PER_TARGET;
+    use sniperelay_standin::cluster::{ClusterOptions, ClusterStandin};
+    use sniperelay_standin::deployment::cooperative;
+    for (connections, expected) in [(250, MAX_IDLE_PER_TARGET as u64), (4, 2)] {
+        let mut spec = cooperative();
+        spec.entry_vm_count = 1;
+        let service = &mut spec.services[0];
+        service.target_count = 1;
+        let line = format!("connections-per-target = {connections}\n");
+        let lines = service.text.lines().filter(|line| !line.starts_with("connections-per-target"));
+        service.text = lines.map(|line| format!("{line}\n")).collect();
+        service.text = service.text.replacen("[service]\n", &format!("[service]\n{line}"), 1);
+        assert_eq!(service.document.home_count, 2);
+        let cluster = ClusterStandin::start(spec, ClusterOptions::default()).await.unwrap();
+        let address = cluster.caller_addresses()[0];
+        let target = cluster.targets["rota-board"][0].clone();
+        let request = "GET /rota/x HTTP/1.1\r\nHost: rota-board\r\nstandin-micros: 200000\r\n\
+                       Connection: close\r\n\r\n";
+        let mut calls = tokio::task::JoinSet::new();
+        (0..8).for_each(|_| _ = calls.spawn(send_raw_request(address, request)));
+        calls.join_all().await;
+        let open = || target.control.open_connections.load(Ordering::Relaxed);
+        wait_until("connections beyond the limit have been closed", || open() <= expected).await;
+        assert!(open() >= expected.min(4), "{} connections were kept of {expected}", open());
+        cluster.shut_down();
+    }
+}
