relay: targets that report leaving, and targets that ask for a pause

Change: core module leaving: a report excludes that instance at once, until the store no longer lists it or shows a new start; if all targets of the service leave, they are used for half of the drain time. Core: a target that asks for a pause gets neither requests nor probes until its end (600 s at most); if all targets pause, requests that cannot wait are refused at once, queued ones as soon as the last target is held, each with the time at which the first one is back. Unreadable pauses count as 1 s. Metrics targets_held_off, targets_reported_leaving; a log line each.

--- a/crates/core/src/dispatch/admit.rs
+++ b/crates/core/src/dispatch/admit.rs
@@ -50,6 +50,9 @@
         if now >= request.deadline {
             return Err(RefusalReason::DeadlinePassed);
         }
+        if self.targets.held_as_a_whole_until().is_some_and(|end| end >= request.deadline) {
+            return Err(RefusalReason::DeadlineUnreachable);
+        }
         if self.ranks[request.rank].queue.len() >= self.document.ranks[request.rank].queue_limit {
             return Err(RefusalReason::QueueFull);
         }
@@ -93,7 +96,14 @@
 
     /// Returns the delay after which a refused request is likely to be admitted.
     pub(super) fn retry_after(&mut self, rank: RankId, now: Instant) -> Duration {
-        self.predicted_wait(rank, now).max(MIN_RETRY_AFTER)
+        let pause = self.remaining_pause(now);
+        self.predicted_wait(rank, now).max(MIN_RETRY_AFTER).max(pause)
+    }
+
+    /// Returns the time until the first target accepts requests again if all have asked for a pause.
+    pub(super) fn remaining_pause(&self, now: Instant) -> Duration {
+        let end = self.targets.held_as_a_whole_until();
+        end.map_or(Duration::ZERO, |end| end.saturating_duration_since(now))
     }
 
     fn enqueue(&mut self, request: &NewRequest, now: Instant) {
--- a/crates/core/src/dispatch/attempt.rs
+++ b/crates/core/src/dispatch/attempt.rs
@@ -6,7 +6,10 @@
 use crate::queue::QueuedRequest;
 use crate::reason::RetryReason;
 use crate::target::{LoadReport, WorkReading};
-use std::time::Instant;
+use std::time::{Duration, Instant};
+
+/// Maximum time for which a target is held off at once. A longer pause than that is taken for a mistake.
+const MAX_HOLD_OFF: Duration = Duration::from_secs(600);
 
 /// How an attempt failed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -150,6 +153,19 @@
         self.return_idle_loan(target, actions);
     }
 
+    /// Withholds requests and probes from a target for `pause`, because it has asked for that, and refuses the
+    /// queued requests that can no longer be answered in time.
+    pub fn hold_off(
+        &mut self,
+        target: TargetKey,
+        pause: Duration,
+        now: Instant,
+        actions: &mut Vec<DispatchAction>,
+    ) {
+        self.targets.hold_off(target, now + pause.min(MAX_HOLD_OFF));
+        self.expire_queued(now, actions);
+    }
+
     /// Records that the body of a response from this target was complete.
     pub fn record_complete_body(&mut self, target: TargetKey) {
         self.targets.record_complete_body(target);
--- a/crates/core/src/dispatch/bind.rs
+++ b/crates/core/src/dispatch/bind.rs
@@ -55,8 +55,9 @@
         if self.settings.policy.is_baseline() {
             return;
         }
+        let pause = self.remaining_pause(now);
         for rank in 0..self.ranks.len() {
-            let response_time = self.min_response_time(rank);
+            let response_time = pause + self.min_response_time(rank);
             let is_expired =
                 |queued: &QueuedRequest| !queued.is_hedge && now + response_time > queued.deadline;
             while let Some(queued) = self.ranks[rank].queue.pop_front_if(is_expired) {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -18,6 +18,7 @@
 //! | [`dispatch`] | admission, late binding, retries and hedges for one service |
 //! | [`route`] | routes by host and path prefix, and the service documents derived from them |
 //! | [`execution`] | what is known about the execution of a request, over all of its attempts |
+//! | [`leaving`] | targets that have reported that they are leaving |
 //! | [`memory_budget`] | memory for responses, shared so that endless ones leave room for others |
 //! | [`budget`] | retry and hedge budgets, as a ratio to first attempts |
 //! | [`probe_schedule`] | wall-clock schedule that keeps probes within their budget |
@@ -45,6 +46,7 @@
 pub mod finding;
 pub mod home;
 pub mod ids;
+pub mod leaving;
 pub mod member;
 pub mod memory_budget;
 pub mod overlay;
--- a/crates/core/src/target.rs
+++ b/crates/core/src/target.rs
@@ -201,6 +201,7 @@
             ejections: 0,
             ejected_until: None,
             suspended_until: None,
+            held_until: None,
             free_list_index: None,
             is_in_timer_list: false,
         };
@@ -428,6 +429,24 @@
         self.update_lists(key);
     }
 
+    /// Withholds requests and probes from a target until `until`, because it has asked for that. A shorter
+    /// pause does not end a longer one. All targets may be held at the same time.
+    pub fn hold_off(&mut self, key: TargetKey, until: Instant) {
+        if let Some(target) = self.targets.get_mut(key) {
+            target.held_until = target.held_until.max(Some(until));
+            self.update_lists(key);
+        }
+    }
+
+    /// Returns when the first target accepts requests again if all targets that are not leaving have asked
+    /// for a pause.
+    pub fn held_as_a_whole_until(&self) -> Option<Instant> {
+        let live = self.targets.values().filter(|target| target.lifecycle == TargetLifecycle::Live);
+        let mut ends = live.map(|target| target.held_until);
+        let first = ends.next()??;
+        ends.try_fold(first, |earliest, end| end.map(|end| end.min(earliest)))
+    }
+
     /// Lends one free slot until `expires` and returns its target's address. Only slots that this
     /// entry VM owns are lent.
     pub fn lend_slot(&mut self, expires: Instant) -> Option<SocketAddr> {
@@ -467,7 +486,7 @@
         Some(address)
     }
 
-    /// Ends the reports, loans, ejections and suspensions that have expired by `now`. Removed targets
+    /// Ends the reports, loans, ejections, suspensions and pauses that have expired by `now`. Removed targets
     /// leave the timer list.
     pub fn tick(&mut self, now: Instant) {
         for key in std::mem::take(&mut self.timer_list) {
@@ -478,7 +497,7 @@
         }
     }
 
-    /// Returns whether any report, loan, ejection or suspension will expire.
+    /// Returns whether any report, loan, ejection, suspension or pause will expire.
     pub fn has_timers(&self) -> bool {
         !self.timer_list.is_empty()
     }
@@ -505,6 +524,9 @@
             target.is_on_trial = true;
             self.excluded_count -= 1;
         }
+        if target.held_until.is_some_and(|until| until <= now) {
+            target.held_until = None;
+        }
         self.update_lists(key);
     }
 
--- a/crates/core/src/target/state.rs
+++ b/crates/core/src/target/state.rs
@@ -164,6 +164,8 @@
     pub(super) ejections: u32,
     pub(super) ejected_until: Option<Instant>,
     pub(super) suspended_until: Option<Instant>,
+    /// Time until which the target has asked for no requests.
+    pub(super) held_until: Option<Instant>,
     pub(super) free_list_index: Option<usize>,
     /// Whether the target is in the table's timer list.
     pub(super) is_in_timer_list: bool,
@@ -198,11 +200,18 @@
         self.ramp_limit = self.ramp_limit.max(raised);
     }
 
-    /// Returns whether the target is neither ejected nor suspended nor leaving.
+    /// Returns whether the target is neither ejected nor suspended nor leaving, and has not asked for a
+    /// pause.
     pub fn is_usable(&self) -> bool {
         self.lifecycle == TargetLifecycle::Live
             && self.ejected_until.is_none()
             && self.suspended_until.is_none()
+            && self.held_until.is_none()
+    }
+
+    /// Returns the time until which the target has asked for no requests, if it has.
+    pub fn held_until(&self) -> Option<Instant> {
+        self.held_until
     }
 
     /// Returns whether the target is ejected because its responses kept failing.
@@ -292,6 +301,7 @@
             || self.foreign_reported_at.is_some()
             || self.ejected_until.is_some()
             || self.suspended_until.is_some()
+            || self.held_until.is_some()
     }
 
     /// Returns whether another request may be sent to the target now.
--- a/crates/node/src/dispatcher_handle.rs
+++ b/crates/node/src/dispatcher_handle.rs
@@ -289,6 +289,13 @@
         })
     }
 
+    /// Withholds requests and probes from the target for `pause`, because it has asked for that.
+    pub fn hold_off(&self, pause: Duration) {
+        self.handle.run_operation(|dispatcher, now, actions| {
+            dispatcher.hold_off(self.target, pause, now, actions);
+        });
+    }
+
     /// Records that the response body is complete, and releases the slot.
     pub fn record_complete_body(self) {
         self.handle.run_operation(|dispatcher, _, _| dispatcher.record_complete_body(self.target));
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -101,10 +101,14 @@
     pub early_refusals: AtomicU64,
     /// Response bodies cut because they broke off at the target or exceeded a limit.
     pub responses_cut: AtomicU64,
+    /// Pauses that targets have asked for.
+    pub targets_held_off: AtomicU64,
+    /// Targets that have reported in a response that they are leaving.
+    pub targets_reported_leaving: AtomicU64,
 }
 
 impl ProcessCounters {
-    fn named(&self) -> [(&'static str, &AtomicU64); 17] {
+    fn named(&self) -> [(&'static str, &AtomicU64); 19] {
         [
             ("lookups", &self.lookups),
             ("probe_calls", &self.probe_calls),
@@ -123,6 +127,8 @@
             ("entries_held", &self.entries_held),
             ("early_refusals", &self.early_refusals),
             ("responses_cut", &self.responses_cut),
+            ("targets_held_off", &self.targets_held_off),
+            ("targets_reported_leaving", &self.targets_reported_leaving),
         ]
     }
 }
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -19,6 +19,7 @@
 use sniperelay_node::traffic::headers::strip_hop_by_hop;
 use sniperelay_node::traffic::pool::PooledConnection;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 /// Time for which an idle connection is kept open if the target does not state a keep-alive time:
@@ -129,8 +130,7 @@
         };
         match sender.try_send_request(request).await {
             Ok(response) => {
-                let memory = state.response_memory.open_share();
-                return receive_response(&outbound, response, memory, connection, slot).await;
+                return receive_response(&state, &outbound, response, connection, slot).await;
             }
             Err(mut error) => match error.take_message() {
                 // The connection was already closed, and no byte of the request was written to it.
@@ -169,9 +169,9 @@
 }
 
 async fn receive_response(
+    state: &RelayState,
     outbound: &OutboundRequest,
     response: Response<Incoming>,
-    mut memory: MemoryShare,
     connection: PooledConnection,
     slot: AttemptSlot,
 ) -> AttemptResult {
@@ -182,10 +182,14 @@
     let is_own = is_own_response(outbound, &response, connection.is_reused);
     let defect =
         if is_own { find_defect(&response).filter(|_| !is_not_executed) } else { Some(FOREIGN_ANSWER) };
+    if is_own {
+        record_target_wishes(state, &response, &slot);
+    }
     if let Some(cause) = defect {
         return failed_attempt(AttemptFailure::ConnectionLost, cause, slot);
     }
     let (mut parts, incoming) = response.into_parts();
+    let mut memory = state.response_memory.open_share();
     let body = match collect_body(incoming, &mut memory).await {
         Ok(body) => body,
         Err(cause) => {
@@ -212,6 +216,21 @@
     AttemptResult::Completed { response: Box::new(response), report, slot }
 }
 
+/// Records what a target asks for with its response: no new requests at all, because it is leaving, or none
+/// for a while.
+fn record_target_wishes(state: &RelayState, response: &Response<Incoming>, slot: &AttemptSlot) {
+    let instance = slot.instance();
+    if let Some(instance) = instance.as_ref().filter(|_| platform_headers::is_leaving(response.headers())) {
+        state.record_leaving(instance);
+    }
+    if let Some(pause) = platform_headers::read_pause(response) {
+        state.metrics.process().targets_held_off.fetch_add(1, Ordering::Relaxed);
+        let text = instance.as_deref().unwrap_or("-");
+        log::info!(target = text; "target {} held off for {pause:?}, as it asked", slot.address());
+        slot.hold_off(pause);
+    }
+}
+
 /// Receives a complete body. Returns the cause of the failure, for log lines, if the body breaks off or
 /// does not fit into its share of the memory for responses.
 async fn collect_body(
--- a/crates/relay/src/load_probe.rs
+++ b/crates/relay/src/load_probe.rs
@@ -11,7 +11,7 @@
 use http_body_util::{BodyExt, Limited};
 use sniperelay_core::ids::TargetKey;
 use sniperelay_core::target::SharedReport;
-use sniperelay_hosted::headers::{TargetReport, read_instance, read_report};
+use sniperelay_hosted::headers::{TargetReport, is_leaving, read_instance, read_pause, read_report};
 use sniperelay_node::dispatcher_handle::ServiceEntry;
 use sniperelay_node::traffic::body::full_body;
 use std::net::SocketAddr;
@@ -73,6 +73,8 @@
         .ok()?;
     let response = connection.sender()?.send_request(request).await.ok()?;
     let report = read_report(response.headers());
+    let is_target_leaving = is_leaving(response.headers());
+    let pause = read_pause(&response);
     let instance = read_instance(response.headers()).map(str::to_owned);
     Limited::new(response.into_body(), MAX_RESPONSE_BYTES).collect().await.ok()?;
     // A response without an instance is none to a probe: another response has arrived in its place.
@@ -81,5 +83,18 @@
     let expected = entry
         .dispatcher_handle
         .read(|dispatcher| dispatcher.targets().get(target).map(|target| target.instance.clone()));
-    report.filter(|_| Some(instance) == expected)
+    if Some(&instance) != expected.as_ref() {
+        return None;
+    }
+    if is_target_leaving {
+        state.record_leaving(&instance);
+    }
+    if let Some(pause) = pause {
+        log::info!(target = instance.as_str(); "target {address} held off for {pause:?}, as it asked");
+        state.metrics.process().targets_held_off.fetch_add(1, Ordering::Relaxed);
+        entry
+            .dispatcher_handle
+            .run_operation(|dispatcher, now, actions| dispatcher.hold_off(target, pause, now, actions));
+    }
+    report
 }
--- a/crates/relay/src/shared_state.rs
+++ b/crates/relay/src/shared_state.rs
@@ -10,6 +10,7 @@
     HOMES_PER_CELL, HomeCandidate, SizedCandidate, cell_targets, choose_homes_by_capacity,
 };
 use sniperelay_core::ids::{IncarnationId, InstanceName, ServiceName};
+use sniperelay_core::leaving::LeavingReports;
 use sniperelay_core::memory_budget::MemoryBudget;
 use sniperelay_core::pick::PickPolicy;
 use sniperelay_core::route::{RouteConfig, RouteTable};
@@ -17,6 +18,7 @@
 use sniperelay_hosted::bounds::PlatformBounds;
 use sniperelay_hosted::registration::{EntryVmRecord, TargetRecord};
 use sniperelay_hosted::store::ObjectStore;
+use sniperelay_node::boot_clock::{self, BootTime};
 use sniperelay_node::dispatcher_handle::{DispatcherHandle, OutgoingPeerMessage, ServiceEntry};
 use sniperelay_node::lifecycle::{LifecyclePhase, LifecycleView};
 use sniperelay_node::metrics::MetricSet;
@@ -82,6 +84,7 @@
     /// Whether the targets have been read.
     pub has_targets: AtomicBool,
     targets: Mutex<Arc<TargetMap>>,
+    leaving_reports: Mutex<LeavingReports>,
     /// Required by `sniperelay_node::dispatcher_handle` but unused: entry VMs on this platform do not send each
     /// other messages.
     peers: UnboundedSender<OutgoingPeerMessage>,
@@ -124,6 +127,7 @@
             is_membership_settled: AtomicBool::new(false),
             has_targets: AtomicBool::new(false),
             targets: Mutex::default(),
+            leaving_reports: Mutex::default(),
             peers,
             settings,
         };
@@ -191,8 +195,37 @@
         true
     }
 
+    /// Records that an instance has reported in a response that it is leaving.
+    pub fn record_leaving(&self, instance: &InstanceName) {
+        if self.lock_leaving_reports().record(instance, boot_clock::now()) {
+            self.metrics.process().targets_reported_leaving.fetch_add(1, Ordering::Relaxed);
+            log::info!(target = instance.as_str(); "target reports that it is leaving");
+            self.assign_targets();
+        }
+    }
+
+    /// Returns the next time at which a target that has reported leaving may no longer be used although all
+    /// targets of its service are leaving.
+    pub fn next_leaving_expiry(&self) -> Option<BootTime> {
+        self.lock_leaving_reports().next_expiry(self.bounds.target_drain, boot_clock::now())
+    }
+
+    fn lock_leaving_reports(&self) -> MutexGuard<'_, LeavingReports> {
+        self.leaving_reports.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Replaces the list of targets.
     pub fn set_targets(&self, targets: TargetMap) {
+        let previous = self.targets();
+        let started = |targets: &TargetMap, instance: &InstanceName| {
+            let record = targets.values().find(|record| record.instance == *instance);
+            record.map(|record| record.started_millis)
+        };
+        // An instance that has started again under its name has not reported anything.
+        self.lock_leaving_reports().retain_listed(|instance| {
+            let listed = started(&targets, instance);
+            listed.is_some() && listed == started(&previous, instance)
+        });
         *self.targets.lock().unwrap_or_else(PoisonError::into_inner) = Arc::new(targets);
         self.has_targets.store(true, Ordering::Relaxed);
         self.assign_targets();
@@ -289,6 +322,7 @@
                 targets_by_address.insert(record.address, (started, self.make_target(record)));
             }
         }
+        self.exclude_leaving(service, targets, targets_by_address.values_mut().map(|(_, target)| target));
         let shared_targets: Vec<SharedTarget> =
             targets_by_address.into_values().map(|(_, target)| target).collect();
         dispatcher_handle.run_operation(|dispatcher, now, actions| {
@@ -296,6 +330,30 @@
         });
     }
 
+    /// Marks the targets as leaving that have reported it before the store shows it.
+    fn exclude_leaving<'a>(
+        &self,
+        service: &str,
+        all_targets: &TargetMap,
+        own_targets: impl Iterator<Item = &'a mut SharedTarget>,
+    ) {
+        let reports = self.lock_leaving_reports();
+        if reports.is_empty() {
+            return;
+        }
+        let has_staying_peer = all_targets.values().any(|record| {
+            record.service == service
+                && record.lifecycle == TargetLifecycle::Live
+                && !reports.has_reported(&record.instance)
+        });
+        let now = boot_clock::now();
+        for target in own_targets {
+            if reports.is_excluded(&target.instance, has_staying_peer, self.bounds.target_drain, now) {
+                target.spec.lifecycle = TargetLifecycle::Leaving;
+            }
+        }
+    }
+
     fn make_target(&self, record: &TargetRecord) -> SharedTarget {
         let usable_slots = (f64::from(record.slots) * self.settings.routing.slot_fill).round();
         SharedTarget {
--- a/crates/relay/src/startup.rs
+++ b/crates/relay/src/startup.rs
@@ -14,6 +14,7 @@
 use sniperelay_config::RelaySettings;
 use sniperelay_config::relay::RelayEntrySettings;
 use sniperelay_hosted::bounds::decode_bounds;
+use sniperelay_node::boot_clock;
 use sniperelay_node::lifecycle::ServingState;
 use sniperelay_node::logs::LogControl;
 use std::net::SocketAddr;
@@ -25,6 +26,8 @@
 
 /// Maximum number of connections that wait to be accepted.
 const BACKLOG: u32 = 1024;
+/// Interval between two checks whether a leaving target may no longer be used.
+const LEAVING_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Interval between two scans for idle connections to targets.
 const IDLE_CLOSE_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -129,6 +132,7 @@
     tokio::spawn(probe_targets(state.clone()));
     tokio::spawn(run_upkeep(state.clone()));
     tokio::spawn(close_idle_connections(state.clone()));
+    tokio::spawn(expire_leaving_targets(state.clone()));
     drain_sender
 }
 
@@ -152,6 +156,18 @@
     }
 }
 
+/// Ends the use of targets that serve on because all targets of their service are leaving.
+async fn expire_leaving_targets(state: Arc<RelayState>) {
+    let mut next_expiry = None;
+    loop {
+        tokio::time::sleep(LEAVING_CHECK_INTERVAL).await;
+        if next_expiry.is_some_and(|expiry| boot_clock::now() >= expiry) {
+            state.assign_targets();
+        }
+        next_expiry = state.next_leaving_expiry();
+    }
+}
+
 async fn close_idle_connections(state: Arc<RelayState>) {
     loop {
         tokio::time::sleep(IDLE_CLOSE_INTERVAL).await;
