Slots: a late loan is no reason to refuse requests

Change: while such a response is outstanding for less than the duration of a loan (100 ms), an entry VM without own slots does not refuse by prediction; queue limit and deadline hold as before. Shown before: late_loan_is_no_reason_to_refuse_requests failed at 40 ms.

--- a/crates/core/src/dispatch/admit.rs
+++ b/crates/core/src/dispatch/admit.rs
@@ -65,10 +65,11 @@
     }
 
     /// Returns whether requests of `rank` have waited long enough for the drain rate to be
-    /// meaningful. Before that, a loan of slots may still be on its way.
+    /// meaningful. Before that, and without slots of its own, a loan of slots may still be on its way.
     fn is_backlogged(&self, rank: RankId, now: Instant) -> bool {
         let oldest = self.ranks[rank].queue.front();
-        oldest.is_some_and(|queued| queued.queued_at + MIN_BACKLOG_AGE <= now)
+        let is_old = oldest.is_some_and(|queued| queued.queued_at + MIN_BACKLOG_AGE <= now);
+        is_old && !(self.borrow_scheduler.is_awaiting_loan(now) && !self.targets.has_owned_slots())
     }
 
     /// Returns the time before the deadline that is reserved for a response of `rank` while
--- a/crates/core/src/target.rs
+++ b/crates/core/src/target.rs
@@ -305,6 +305,11 @@
         self.targets.values().filter(|target| target.is_usable()).map(TargetState::limit).sum()
     }
 
+    /// Returns whether this entry VM owns slots of any target.
+    pub fn has_owned_slots(&self) -> bool {
+        self.targets.values().any(|target| target.owned_slots > 0)
+    }
+
     /// Records that a request was sent to a target.
     pub fn start_request(&mut self, key: TargetKey) {
         if let Some(target) = self.targets.get_mut(key) {
