--- a/crates/core/src/dispatch/admit.rs
+++ b/crates/core/src/dispatch/admit.rs
@@ -69,7 +69,8 @@
     fn is_backlogged(&self, rank: RankId, now: Instant) -> bool {
         let oldest = self.ranks[rank].queue.front();
         let is_old = oldest.is_some_and(|queued| queued.queued_at + MIN_BACKLOG_AGE <= now);
-        is_old && !(self.borrow_scheduler.is_awaiting_loan(now) && !self.targets.has_owned_slots())
+        let may_get_loan = self.borrow_scheduler.is_awaiting_loan(now) && !self.targets.has_owned_slots();
+        is_old && !may_get_loan
     }
 
     /// Returns the time before the deadline that is reserved for a response of `rank` while
