relay: the store may return from an older copy

After a return from a copy a process read nothing any more until the revisions had been passed again; a watch could continue in a history that is another one; a put could meet a revision that had been given out again. Entries of the copy do not bring back targets that are leaving or gone (remembered for 120 s); targets that the copy lacks are held for 2 s; own registrations are written again, also over those of predecessors in the copy. Metric store_returns, a warning, the soak plays it.

--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -105,10 +105,12 @@
     pub targets_held_off: AtomicU64,
     /// Targets that have reported in a response that they are leaving.
     pub targets_reported_leaving: AtomicU64,
+    /// Returns of the store from an older copy, counted for each kind of object.
+    pub store_returns: AtomicU64,
 }
 
 impl ProcessCounters {
-    fn named(&self) -> [(&'static str, &AtomicU64); 19] {
+    fn named(&self) -> [(&'static str, &AtomicU64); 20] {
         [
             ("lookups", &self.lookups),
             ("probe_calls", &self.probe_calls),
@@ -129,6 +131,7 @@
             ("responses_cut", &self.responses_cut),
             ("targets_held_off", &self.targets_held_off),
             ("targets_reported_leaving", &self.targets_reported_leaving),
+            ("store_returns", &self.store_returns),
         ]
     }
 }
--- a/crates/platform/src/api.rs
+++ b/crates/platform/src/api.rs
@@ -11,8 +11,31 @@
 /// Result of a platform call.
 pub type Result<T> = std::result::Result<T, PlatformError>;
 /// Version of an object, or revision of the store.
+///
+/// A store that returns from an older copy gives out revisions again. The upper bits therefore hold the
+/// number of the store's history, which is higher after each such return; see [`version_in_history`]. Stores
+/// without such a number have a single history, 0.
 pub type ObjectVersion = u64;
 
+/// Number of bits of an [`ObjectVersion`] that hold the store's own revision.
+const REVISION_BITS: u32 = 40;
+
+/// Returns the version for a revision in one history of the store. Versions of a later history are higher
+/// than all versions of earlier ones.
+pub fn version_in_history(history: u64, revision: u64) -> ObjectVersion {
+    (history << REVISION_BITS) | revision_of(revision)
+}
+
+/// Returns the number of the history in which a version was given out.
+pub fn history_of(version: ObjectVersion) -> u64 {
+    version >> REVISION_BITS
+}
+
+/// Returns the store's own revision of a version.
+pub fn revision_of(version: ObjectVersion) -> u64 {
+    version & ((1 << REVISION_BITS) - 1)
+}
+
 /// Maximum size of an object's value, in bytes.
 pub const MAX_VALUE_BYTES: usize = 1024 * 1024;
 /// Maximum size of a response body that a client reads, in bytes: three times a list of 16,000 targets
--- a/crates/platform/src/transport.rs
+++ b/crates/platform/src/transport.rs
@@ -7,7 +7,7 @@
 use crate::api::{MAX_RESPONSE_BYTES, PlatformError, Result};
 use crate::limiter::{CallLimiter, LimiterRefusal};
 use bytes::Bytes;
-use http::{Request, StatusCode};
+use http::{HeaderMap, Request, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
@@ -145,6 +145,8 @@
 pub struct PlatformResponse {
     /// HTTP status.
     pub status: StatusCode,
+    /// Headers.
+    pub headers: HeaderMap,
     /// Complete body.
     pub body: Bytes,
 }
@@ -229,12 +231,12 @@
         let driver = AbortOnDrop(tokio::spawn(connection));
         let no_response = |error: &dyn std::fmt::Display| PlatformError::NoResponse(error.to_string());
         let response = sender.send_request(request).await.map_err(|error| no_response(&error))?;
-        let status = response.status();
-        let limited = Limited::new(response.into_body(), MAX_RESPONSE_BYTES);
+        let (parts, incoming) = response.into_parts();
+        let limited = Limited::new(incoming, MAX_RESPONSE_BYTES);
         let body = limited.collect().await.map_err(|error| no_response(&error))?.to_bytes();
         self.counters.received_bytes.fetch_add(body.len() as u64, Ordering::Relaxed);
         drop(driver);
-        Ok(PlatformResponse { status, body })
+        Ok(PlatformResponse { status: parts.status, headers: parts.headers, body })
     }
 
     async fn connect(&self) -> Result<TcpStream> {
--- a/crates/relay/src/own_registration.rs
+++ b/crates/relay/src/own_registration.rs
@@ -12,6 +12,8 @@
     pub version: u64,
     /// Whether it describes this process.
     pub is_own: bool,
+    /// Whether it comes from an older copy of the store and may be older than this process.
+    pub is_restored: bool,
 }
 
 /// The registration of this process.
@@ -30,7 +32,7 @@
     /// Returns whether a successor has registered.
     pub fn is_replaced(&self, found: Option<FoundRegistration>) -> bool {
         let Some((found, written)) = found.zip(self.written_version) else { return false };
-        !found.is_own && found.version > written
+        !found.is_own && !found.is_restored && found.version > written
     }
 
     /// Records that this process has registered.
--- a/crates/relay/src/store_sync.rs
+++ b/crates/relay/src/store_sync.rs
@@ -11,6 +11,7 @@
 use crate::replication::{StoreSource, fetch_seed_snapshot};
 use crate::shared_state::{EntryVmMap, RelayState, TargetMap};
 use crate::sync_progress::{NextRead, ReadOutcome, StoreAvailability, SyncProgress};
+use sniperelay_core::target::TargetLifecycle;
 use sniperelay_hosted::registration::{
     ENTRY_VM_PREFIX, TARGET_PREFIX, decode_entry_vm, decode_target, encode_entry_vm,
 };
@@ -56,7 +57,7 @@
     let mut latest: Option<StoredObject> = None;
     loop {
         for change in watcher.next_changes().await {
-            let StoreChange::Updated(object) = change else { continue };
+            let (StoreChange::Updated(object) | StoreChange::Restored(object)) = change else { continue };
             if object.key == CONFIG_KEY {
                 latest = Some(object);
             }
@@ -115,6 +116,8 @@
     targets: TargetMap,
     /// Targets whose entries have expired, with the time at which each of them is removed.
     held_entries: BTreeMap<String, BootTime>,
+    /// Targets that have been removed, with the start of the instance and the time of removal.
+    removed: BTreeMap<String, (Option<u64>, BootTime)>,
 }
 
 impl TargetRegistry {
@@ -126,6 +129,7 @@
         for change in changes {
             match change {
                 StoreChange::Updated(object) => self.insert(&object),
+                StoreChange::Restored(object) => self.insert_restored(&object),
                 StoreChange::Deleted(key) => self.remove(&key, held_until),
             }
         }
@@ -147,6 +151,26 @@
         }
     }
 
+    /// Applies an entry of an older copy of the store. A target that is known to be leaving or gone stays so
+    /// until its entry is written again.
+    fn insert_restored(&mut self, object: &StoredObject) {
+        let name = object_name(&object.key);
+        let Ok(record) = decode_target(name, &object.value) else {
+            self.insert(object);
+            return;
+        };
+        let has_left = self.removed.get(name).is_some_and(|(started, _)| *started == record.started_millis);
+        let is_leaving = self.targets.get(name).is_some_and(|known| {
+            known.started_millis == record.started_millis && known.lifecycle == TargetLifecycle::Leaving
+        });
+        if has_left || is_leaving {
+            log::info!(target = name, revision = object.version; "restored entry ignored: the target is leaving or gone");
+            self.held_entries.remove(name);
+        } else {
+            self.insert(object);
+        }
+    }
+
     fn remove(&mut self, key: &str, held_until: Option<BootTime>) {
         let name = object_name(key);
         match held_until {
@@ -156,7 +180,7 @@
             }
             _ => {
                 log::info!(target = name; "target gone");
-                self.targets.remove(name);
+                self.remove_target(name);
             }
         }
     }
@@ -166,15 +190,19 @@
     }
 
     fn remove_expired(&mut self, now: BootTime) {
-        let targets = &mut self.targets;
-        self.held_entries.retain(|name, until| {
-            let is_expired = *until <= now;
-            if is_expired {
-                log::info!(target = name.as_str(); "target gone: its entry was not registered again");
-                targets.remove(name);
-            }
-            !is_expired
-        });
+        let expired = self.held_entries.extract_if(.., |_, until| *until <= now);
+        let expired: Vec<String> = expired.map(|(name, _)| name).collect();
+        for name in expired {
+            log::info!(target = name.as_str(); "target gone: its entry was not registered again");
+            self.remove_target(&name);
+        }
+        self.removed.retain(|_, (_, removed_at)| now.saturating_sub(*removed_at) < REMOVED_TARGET_RETENTION);
+    }
+
+    fn remove_target(&mut self, name: &str) {
+        if let Some(record) = self.targets.remove(name) {
+            self.removed.insert(name.to_owned(), (record.started_millis, boot_clock::now()));
+        }
     }
 }
 
@@ -182,11 +210,18 @@
     key.split_once('/').map_or(key, |(_, name)| name)
 }
 
+/// Time for which removed targets are remembered, in case the store returns from a copy that still has them. A
+/// copy is some seconds old.
+const REMOVED_TARGET_RETENTION: Duration = Duration::from_secs(120);
+
 /// A change of one object.
 #[derive(Debug)]
 enum StoreChange {
     /// The object was created or changed and has this value.
     Updated(StoredObject),
+    /// The object is in the older copy from which the store has returned. Its value may be older than what was
+    /// known before.
+    Restored(StoredObject),
     /// The object with this key was deleted.
     Deleted(String),
 }
@@ -250,7 +285,8 @@
     fn find_registration(&self, vms: &EntryVmMap) -> Option<FoundRegistration> {
         let own = self.state.own_record();
         let version = *self.known_versions.get(&format!("{ENTRY_VM_PREFIX}{}", own.name))?;
-        Some(FoundRegistration { version, is_own: *vms.get(&own.name)? == own })
+        let is_restored = self.progress.is_restored(version);
+        Some(FoundRegistration { version, is_own: *vms.get(&own.name)? == own, is_restored })
     }
 
     /// Waits for changes. May return an empty list.
@@ -352,16 +388,23 @@
 
     /// Applies a list. `is_current` states whether it takes effect at once.
     fn apply_list(&mut self, list: ObjectList, is_current: bool) -> WatcherOutcome {
+        let is_restored = self.progress.begins_history(list.revision);
         if !self.progress.accept_list(list.revision, is_current) {
             return ReadOutcome::OlderList { revision: list.revision };
         }
+        if is_restored {
+            self.availability.record_return(boot_clock::now());
+            self.state.metrics.process().store_returns.fetch_add(1, Ordering::Relaxed);
+            log::warn!(prefix = self.prefix, revision = list.revision; "the store has returned from an older copy");
+        }
         self.state.replica.apply_snapshot(self.prefix, &list);
         let listed: BTreeMap<String, u64> =
             list.items.iter().map(|item| (item.key.clone(), item.version)).collect();
         let deleted_keys = self.known_versions.keys().filter(|key| !listed.contains_key(*key));
         let mut changes: Vec<StoreChange> = deleted_keys.cloned().map(StoreChange::Deleted).collect();
         let is_changed = |item: &StoredObject| self.known_versions.get(&item.key) != Some(&item.version);
-        changes.extend(list.items.into_iter().filter(is_changed).map(StoreChange::Updated));
+        let to_change = if is_restored { StoreChange::Restored } else { StoreChange::Updated };
+        changes.extend(list.items.into_iter().filter(is_changed).map(to_change));
         self.known_versions = listed;
         ReadOutcome::Read(changes)
     }
@@ -445,7 +488,7 @@
 
 fn apply_entry_vm(vms: &mut EntryVmMap, change: StoreChange) {
     match change {
-        StoreChange::Updated(object) => {
+        StoreChange::Updated(object) | StoreChange::Restored(object) => {
             let name = object_name(&object.key);
             match decode_entry_vm(name, &object.value) {
                 Ok(record) => drop(vms.insert(name.to_owned(), record)),
--- a/crates/relay/src/sync_progress.rs
+++ b/crates/relay/src/sync_progress.rs
@@ -5,9 +5,12 @@
 //!
 //! - Revisions never decrease: a list of an earlier revision is not used, and does not count as up to date.
 //! - Objects take effect only once everything up to a current revision has been read.
+//! - A store that returns from an older copy is in a new history, whose versions are higher than all before.
+//!   What a list shows of such a copy is known to be restored, so that it does not replace newer knowledge.
 //! - Only a response proves that the store is available; a change of the source does not.
 
 use sniperelay_node::boot_clock::BootTime;
+use sniperelay_platform::api::history_of;
 
 /// What has been read, and from where the next read continues.
 #[derive(Debug, Default)]
@@ -18,6 +21,8 @@
     highest_revision: u64,
     is_caught_up: bool,
     needs_fresh_list: bool,
+    /// Revision of the first list in the current history, if there was an earlier history.
+    restored_revision: u64,
 }
 
 /// The read that continues from a [`SyncProgress`].
@@ -49,6 +54,9 @@
             self.needs_fresh_list = true;
             return false;
         }
+        if self.begins_history(revision) {
+            self.restored_revision = revision;
+        }
         self.highest_revision = revision;
         self.revision = Some(revision);
         self.needs_fresh_list = false;
@@ -56,6 +64,17 @@
         true
     }
 
+    /// Returns whether a version belongs to the copy from which the store has returned. It may then be older
+    /// than what was known before.
+    pub fn is_restored(&self, version: u64) -> bool {
+        version <= self.restored_revision && history_of(version) == history_of(self.restored_revision)
+    }
+
+    /// Returns whether a revision begins a new history after an earlier one.
+    pub fn begins_history(&self, revision: u64) -> bool {
+        self.has_read() && history_of(revision) > history_of(self.highest_revision)
+    }
+
     /// Records the changes up to a revision.
     pub fn accept_changes(&mut self, revision: u64) {
         self.revision = Some(revision);
@@ -129,6 +148,11 @@
         is_regained
     }
 
+    /// Records that the store has returned from a copy, which is an outage even if no read has failed.
+    pub fn record_return(&mut self, now: BootTime) {
+        self.available_since = Some(now);
+    }
+
     /// Returns the time at which the store last became available again after a failure.
     pub fn available_since(&self) -> Option<BootTime> {
         self.available_since
--- a/crates/relay/tests/own_registration.rs
+++ b/crates/relay/tests/own_registration.rs
@@ -3,7 +3,7 @@
 use sniperelay_relay::own_registration::{FoundRegistration, OwnRegistration};
 
 fn found(version: u64, is_own: bool) -> Option<FoundRegistration> {
-    Some(FoundRegistration { version, is_own })
+    Some(FoundRegistration { version, is_own, is_restored: false })
 }
 
 #[test]
@@ -44,3 +44,13 @@
     }
     assert_eq!((version, owner), (2, Some(1)));
 }
+
+/// The store returns from a copy that holds the registration of an earlier process. Its version is higher than
+/// all versions before, but it is no successor.
+#[test]
+fn restored_registration_of_a_predecessor_is_replaced() {
+    let mut registration = OwnRegistration::default();
+    registration.record_written(6);
+    let restored = Some(FoundRegistration { version: 1 << 40 | 3, is_own: false, is_restored: true });
+    assert!(registration.is_due(restored) && !registration.is_replaced(restored));
+}
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -62,6 +62,13 @@
     }
 }
 
+/// Copy of all objects; see [`PlatformStandin::restore`].
+#[derive(Debug, Clone)]
+pub struct StoreCopy {
+    revision: u64,
+    objects: Vec<StoredObject>,
+}
+
 /// Injected faults and counters.
 #[derive(Debug, Default)]
 pub struct PlatformControl {
@@ -86,6 +93,8 @@
     store: Mutex<ObjectStore>,
     /// Revision and objects that lists return to callers that accept old ones, if not the current ones.
     frozen: Mutex<Option<(u64, Vec<StoredObject>)>>,
+    /// Number of times that the store has returned from a copy; sent in responses of the hosted API.
+    history: AtomicU64,
     changed: watch::Sender<u64>,
     started: Instant,
     /// Injected faults and counters.
@@ -104,6 +113,7 @@
             address: listener.local_addr()?,
             store: Mutex::default(),
             frozen: Mutex::default(),
+            history: AtomicU64::new(0),
             changed: watch::Sender::new(0),
             started: Instant::now(),
             control: PlatformControl::default(),
@@ -147,6 +157,24 @@
         store.log.clear();
     }
 
+    /// Returns a copy of the objects as they are now.
+    pub fn take_copy(&self) -> StoreCopy {
+        let (revision, objects) = self.list("");
+        StoreCopy { revision, objects }
+    }
+
+    /// Returns from a copy: what was written since is gone, and its revisions are given out again.
+    pub fn restore(&self, copy: &StoreCopy) {
+        let mut store = self.lock();
+        store.objects = copy.objects.iter().map(|object| (object.key.clone(), object.clone())).collect();
+        store.revision = copy.revision;
+        store.log.clear();
+        store.discarded_revision = copy.revision;
+        drop(store);
+        self.history.fetch_add(1, Ordering::Relaxed);
+        self.changed.send_replace(copy.revision);
+    }
+
     /// From now on, lists that may be old return the objects as they are now.
     pub fn freeze_stale_lists(&self) {
         let frozen = self.list("");
@@ -206,7 +234,10 @@
         let value = String::from_utf8(body.collect().await?.to_bytes().to_vec())?;
         let path = parts.uri.path().to_owned();
         if let Some(rest) = path.strip_prefix(hosted::OBJECTS_PATH) {
-            return self.handle_hosted(&parts, rest, &value).await;
+            let mut response = self.handle_hosted(&parts, rest, &value).await?;
+            let history = http::HeaderValue::from(self.history.load(Ordering::Relaxed));
+            response.headers_mut().insert("store-era", history);
+            return Ok(response);
         }
         let (resource, key) = path.trim_start_matches('/').split_once('/').unwrap_or(("", ""));
         let expected = parts.headers.get("if-match").and_then(|version| version.to_str().ok()?.parse().ok());
@@ -287,7 +318,7 @@
 
     fn changes_since(&self, prefix: &str, since: u64) -> Option<EventList> {
         let store = self.lock();
-        if since < store.discarded_revision {
+        if since < store.discarded_revision || since > store.revision {
             return None;
         }
         let events = store.log.iter().filter(|event| event.version > since && event.key.starts_with(prefix));
--- a/crates/standin/src/soak/mod.rs
+++ b/crates/standin/src/soak/mod.rs
@@ -1,6 +1,7 @@
 //! Fault soak of `sniperelay relay` processes on loopback.
 //!
-//! Callers send requests throughout the soak. Meanwhile the store discards its change history, targets
+//! Callers send requests throughout the soak. Meanwhile the store discards its change history or returns from an
+//! older copy, targets
 //! respond incorrectly (among others: cut and stalled bodies, late second copies, heads and bodies without
 //! end), proxies reset, stall and delay connections, and signals stop, kill and pause the
 //! processes.
@@ -33,7 +34,7 @@
 pub mod proxy;
 pub mod target;
 
-use crate::platform::PlatformStandin;
+use crate::platform::{PlatformStandin, StoreCopy};
 use anyhow::Result;
 use caller::{RequestLog, run_caller};
 use fleet::SoakFleet;
@@ -103,6 +104,8 @@
     targets: Vec<(Arc<SoakTarget>, Arc<SoakProxy>)>,
     fleet: SoakFleet,
     config_version: u64,
+    /// Copy from which the store returns with a later fault.
+    store_copy: Option<StoreCopy>,
 }
 
 /// Runs one soak.
@@ -169,6 +172,7 @@
             targets,
             fleet,
             config_version: 1,
+            store_copy: None,
         };
         (0..TARGET_COUNT).for_each(|index| environment.register_target(index, "ready"));
         environment.fleet.wait_ready().await;
@@ -187,7 +191,7 @@
     async fn inject_fault(&mut self) -> String {
         let index = self.rng.random_range(0..TARGET_COUNT);
         let vm = self.rng.random_range(0..ENTRY_VM_COUNT);
-        match self.rng.random_range(0..13) {
+        match self.rng.random_range(0..15) {
             0 => self.set_store_mode(ProxyMode::Stall),
             1 => self.set_store_mode(ProxyMode::Reset),
             2 => self.set_store_mode(ProxyMode::Delay(Duration::from_millis(400))),
@@ -203,6 +207,11 @@
                 "store drops its change history".to_owned()
             }
             11 => {
+                self.store_copy = Some(self.store.take_copy());
+                "store is copied".to_owned()
+            }
+            12 => self.restore_store(),
+            13 => {
                 let state = if self.rng.random_bool(0.5) { "draining" } else { "ready" };
                 self.register_target(index, state);
                 format!("target {index} {state}")
@@ -215,6 +224,16 @@
         }
     }
 
+    /// Lets the store return from the last copy, if there is one. The operator and the targets write again what
+    /// they have written, as they do on the platform.
+    fn restore_store(&mut self) -> String {
+        let Some(copy) = self.store_copy.take() else { return "store has no copy".to_owned() };
+        self.store.restore(&copy);
+        self.store.put("config/main", make_config(self.config_version).to_string());
+        (0..TARGET_COUNT).for_each(|index| self.register_target(index, "ready"));
+        "store returns from a copy".to_owned()
+    }
+
     fn set_store_mode(&self, mode: ProxyMode) -> String {
         self.store_proxy.set_mode(mode);
         format!("store {mode:?}")
