Held entries: no method of a later Rust version

Cause: clippy's incompatible_msrv (BTreeMap::extract_if needs 1.91, the project states 1.90). Change: names are collected first.

--- a/crates/relay/src/store_sync.rs
+++ b/crates/relay/src/store_sync.rs
@@ -190,10 +190,11 @@
     }
 
     fn remove_expired(&mut self, now: BootTime) {
-        let expired = self.held_entries.extract_if(.., |_, until| *until <= now);
-        let expired: Vec<String> = expired.map(|(name, _)| name).collect();
+        let expired = self.held_entries.iter().filter(|(_, until)| **until <= now);
+        let expired: Vec<String> = expired.map(|(name, _)| name.clone()).collect();
         for name in expired {
             log::info!(target = name.as_str(); "target gone: its entry was not registered again");
+            self.held_entries.remove(&name);
             self.remove_target(&name);
         }
         self.removed.retain(|_, (_, removed_at)| now.saturating_sub(*removed_at) < REMOVED_TARGET_RETENTION);
