--- a/crates/node/tests/planned_stop.rs
+++ b/crates/node/tests/planned_stop.rs
@@ -4,10 +4,12 @@
 
 use common::{start_cluster, status_of};
 use sniperelay_node::traffic::caller_connection::serve_callers;
+use sniperelay_standin::cluster::ClusterStandin;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
 use tokio::sync::watch;
+use tokio::task::JoinHandle;
 
 const READ: &[u8] = b"GET /rota/x HTTP/1.1\r\nHost: rota-board\r\n\r\n";
 
@@ -28,16 +30,22 @@
     stream
 }
 
+/// Serves callers on the runtime of the test. Returns the address, what begins the stop, and the task, which
+/// returns whether all connections ended in time.
+async fn start_server(cluster: &ClusterStandin) -> (SocketAddr, watch::Sender<bool>, JoinHandle<bool>) {
+    let node_state = cluster.entry_vms[0].node_state().clone();
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (drain_sender, drain) = watch::channel(false);
+    (address, drain_sender, tokio::spawn(serve_callers(node_state, listener, drain)))
+}
+
 /// The runtime of this test has one thread, so that nothing is accepted or read between the steps. Every
 /// connection has been accepted by the kernel when the stop begins.
 #[tokio::test]
 async fn requests_sent_just_before_the_stop_get_their_responses() {
     let cluster = start_cluster(1, 2).await;
-    let node_state = cluster.entry_vms[0].node_state().clone();
-    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap();
-    let (drain_sender, drain) = watch::channel(false);
-    let server = tokio::spawn(serve_callers(node_state, listener, drain));
+    let (address, drain_sender, server) = start_server(&cluster).await;
     // Connections that have carried a request, and are idle when the next one arrives.
     let mut streams = Vec::new();
     for _ in 0..8 {
@@ -74,11 +82,7 @@
 #[tokio::test]
 async fn request_on_a_connection_opened_just_before_the_stop_gets_its_response() {
     let cluster = start_cluster(1, 1).await;
-    let node_state = cluster.entry_vms[0].node_state().clone();
-    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap();
-    let (drain_sender, drain) = watch::channel(false);
-    let server = tokio::spawn(serve_callers(node_state, listener, drain));
+    let (address, drain_sender, server) = start_server(&cluster).await;
     let mut stream = connect(address);
     tokio::time::sleep(Duration::from_millis(50)).await;
     drain_sender.send_replace(true);
@@ -94,11 +98,7 @@
 #[tokio::test]
 async fn idle_connections_end_with_the_stop() {
     let cluster = start_cluster(1, 1).await;
-    let node_state = cluster.entry_vms[0].node_state().clone();
-    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap();
-    let (drain_sender, drain) = watch::channel(false);
-    let server = tokio::spawn(serve_callers(node_state, listener, drain));
+    let (address, drain_sender, server) = start_server(&cluster).await;
     let streams = [connect(address), connect(address)];
     tokio::time::sleep(Duration::from_millis(50)).await;
     drain_sender.send_replace(true);
