--- a/crates/standin/src/soak/caller.rs
+++ b/crates/standin/src/soak/caller.rs
@@ -150,17 +150,28 @@
     }
 }
 
-/// Sends `count` reads, each on a new connection, and returns the number of responses with status 200.
-pub async fn send_final_reads(fleet: &SoakFleet, request_log: &RequestLog, count: usize) -> usize {
-    let mut served = 0;
+/// Sends `count` reads, each on a new connection. Returns a description of each one that is not served: its ID,
+/// and the status and reason of the response.
+pub async fn send_final_reads(fleet: &SoakFleet, request_log: &RequestLog, count: usize) -> Vec<String> {
+    let mut unserved = Vec::new();
     for number in 0..count {
-        let Some(mut stream) = connect(fleet, number).await else { continue };
         let id = format!("proof-{number}");
+        let Some(mut stream) = connect(fleet, number).await else {
+            unserved.push(format!("{id}: no connection"));
+            continue;
+        };
         let response = send_request(&mut stream, &id, false).await;
-        served += usize::from(response.as_ref().is_some_and(|response| response.status() == 200));
+        match &response {
+            Some(response) if response.status() == 200 => {}
+            Some(response) => {
+                let reason = response.header("sniperelay-reason").unwrap_or_default();
+                unserved.push(format!("{id}: {} {reason}", response.status()));
+            }
+            None => unserved.push(format!("{id}: no response")),
+        }
         log_request(request_log, id, false, response.as_ref());
     }
-    served
+    unserved
 }
 
 /// Connects to an entry VM. Returns `None` after a short pause if the connection fails or times out.
--- a/crates/standin/src/soak/mod.rs
+++ b/crates/standin/src/soak/mod.rs
@@ -139,11 +139,13 @@
     for caller in callers {
         caller.await?;
     }
-    let served = caller::send_final_reads(&environment.fleet, &request_log, FINAL_READS).await;
-    if served < MIN_FINAL_READS_SERVED {
-        report
-            .violations
-            .push(format!("only {served} of {FINAL_READS} requests served after all faults were cleared"));
+    let unserved = caller::send_final_reads(&environment.fleet, &request_log, FINAL_READS).await;
+    if FINAL_READS - unserved.len() < MIN_FINAL_READS_SERVED {
+        report.violations.push(format!(
+            "{} of {FINAL_READS} requests not served after all faults were cleared: {}",
+            unserved.len(),
+            unserved.join(", ")
+        ));
     }
     report.violations.extend(environment.fleet.violations());
     report.violations.extend(request_log.find_violations(&run_counter));
