--- a/crates/core/src/execution.rs
+++ b/crates/core/src/execution.rs
@@ -44,7 +44,7 @@
         self.in_flight > 0
     }
 
-    /// Returns what the caller may be told if there is no response to the request.
+    /// Returns the outcome to report to the caller if there is no response to the request.
     pub fn outcome(&self) -> Outcome {
         if self.may_have_run || self.has_attempt_in_flight() { Outcome::Unknown } else { Outcome::NotRun }
     }
--- a/crates/node/src/traffic/pool.rs
+++ b/crates/node/src/traffic/pool.rs
@@ -166,8 +166,8 @@
         self.address
     }
 
-    /// Closes the connection after this request instead of returning it to the pool, because a later
-    /// response could not be told from a second copy of this one.
+    /// Closes the connection after this request instead of returning it to the pool, because a second copy
+    /// of this response would be taken for the next response.
     pub fn forbid_reuse(&mut self) {
         self.is_reuse_forbidden = true;
     }
--- a/crates/node/src/traffic/response_body.rs
+++ b/crates/node/src/traffic/response_body.rs
@@ -5,8 +5,8 @@
 //! - A body ends cleanly for the caller only if it ended cleanly at the target. A body that breaks off,
 //!   exceeds a limit, or is cut because its caller does not read it ends with an error, so that the
 //!   server closes the caller's connection or resets the stream.
-//! - The end of a body that has neither a length nor chunks is the end of its connection, which cannot
-//!   be told from a break-off. Such a body therefore ends with an error, too.
+//! - The end of a body that has neither a length nor chunks is the end of its connection, which looks the
+//!   same as a break-off. Such a body therefore ends with an error, too.
 //! - The slot of an attempt is held until its body has ended or the attempt is cancelled.
 //! - At most [`MAX_BUFFERED_FRAMES`] frames of a body are in memory, each no larger than the read buffer
 //!   of the connection ([`crate::traffic::pool::READ_BUFFER_BYTES`]).
