Guard: targets that reset the connection of a claim

Test reset_of_a_claim_is_no_proof_and_causes_no_storm_of_connections: 502 exactly for the claims that a target received, each received once, no more than three connections a claim. It passes with the code as it was; what prevents the fault: only a connection that closed before the write proves that nothing was sent.

--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -23,6 +23,8 @@
     Hold,
     /// Closes the connection without a response.
     Close,
+    /// Resets the connection without a response.
+    Reset,
     /// Writes the first text like [`Self::Respond`], then the second one again and again, with this pause
     /// in between, until the peer closes the connection.
     Endless(String, String, std::time::Duration),
@@ -39,6 +41,8 @@
     pub early_closes: AtomicUsize,
     /// Bytes written by [`ScriptedAction::Endless`].
     pub endless_bytes: AtomicUsize,
+    /// Connections accepted.
+    pub connections: AtomicUsize,
     /// Response to health checks; a valid one if there is none.
     health_action: Option<ScriptedAction>,
 }
@@ -67,11 +71,13 @@
             released: tokio::sync::Semaphore::new(0),
             early_closes: AtomicUsize::new(0),
             endless_bytes: AtomicUsize::new(0),
+            connections: AtomicUsize::new(0),
             health_action,
         });
         let server = target.clone();
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
+                server.connections.fetch_add(1, Ordering::Relaxed);
                 tokio::spawn(server.clone().serve(stream));
             }
         });
@@ -136,6 +142,11 @@
                     }
                 }
                 ScriptedAction::Close => return,
+                ScriptedAction::Reset => {
+                    // A linger time of zero makes the close a reset.
+                    socket2::SockRef::from(&stream).set_linger(Some(std::time::Duration::ZERO)).unwrap();
+                    return;
+                }
                 ScriptedAction::Endless(first, repeated, pause) => {
                     let first = first.replace("{id}", &id);
                     return self.write_endless(&mut stream, &first, &repeated, pause).await;
--- a/crates/relay/tests/target_wishes.rs
+++ b/crates/relay/tests/target_wishes.rs
@@ -132,3 +132,20 @@
         assert_eq!((status(&response), header(&response, "retry-after").as_deref()), (200, Some("30")));
     }
 }
+
+/// Targets of some services reset the connection when they are full. A reset after the request was written proves
+/// nothing, so a claim is neither run again nor called not run; and there is no storm of connections.
+#[tokio::test]
+async fn reset_of_a_claim_is_no_proof_and_causes_no_storm_of_connections() {
+    let env = TestEnv::start(vec![vec![ScriptedAction::Reset], vec![ScriptedAction::Reset]]).await;
+    let count = 20;
+    let responses = send_claims(&env, count).await;
+    let received: usize = env.targets.iter().map(|target| target.received().len()).sum();
+    let lost = responses.iter().filter(|response| status(response) == 502).count();
+    let refused = responses.iter().filter(|response| status(response) == 503).count();
+    assert_eq!((lost, lost + refused), (received, count), "{received} claims reached a target");
+    let connections: usize =
+        env.targets.iter().map(|target| target.connections.load(Ordering::Relaxed)).sum();
+    // A probe for each target now and then also takes a connection.
+    assert!(connections <= 3 * count, "{connections} connections for {count} claims");
+}
