relay: count and log requests that get no response on a connection that ends

Change: the end of a caller connection has a reason. Requests in flight at the end, and bytes that arrive after the close, are counted and logged with the request's ID (20 lines a second at most), so that 'explain' finds them; idle timeouts are counted. Conclusion: the next such end names the request, the reason of the close and the idle time.

--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -105,12 +105,18 @@
     pub targets_held_off: AtomicU64,
     /// Targets that have reported in a response that they are leaving.
     pub targets_reported_leaving: AtomicU64,
+    /// Caller connections closed because they were idle for too long.
+    pub connections_timed_out: AtomicU64,
+    /// Requests in flight when their caller's connection ended.
+    pub requests_cancelled: AtomicU64,
+    /// Requests whose bytes arrived after this process had closed their connection.
+    pub requests_discarded: AtomicU64,
     /// Returns of the store from an older copy, counted for each kind of object.
     pub store_returns: AtomicU64,
 }
 
 impl ProcessCounters {
-    fn named(&self) -> [(&'static str, &AtomicU64); 20] {
+    fn named(&self) -> [(&'static str, &AtomicU64); 23] {
         [
             ("lookups", &self.lookups),
             ("probe_calls", &self.probe_calls),
@@ -131,6 +137,9 @@
             ("responses_cut", &self.responses_cut),
             ("targets_held_off", &self.targets_held_off),
             ("targets_reported_leaving", &self.targets_reported_leaving),
+            ("connections_timed_out", &self.connections_timed_out),
+            ("requests_cancelled", &self.requests_cancelled),
+            ("requests_discarded", &self.requests_discarded),
             ("store_returns", &self.store_returns),
         ]
     }
--- a/crates/relay/src/caller_connection.rs
+++ b/crates/relay/src/caller_connection.rs
@@ -7,13 +7,15 @@
 //! flight, so that it never follows a response that closes the connection.
 
 use crate::caller_response::CallerResponse;
+use crate::connection_end::{ConnectionEnd, MAX_LATE_BYTES, report_cancelled, report_late_bytes};
 use crate::request_body::BodyReader;
 use crate::request_handler::handle_request;
 use crate::request_head::{RequestError, RequestHead, parse_head};
 use crate::shared_state::RelayState;
 use bytes::{Bytes, BytesMut};
-use http::Method;
+use http::{HeaderValue, Method};
 use sniperelay_core::route::CallerLimits;
+use sniperelay_hosted::headers::REQUEST_ID;
 use sniperelay_node::lifecycle::LifecyclePhase;
 use sniperelay_node::traffic::caller_connection::{FIRST_REQUEST_GRACE, take_backlog};
 use socket2::SockRef;
@@ -94,10 +96,11 @@
         log::debug!("cannot set TCP_NODELAY on a caller connection: {error}");
     }
     let mut connection = CallerConnection::new(state, stream, drain);
-    match connection.serve().await {
-        Ok(()) => connection.linger().await,
-        Err(error) => log::debug!("caller connection ended: {error}"),
-    }
+    let end = connection.serve().await.unwrap_or_else(|error| {
+        log::debug!("caller connection ended: {error}");
+        ConnectionEnd::Failed
+    });
+    connection.finish(end).await;
 }
 
 /// Guard that counts an open connection until it is dropped.
@@ -111,6 +114,7 @@
 
 /// A request in flight. Dropping it cancels the request.
 struct RunningRequest {
+    id: Option<HeaderValue>,
     method: Method,
     is_idempotent: bool,
     wants_close: bool,
@@ -171,18 +175,19 @@
         }
     }
 
-    async fn serve(&mut self) -> std::io::Result<()> {
+    async fn serve(&mut self) -> std::io::Result<ConnectionEnd> {
         loop {
             self.start_requests().await?;
             if self.error.is_some() && self.running.is_empty() {
-                return self.send_error().await;
+                self.send_error().await?;
+                return Ok(ConnectionEnd::Responded);
             }
             match self.next_event().await? {
-                ConnectionEvent::Read(0) => return Ok(()),
+                ConnectionEvent::Read(0) => return Ok(ConnectionEnd::CallerClosed),
                 ConnectionEvent::Read(count) => self.reset_timeout_at_first_byte(count),
                 ConnectionEvent::Response(response) => {
                     if self.deliver_response(response).await? {
-                        return Ok(());
+                        return Ok(ConnectionEnd::Responded);
                     }
                 }
                 // The runtime learns of received bytes only when it polls for events. On a VM that is
@@ -194,18 +199,15 @@
                     self.waiting_since = Instant::now();
                     tokio::task::yield_now().await;
                 }
+                ConnectionEvent::TimedOut if self.is_between_requests() => {
+                    return Ok(ConnectionEnd::IdleTimeout);
+                }
                 ConnectionEvent::TimedOut => {
-                    if !self.is_between_requests() {
-                        self.write_response(
-                            &Method::GET,
-                            CallerResponse::status_only(http::StatusCode::REQUEST_TIMEOUT),
-                            true,
-                        )
-                        .await?;
-                    }
-                    return Ok(());
+                    let response = CallerResponse::status_only(http::StatusCode::REQUEST_TIMEOUT);
+                    self.write_response(&Method::GET, response, true).await?;
+                    return Ok(ConnectionEnd::Responded);
                 }
-                ConnectionEvent::Draining => return Ok(()),
+                ConnectionEvent::Draining => return Ok(ConnectionEnd::ShuttingDown),
             }
         }
     }
@@ -313,11 +315,12 @@
     }
 
     fn start_request(&mut self, head: RequestHead, body: Bytes) {
+        let id = head.headers.get(REQUEST_ID).cloned();
         let method = head.method.clone();
         let is_idempotent = self.is_idempotent(&head);
         let wants_close = head.wants_close;
         let task = tokio::spawn(handle_request(self.state.clone(), head, body));
-        self.running.push_back(RunningRequest { method, is_idempotent, wants_close, task });
+        self.running.push_back(RunningRequest { id, method, is_idempotent, wants_close, task });
     }
 
     fn is_idempotent(&self, head: &RequestHead) -> bool {
@@ -378,19 +381,42 @@
         Ok(())
     }
 
-    /// Closes the connection in such a way that the caller can still read the last response.
-    async fn linger(&mut self) {
-        self.running.clear();
+    /// Cancels the requests in flight and closes the connection.
+    async fn finish(&mut self, end: ConnectionEnd) {
+        let idle = self.waiting_since.elapsed();
+        for request in self.running.drain(..) {
+            report_cancelled(&self.state, end, request.id.as_ref());
+        }
+        if end == ConnectionEnd::IdleTimeout {
+            self.state.metrics.process().connections_timed_out.fetch_add(1, Ordering::Relaxed);
+        }
+        if end == ConnectionEnd::Failed {
+            return;
+        }
+        let late_bytes = self.linger().await;
+        if !late_bytes.is_empty() {
+            report_late_bytes(&self.state, end, &late_bytes, idle);
+        }
+    }
+
+    /// Closes the connection in such a way that the caller can still read the last response. Returns the first
+    /// bytes that arrive meanwhile.
+    async fn linger(&mut self) -> BytesMut {
+        let mut late_bytes = BytesMut::new();
         if let Err(error) = self.stream.shutdown().await {
             log::debug!("cannot shut down a caller connection: {error}");
-            return;
+            return late_bytes;
         }
         let discard = async {
             let mut scratch = [0; 1024];
-            while matches!(self.stream.read(&mut scratch).await, Ok(read) if read > 0) {}
+            while let Ok(count @ 1..) = self.stream.read(&mut scratch).await {
+                let room = MAX_LATE_BYTES - late_bytes.len();
+                late_bytes.extend_from_slice(&scratch[..count.min(room)]);
+            }
         };
         // On a timeout, the caller has kept the connection open; it is closed anyway.
         drop(tokio::time::timeout(LINGER_TIMEOUT, discard).await);
+        late_bytes
     }
 }
 
--- a/crates/relay/src/decision_log.rs
+++ b/crates/relay/src/decision_log.rs
@@ -30,6 +30,8 @@
     Retried,
     /// The response came within the latency target.
     OnTime,
+    /// The request's connection ended without a response.
+    Unanswered,
 }
 
 impl DecisionKind {
@@ -41,6 +43,7 @@
             Self::Late => "late",
             Self::Retried => "repeated",
             Self::OnTime => "answered",
+            Self::Unanswered => "unanswered",
         }
     }
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -16,6 +16,7 @@
 //! | [`replication`] | replication of the store's contents from readers to followers |
 //! | [`failure_detector`] | liveness checks of neighbours; removal of failed entry VMs |
 //! | [`caller_connection`] | caller connections: reading, pipelining, ordered responses |
+//! | [`connection_end`] | how caller connections end, and requests that got no response on them |
 //! | [`request_head`] | parsing of request heads |
 //! | [`request_body`] | reading of request bodies |
 //! | [`caller_response`] | encoding of responses |
@@ -28,6 +29,7 @@
 pub mod attempt;
 pub mod caller_connection;
 pub mod caller_response;
+pub mod connection_end;
 pub mod decision_log;
 pub mod failure_detector;
 pub mod http_api;
