--- a/crates/relay/tests/connection_end.rs
+++ b/crates/relay/tests/connection_end.rs
@@ -2,7 +2,9 @@
 
 mod common;
 
-use common::{ScriptedAction, TestEnv, request, sealed_response, status};
+use common::{Caller, ScriptedAction, TestEnv, config, header, request, sealed_response, status};
+use sniperelay_relay::shared_state::RelayState;
+use socket2::SockRef;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
@@ -40,3 +42,107 @@
     assert_eq!(process.requests_cancelled.load(Ordering::Relaxed), 0);
     assert_eq!(env.targets[0].received().len(), 1);
 }
+
+async fn start_with_idle_timeout(idle_timeout: &str) -> TestEnv {
+    let env = TestEnv::start(vec![vec![ScriptedAction::Respond(sealed_response("ok"))]]).await;
+    set_idle_timeout(&env, 2, idle_timeout).await;
+    env
+}
+
+async fn set_idle_timeout(env: &TestEnv, version: u64, idle_timeout: &str) {
+    let mut config = config(&format!("{version:08x}"));
+    config["Limits"]["IdleTimeout"] = idle_timeout.into();
+    env.store.put("config/main", config.to_string());
+    env.wait_until(|state| {
+        state.routes.load().as_ref().is_some_and(|routes| routes.config.version == version)
+    })
+    .await;
+}
+
+/// Opens a connection, sends one claim on it and returns the connection and the response.
+async fn use_once(env: &TestEnv) -> (Caller, String) {
+    let mut caller = env.connect().await;
+    caller.send(&request("POST", "/claim/1", "first", "x")).await;
+    let response = caller.receive().await.unwrap();
+    assert_eq!(status(&response), 200);
+    (caller, response)
+}
+
+/// Sends a claim as a caller does that has not yet learned of the close, and asserts that the connection is reset
+/// without the claim having been read.
+async fn assert_not_read(state: &RelayState, caller: Caller) {
+    let (stream, _) = caller.into_parts();
+    let peer_ends = async {
+        let mut byte = [0; 1];
+        while stream.peek(&mut byte).await.is_ok_and(|count| count > 0) {}
+    };
+    tokio::time::timeout(Duration::from_secs(20), peer_ends).await.expect("the connection was not closed");
+    let (crossing, socket) = (request("POST", "/claim/1", "crossing", "x"), SockRef::from(&stream));
+    assert_eq!(socket.send(crossing.as_bytes()).unwrap(), crossing.len());
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    assert!(socket.take_error().unwrap().is_some(), "the claim was read, although it gets no response");
+    assert_eq!(state.metrics.process().requests_discarded.load(Ordering::Relaxed), 0);
+}
+
+/// Guards against requests that are read and discarded when they cross the close of an idle connection: callers
+/// repeat a claim only if it was not read.
+#[tokio::test]
+async fn request_that_crosses_an_idle_close_is_not_read() {
+    let env = start_with_idle_timeout("300ms").await;
+    let (caller, _) = use_once(&env).await;
+    assert_not_read(env.relay.state(), caller).await;
+}
+
+/// Guards against the same loss at the end of a planned stop.
+#[tokio::test]
+async fn request_that_crosses_the_end_of_a_planned_stop_is_not_read() {
+    let env = start_with_idle_timeout("5s").await;
+    let (caller, _) = use_once(&env).await;
+    let state = env.relay.state().clone();
+    let stop = tokio::spawn(env.relay.begin_shutdown().start_refusing().drain_connections());
+    assert_not_read(&state, caller).await;
+    assert!(stop.await.unwrap());
+}
+
+/// Guards against callers that send on a connection which is about to be closed: each response states for how
+/// long the connection may stay idle, and it stays open for longer than that.
+#[tokio::test]
+async fn responses_state_a_shorter_idle_time_than_the_timeout() {
+    let env = start_with_idle_timeout("2500ms").await;
+    let (mut caller, response) = use_once(&env).await;
+    assert_eq!(header(&response, "keep-alive").as_deref(), Some("timeout=2"));
+    tokio::time::sleep(Duration::from_millis(2100)).await;
+    caller.send(&request("POST", "/claim/1", "second", "x")).await;
+    assert_eq!(status(&caller.receive().await.expect("closed within the stated time")), 200);
+}
+
+/// No whole number of seconds is safe to state: the header is left out.
+#[tokio::test]
+async fn responses_state_no_idle_time_that_is_not_below_the_timeout() {
+    let env = start_with_idle_timeout("1200ms").await;
+    let (_caller, response) = use_once(&env).await;
+    assert_eq!(header(&response, "keep-alive"), None);
+}
+
+/// Guards against a connection that is closed earlier than its last response has stated.
+#[tokio::test]
+async fn shorter_idle_timeout_does_not_shorten_the_stated_time() {
+    let env = start_with_idle_timeout("3s").await;
+    let (mut caller, response) = use_once(&env).await;
+    assert_eq!(header(&response, "keep-alive").as_deref(), Some("timeout=2"));
+    set_idle_timeout(&env, 3, "300ms").await;
+    tokio::time::sleep(Duration::from_millis(1500)).await;
+    caller.send(&request("POST", "/claim/1", "second", "x")).await;
+    assert_eq!(status(&caller.receive().await.expect("closed within the stated time")), 200);
+}
+
+/// Guards against connections that are closed by an idle timeout which no longer applies.
+#[tokio::test]
+async fn longer_idle_timeout_applies_to_idle_connections() {
+    let env = start_with_idle_timeout("600ms").await;
+    let (mut caller, _) = use_once(&env).await;
+    set_idle_timeout(&env, 3, "5s").await;
+    tokio::time::sleep(Duration::from_millis(1500)).await;
+    caller.send(&request("POST", "/claim/1", "second", "x")).await;
+    assert_eq!(status(&caller.receive().await.expect("closed by an earlier timeout")), 200);
+}
