relay: a request that crosses the close of an idle connection is not read

Seen by callers: beside a change of the configuration, a claim got neither a response nor a refusal, and could not be repeated. Cause: the entry VM closes a connection that has been idle for the idle timeout, and went on reading from it for up to a second, as after a last response. A request whose bytes crossed the FIN was read whole and discarded. Change: only a connection whose last response has just been written is read from after the close. An idle one is closed at once; a request that crosses it is reset unread, so that the caller may repeat it, claims too. The same at the end of a planned stop.

--- a/crates/relay/src/caller_connection.rs
+++ b/crates/relay/src/caller_connection.rs
@@ -382,6 +382,9 @@
     }
 
     /// Cancels the requests in flight and closes the connection.
+    ///
+    /// An idle connection is closed without reading from it: a request that crosses the close is then reset
+    /// unread, and its caller may repeat it.
     async fn finish(&mut self, end: ConnectionEnd) {
         let idle = self.waiting_since.elapsed();
         for request in self.running.drain(..) {
@@ -390,7 +393,7 @@
         if end == ConnectionEnd::IdleTimeout {
             self.state.metrics.process().connections_timed_out.fetch_add(1, Ordering::Relaxed);
         }
-        if end == ConnectionEnd::Failed {
+        if !end.follows_response() {
             return;
         }
         let late_bytes = self.linger().await;
--- a/crates/relay/src/connection_end.rs
+++ b/crates/relay/src/connection_end.rs
@@ -29,6 +29,11 @@
 }
 
 impl ConnectionEnd {
+    /// Returns whether the caller may still be reading a response that has just been written.
+    pub fn follows_response(self) -> bool {
+        matches!(self, Self::Responded | Self::CallerClosed)
+    }
+
     /// Returns the name used in log lines.
     pub fn as_str(self) -> &'static str {
         match self {
