relay: responses state for how long their connection may stay idle

A new idle timeout also applied to the wrong connections: one that was idle already was closed by the timeout of the time when it became idle. Change: each response that leaves its connection open carries 'Keep-Alive: timeout=N', four fifths of the idle timeout in whole seconds, none below one second. The connection stays open for the idle timeout in force at its last response or the present one, whichever is longer.

--- a/crates/relay/src/caller_connection.rs
+++ b/crates/relay/src/caller_connection.rs
@@ -6,7 +6,7 @@
 //! the requests. A non-idempotent request starts only when no other request of its connection is in
 //! flight, so that it never follows a response that closes the connection.
 
-use crate::caller_response::CallerResponse;
+use crate::caller_response::{CallerResponse, ConnectionReuse};
 use crate::connection_end::{ConnectionEnd, MAX_LATE_BYTES, report_cancelled, report_late_bytes};
 use crate::request_body::BodyReader;
 use crate::request_handler::handle_request;
@@ -154,6 +154,9 @@
     error: Option<RequestError>,
     /// Time since which the connection has waited for the rest of a request or for a new request.
     waiting_since: Instant,
+    /// Idle timeout in force when the last response was written. It stays in force for this connection, because
+    /// the response states a time that is derived from it.
+    stated_idle_timeout: Duration,
     /// Whether a request has been received.
     has_request: bool,
     opened_at: Instant,
@@ -170,6 +173,7 @@
             running: VecDeque::new(),
             error: None,
             waiting_since: Instant::now(),
+            stated_idle_timeout: Duration::ZERO,
             has_request: false,
             opened_at: Instant::now(),
         }
@@ -199,12 +203,14 @@
                     self.waiting_since = Instant::now();
                     tokio::task::yield_now().await;
                 }
+                // The configuration may have raised the timeout meanwhile.
+                ConnectionEvent::TimedOut if self.waiting_since.elapsed() < self.read_timeout() => {}
                 ConnectionEvent::TimedOut if self.is_between_requests() => {
                     return Ok(ConnectionEnd::IdleTimeout);
                 }
                 ConnectionEvent::TimedOut => {
                     let response = CallerResponse::status_only(http::StatusCode::REQUEST_TIMEOUT);
-                    self.write_response(&Method::GET, response, true).await?;
+                    self.write_response(&Method::GET, response, ConnectionReuse::Closed).await?;
                     return Ok(ConnectionEnd::Responded);
                 }
                 ConnectionEvent::Draining => return Ok(ConnectionEnd::ShuttingDown),
@@ -249,7 +255,11 @@
 
     fn read_timeout(&self) -> Duration {
         let limits = self.limits();
-        if self.is_between_requests() { limits.idle_timeout } else { limits.header_timeout }
+        if self.is_between_requests() {
+            limits.idle_timeout.max(self.stated_idle_timeout)
+        } else {
+            limits.header_timeout
+        }
     }
 
     fn is_between_requests(&self) -> bool {
@@ -349,7 +359,13 @@
         let Some(request) = self.running.pop_front() else { return Ok(true) };
         let is_stopping = self.state.lifecycle.phase() != LifecyclePhase::Serving;
         let close_connection = request.wants_close || (is_stopping && self.running.is_empty());
-        self.write_response(&request.method, response, close_connection).await?;
+        let reuse = if close_connection {
+            ConnectionReuse::Closed
+        } else {
+            self.stated_idle_timeout = self.limits().idle_timeout;
+            ConnectionReuse::within(self.stated_idle_timeout)
+        };
+        self.write_response(&request.method, response, reuse).await?;
         self.waiting_since = Instant::now();
         Ok(close_connection)
     }
@@ -357,19 +373,24 @@
     async fn send_error(&mut self) -> std::io::Result<()> {
         let Some(error) = self.error else { return Ok(()) };
         log::info!("request rejected before it was completely read: {error:?}");
-        self.write_response(&Method::GET, CallerResponse::status_only(error.status()), true).await
+        self.write_response(
+            &Method::GET,
+            CallerResponse::status_only(error.status()),
+            ConnectionReuse::Closed,
+        )
+        .await
     }
 
     async fn write_response(
         &mut self,
         method: &Method,
         mut response: CallerResponse,
-        close_connection: bool,
+        reuse: ConnectionReuse,
     ) -> std::io::Result<()> {
         // Held until the response has been written.
         let _memory = response.memory.take();
         let mut buffer = BytesMut::new();
-        let mut rest = response.encode(method, close_connection, &mut buffer);
+        let mut rest = response.encode(method, reuse, &mut buffer);
         let timed_out = |_| std::io::Error::from(std::io::ErrorKind::TimedOut);
         tokio::time::timeout(WRITE_TIMEOUT, self.stream.write_all(&buffer)).await.map_err(timed_out)??;
         while !rest.is_empty() {
--- a/crates/relay/src/caller_response.rs
+++ b/crates/relay/src/caller_response.rs
@@ -23,6 +23,30 @@
     pub memory: Option<MemoryShare>,
 }
 
+/// What a response states about further requests on its connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ConnectionReuse {
+    /// The connection is closed after the response.
+    Closed,
+    /// The connection may be reused after it has been idle for at most this time. With 0 seconds, no time is
+    /// stated.
+    Idle {
+        /// Idle time in seconds, the unit of the header.
+        seconds: u64,
+    },
+}
+
+impl ConnectionReuse {
+    /// Returns what to state on a connection that is closed after `idle_timeout` without a request. The stated
+    /// time is shorter, so that no request is sent while the close is on its way to the caller.
+    pub fn within(idle_timeout: Duration) -> Self {
+        Self::Idle { seconds: idle_timeout.mul_f64(STATED_IDLE_SHARE).as_secs() }
+    }
+}
+
+/// Share of the idle timeout for which callers may reuse an idle connection, as the platform's callers do.
+const STATED_IDLE_SHARE: f64 = 0.8;
+
 /// End of a request without a target's response: the reason, and whether the request may have run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct RelayRefusal {
@@ -80,7 +104,7 @@
 
     /// Writes the head to `buffer`, followed by the body if it is small. Returns the body that remains
     /// to be written.
-    pub fn encode(self, method: &Method, close_connection: bool, buffer: &mut BytesMut) -> Bytes {
+    pub fn encode(self, method: &Method, reuse: ConnectionReuse, buffer: &mut BytesMut) -> Bytes {
         buffer.reserve(512);
         buffer.put_slice(b"HTTP/1.1 ");
         buffer.put_slice(self.status.as_str().as_bytes());
@@ -96,8 +120,12 @@
             None if has_no_body || (*method == Method::HEAD && self.body.is_empty()) => {}
             None => put_header(buffer, "content-length", self.body.len().to_string().as_bytes()),
         }
-        if close_connection {
-            put_header(buffer, "connection", b"close");
+        match reuse {
+            ConnectionReuse::Closed => put_header(buffer, "connection", b"close"),
+            ConnectionReuse::Idle { seconds: 0 } => {}
+            ConnectionReuse::Idle { seconds } => {
+                put_header(buffer, "keep-alive", format!("timeout={seconds}").as_bytes());
+            }
         }
         buffer.put_slice(b"\r\n");
         if self.body.len() > MAX_INLINE_BODY_BYTES {
--- a/crates/relay/tests/connection_end.rs
+++ b/crates/relay/tests/connection_end.rs
@@ -139,10 +139,10 @@
 /// Guards against connections that are closed by an idle timeout which no longer applies.
 #[tokio::test]
 async fn longer_idle_timeout_applies_to_idle_connections() {
-    let env = start_with_idle_timeout("600ms").await;
+    let env = start_with_idle_timeout("2s").await;
     let (mut caller, _) = use_once(&env).await;
     set_idle_timeout(&env, 3, "5s").await;
-    tokio::time::sleep(Duration::from_millis(1500)).await;
+    tokio::time::sleep(Duration::from_millis(2500)).await;
     caller.send(&request("POST", "/claim/1", "second", "x")).await;
     assert_eq!(status(&caller.receive().await.expect("closed by an earlier timeout")), 200);
 }
