Replication: a transfer that makes progress is not abandoned

Cause: a reader sends each new configuration to all of its followers. While its link is full of that, its responses to their liveness checks take longer than 550 ms. Each follower then changed to another reader and abandoned its transfer, and began it again there, from the first byte. So all links stayed full of transfers of which none ended; the callers' responses, and the FINs of the commits before, waited behind them. A call also had to end after 3 s in all, however much of its response had arrived. Class: retries that discard progress, so that an overload sustains itself. Change: a reader that is followed counts as live also while parts of its responses arrive, unless it refuses the check. A call may take longer than its timeout as long as its body arrives at 62.5 kB/s on average.

--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -39,6 +39,11 @@
         self.transport.address()
     }
 
+    /// Returns whether a part of a response was received within the last `span`.
+    pub fn has_received_within(&self, span: Duration) -> bool {
+        self.transport.has_received_within(span)
+    }
+
     /// Returns the call counters.
     pub fn counters(&self) -> &Arc<CallCounters> {
         self.transport.counters()
--- a/crates/platform/src/transport.rs
+++ b/crates/platform/src/transport.rs
@@ -3,24 +3,31 @@
 //!
 //! Calls are infrequent, so each one uses its own connection: a connection failure then affects a
 //! single call. TCP keep-alive probes detect a connection that fails while a watch is waiting.
+//!
+//! A call must be answered within its timeout. A large body may take longer, as long as it arrives at a
+//! minimum rate: giving up a transfer only makes the next one start from the beginning.
 
 use crate::api::{MAX_RESPONSE_BYTES, PlatformError, Result};
 use crate::limiter::{CallLimiter, LimiterRefusal};
-use bytes::Bytes;
-use http::{HeaderMap, Request, StatusCode};
+use bytes::{Bytes, BytesMut};
+use http::{HeaderMap, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
 
 /// Timeout for the response to a call, in addition to the wait time of a watch. The platform
 /// usually responds within milliseconds, and within seconds when it is slow.
 const CALL_TIMEOUT: Duration = Duration::from_secs(3);
+/// Minimum mean rate at which a body must arrive after [`CALL_TIMEOUT`], in bytes per second: a twentieth of a link
+/// of 10 Mbit/s.
+const MIN_RECEIVE_RATE: f64 = 62_500.0;
 /// Timeout for opening a connection. It allows for one retransmission of the SYN packet.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1200);
 /// Idle time after which a connection is probed, and interval between probes.
@@ -157,12 +164,19 @@
     address: SocketAddr,
     limiter: Mutex<CallLimiter>,
     counters: Arc<CallCounters>,
+    /// Time at which a part of a response was last received.
+    last_receipt: Mutex<Option<Instant>>,
 }
 
 impl PlatformTransport {
     /// Creates a transport with the given limiter.
     pub fn new(address: SocketAddr, limiter: CallLimiter) -> Self {
-        Self { address, limiter: Mutex::new(limiter), counters: Arc::default() }
+        Self {
+            address,
+            limiter: Mutex::new(limiter),
+            counters: Arc::default(),
+            last_receipt: Mutex::default(),
+        }
     }
 
     /// Returns the address of the platform.
@@ -175,6 +189,16 @@
         &self.counters
     }
 
+    /// Returns whether a part of a response was received within the last `span`.
+    pub fn has_received_within(&self, span: Duration) -> bool {
+        let last_receipt = *self.last_receipt.lock().unwrap_or_else(PoisonError::into_inner);
+        last_receipt.is_some_and(|receipt| receipt.elapsed() < span)
+    }
+
+    fn record_receipt(&self) {
+        *self.last_receipt.lock().unwrap_or_else(PoisonError::into_inner) = Some(Instant::now());
+    }
+
     /// Sends one call; `wait` is the time for which the platform may delay its response.
     ///
     /// # Errors
@@ -188,17 +212,14 @@
         wait: Duration,
     ) -> Result<PlatformResponse> {
         self.acquire_permit(verb)?;
-        let result = match tokio::time::timeout(wait + CALL_TIMEOUT, self.exchange(request)).await {
-            Ok(result) => result.and_then(reject_overload),
-            Err(_) => Err(PlatformError::NoResponse("call timed out".to_owned())),
-        };
+        let result = self.exchange(request, wait + CALL_TIMEOUT).await.and_then(reject_overload);
         self.counters.record(verb, CallResult::from_result(&result));
         self.update_circuit_breaker(&result);
         result
     }
 
     fn acquire_permit(&self, verb: CallVerb) -> Result<()> {
-        let mut limiter = self.limiter.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+        let mut limiter = self.limiter.lock().unwrap_or_else(PoisonError::into_inner);
         limiter.try_acquire(Instant::now()).map_err(|refusal| match refusal {
             LimiterRefusal::RateExceeded => {
                 self.counters.record(verb, CallResult::RateLimited);
@@ -212,7 +233,7 @@
     }
 
     fn update_circuit_breaker(&self, result: &Result<PlatformResponse>) {
-        let mut limiter = self.limiter.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+        let mut limiter = self.limiter.lock().unwrap_or_else(PoisonError::into_inner);
         match result {
             Err(PlatformError::NoResponse(_) | PlatformError::Refused(_)) => {
                 limiter.record_failure(Instant::now(), &mut rand::rng());
@@ -221,7 +242,20 @@
         }
     }
 
-    async fn exchange(&self, request: Request<Full<Bytes>>) -> Result<PlatformResponse> {
+    async fn exchange(&self, request: Request<Full<Bytes>>, timeout: Duration) -> Result<PlatformResponse> {
+        let deadline = tokio::time::Instant::now() + timeout;
+        let head = tokio::time::timeout_at(deadline, self.receive_head(request));
+        let (response, _driver) = head.await.unwrap_or_else(|_| Err(call_timed_out()))?;
+        self.record_receipt();
+        let (parts, incoming) = response.into_parts();
+        let body = self.receive_body(incoming, deadline).await?;
+        self.counters.received_bytes.fetch_add(body.len() as u64, Ordering::Relaxed);
+        Ok(PlatformResponse { status: parts.status, headers: parts.headers, body })
+    }
+
+    /// Sends a request and receives the head of its response. The returned driver must be kept until the body
+    /// has been received.
+    async fn receive_head(&self, request: Request<Full<Bytes>>) -> Result<(Response<Incoming>, DriverTask)> {
         let stream = self.connect().await?;
         let (mut sender, connection) = http1::Builder::new()
             .max_buf_size(READ_BUFFER_BYTES)
@@ -229,14 +263,24 @@
             .await
             .map_err(|error| PlatformError::Refused(error.to_string()))?;
         let driver = AbortOnDrop(tokio::spawn(connection));
-        let no_response = |error: &dyn std::fmt::Display| PlatformError::NoResponse(error.to_string());
         let response = sender.send_request(request).await.map_err(|error| no_response(&error))?;
-        let (parts, incoming) = response.into_parts();
-        let limited = Limited::new(incoming, MAX_RESPONSE_BYTES);
-        let body = limited.collect().await.map_err(|error| no_response(&error))?.to_bytes();
-        self.counters.received_bytes.fetch_add(body.len() as u64, Ordering::Relaxed);
-        drop(driver);
-        Ok(PlatformResponse { status: parts.status, headers: parts.headers, body })
+        Ok((response, driver))
+    }
+
+    /// Receives a body. The deadline is extended in proportion to the bytes received.
+    async fn receive_body(&self, incoming: Incoming, deadline: tokio::time::Instant) -> Result<Bytes> {
+        let mut limited = Limited::new(incoming, MAX_RESPONSE_BYTES);
+        let mut body = BytesMut::new();
+        loop {
+            let extension = Duration::from_secs_f64(body.len() as f64 / MIN_RECEIVE_RATE);
+            let frame = tokio::time::timeout_at(deadline + extension, limited.frame()).await;
+            let Some(frame) = frame.map_err(|_| call_timed_out())? else { return Ok(body.freeze()) };
+            let frame = frame.map_err(|error| no_response(&error))?;
+            self.record_receipt();
+            if let Some(data) = frame.data_ref() {
+                body.extend_from_slice(data);
+            }
+        }
     }
 
     async fn connect(&self) -> Result<TcpStream> {
@@ -253,6 +297,16 @@
     }
 }
 
+fn no_response(error: &dyn std::fmt::Display) -> PlatformError {
+    PlatformError::NoResponse(error.to_string())
+}
+
+fn call_timed_out() -> PlatformError {
+    PlatformError::NoResponse("call timed out".to_owned())
+}
+
+type DriverTask = AbortOnDrop<std::result::Result<(), hyper::Error>>;
+
 /// Aborts the task that drives a connection when the call that uses it ends.
 struct AbortOnDrop<T>(tokio::task::JoinHandle<T>);
 
--- a/crates/relay/src/replication.rs
+++ b/crates/relay/src/replication.rs
@@ -307,19 +307,28 @@
     candidates.filter(is_chosen).cloned().collect()
 }
 
-/// Sends a liveness check to a reader and follows it if it responds. Returns whether it responded.
+/// Sends a liveness check to a reader and follows it if it responds. A reader that is followed already also counts
+/// as live while it sends a response to a read: a large one delays the response to the check on a shared link. A
+/// reader that refuses the check is not live.
+///
+/// Returns whether the reader is live.
 async fn try_follow_reader(state: &RelayState, reader: &EntryVmRecord) -> bool {
     let address = reader.peer_address;
-    let is_followed =
-        matches!(&*state.replica.source.borrow(), StoreSource::Reader(client) if client.address() == address);
+    let followed = match &*state.replica.source.borrow() {
+        StoreSource::Reader(client) if client.address() == address => Some(client.clone()),
+        _ => None,
+    };
     let client = make_entry_vm_client(address);
-    let response =
-        tokio::time::timeout(LIVENESS_CHECK_HOLD + LIVENESS_CHECK_MARGIN, client.list(LIVENESS_PREFIX)).await;
+    let timeout = LIVENESS_CHECK_HOLD + LIVENESS_CHECK_MARGIN;
+    let response = tokio::time::timeout(timeout, client.list(LIVENESS_PREFIX)).await;
     let has_responded = matches!(response, Ok(Ok(_)));
     if has_responded {
         state.replica.record_reader_contact();
     }
-    if has_responded && !is_followed {
+    if let Some(followed) = followed {
+        return has_responded || (response.is_err() && followed.has_received_within(timeout));
+    }
+    if has_responded {
         log::info!(reader = reader.name.as_str(); "store followed through {}", reader.name);
         state.replica.source.send_replace(StoreSource::Reader(Arc::new(client)));
     }
