relay: readers compress large replication responses, once for all followers

Seen by callers: each new version of a large configuration delays requests for seconds. Cause: a reader sends each follower the whole object as JSON text within JSON. A configuration of 0.9 MB is a response of 1.0 to 1.3 MB; with 36 followers per reader it fills a link of 200 Mbit/s for two to three seconds, and a link of 10 Mbit/s to a follower for about one. The reader also copied and encoded the object anew for each follower. The client asks for it at entry VMs only, never at the store. Without the header the response is plain JSON as before, and a plain response is accepted.

--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -1,10 +1,11 @@
 //! Client for the project's own HTTP and JSON dialect of the object API.
 
 use crate::api::{EventList, ObjectList, ObjectVersion, PlatformApi, PlatformError, Result, StoredObject};
+use crate::content_coding::{DEFLATE_CODING, decode_body};
 use crate::limiter::CallLimiter;
-use crate::transport::{CallCounters, CallVerb, PlatformTransport};
+use crate::transport::{CallCounters, CallVerb, PlatformResponse, PlatformTransport};
 use bytes::Bytes;
-use http::{Method, Request, StatusCode};
+use http::{Method, Request, StatusCode, header};
 use http_body_util::Full;
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
@@ -21,17 +22,23 @@
 #[derive(Debug)]
 pub struct HttpPlatform {
     transport: PlatformTransport,
+    accepts_compression: bool,
 }
 
 impl HttpPlatform {
     /// Creates a client that sends at most `calls_per_second` calls per second on average.
     pub fn new(address: SocketAddr, calls_per_second: u32) -> Self {
-        Self { transport: PlatformTransport::new(address, CallLimiter::new(calls_per_second)) }
+        Self::with_transport(PlatformTransport::new(address, CallLimiter::new(calls_per_second)))
     }
 
     /// Creates a client that uses an existing transport.
     pub fn with_transport(transport: PlatformTransport) -> Self {
-        Self { transport }
+        Self { transport, accepts_compression: false }
+    }
+
+    /// Asks for compressed responses. Entry VMs send them; the platform's store is not asked.
+    pub fn with_compression(self) -> Self {
+        Self { accepts_compression: true, ..self }
     }
 
     /// Returns the address of the platform.
@@ -57,9 +64,12 @@
             CallVerb::Delete => Method::DELETE,
             _ => Method::GET,
         };
-        let request = make_request(method, &path, expected, body, self.transport.address())?;
+        let mut request = make_request(method, &path, expected, body, self.transport.address())?;
+        if self.accepts_compression {
+            request.headers_mut().insert(header::ACCEPT_ENCODING, DEFLATE_CODING);
+        }
         let response = self.transport.send_call(verb, request, wait).await?;
-        decode_response(response.status, &response.body)
+        decode_response(&response)
     }
 }
 
@@ -79,14 +89,17 @@
         .map_err(|error| PlatformError::Refused(error.to_string()))
 }
 
-fn decode_response<T: DeserializeOwned>(status: StatusCode, body: &[u8]) -> Result<Option<T>> {
+fn decode_response<T: DeserializeOwned>(response: &PlatformResponse) -> Result<Option<T>> {
     let malformed = |error: serde_json::Error| PlatformError::Malformed(error.to_string());
-    match status {
-        StatusCode::OK => serde_json::from_slice(body).map(Some).map_err(malformed),
+    match response.status {
+        StatusCode::OK => {
+            let body = decode_body(&response.headers, &response.body)?;
+            serde_json::from_slice(&body).map(Some).map_err(malformed)
+        }
         StatusCode::NOT_FOUND => Ok(None),
         StatusCode::CONFLICT => {
-            let response: VersionResponse = serde_json::from_slice(body).map_err(malformed)?;
-            Err(PlatformError::Conflict { current: response.version })
+            let conflict: VersionResponse = serde_json::from_slice(&response.body).map_err(malformed)?;
+            Err(PlatformError::Conflict { current: conflict.version })
         }
         StatusCode::GONE => Err(PlatformError::WatchTooOld),
         other => Err(PlatformError::NoResponse(other.to_string())),
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -5,10 +5,12 @@
 //! | [`api`] | the [`PlatformApi`] trait, objects, versions and errors |
 //! | [`client`] | client for the project's own JSON dialect of the API |
 //! | [`transport`] | HTTP calls with timeouts and counters |
+//! | [`content_coding`] | decoding of compressed responses |
 //! | [`limiter`] | call rate limit, circuit breaker, backoff with full jitter |
 
 pub mod api;
 pub mod client;
+pub mod content_coding;
 pub mod limiter;
 pub mod transport;
 
--- a/crates/relay/src/http_api.rs
+++ b/crates/relay/src/http_api.rs
@@ -1,10 +1,12 @@
 //! HTTP API for everything but caller traffic: lookups, readiness checks, metrics and replication to
 //! followers.
 
+use crate::content_coding::ContentCoding;
 use crate::replication::{SNAPSHOT_PREFIX, hold_liveness_check};
+use crate::response_cache::{EncodedBody, ReplicaRead};
 use crate::shared_state::RelayState;
 use bytes::Bytes;
-use http::{Request, Response, StatusCode, Uri, header};
+use http::{Request, Response, StatusCode, header};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -14,6 +16,7 @@
     CONTENT_TYPE, LOOKUP_PATH, READY_PATH, encode_lookup_response, parse_lookup_query,
 };
 use sniperelay_platform::api::ObjectList;
+use sniperelay_platform::content_coding::DEFLATE_CODING;
 use std::convert::Infallible;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -48,7 +51,7 @@
         tokio::spawn(async move {
             let service = service_fn(move |request: Request<Incoming>| {
                 let state = state.clone();
-                async move { Ok::<_, Infallible>(handle_api_request(&state, request.uri()).await) }
+                async move { Ok::<_, Infallible>(handle_api_request(&state, &request).await) }
             });
             let mut builder = http1::Builder::new();
             builder.timer(TokioTimer::new()).header_read_timeout(HEADER_TIMEOUT).max_buf_size(MAX_HEAD_BYTES);
@@ -59,19 +62,27 @@
     }
 }
 
-async fn handle_api_request(state: &RelayState, uri: &Uri) -> ApiResponse {
-    let query = uri.query().unwrap_or("");
-    match uri.path() {
+async fn handle_api_request<B>(state: &RelayState, request: &Request<B>) -> ApiResponse {
+    let query = request.uri().query().unwrap_or("");
+    match request.uri().path() {
         READY_PATH => handle_ready(state),
         LOOKUP_PATH => handle_lookup(state, query),
         METRICS_PATH => handle_metrics(state),
-        path => handle_replication(state, path, query).await,
+        path => {
+            let accepted = ContentCoding::negotiate(request.headers());
+            handle_replication(state, path, query, accepted).await
+        }
     }
 }
 
 /// Handles lists, watches and liveness checks of entry VMs that follow this one, in the project's own
 /// dialect of the object API.
-async fn handle_replication(state: &RelayState, path: &str, query: &str) -> ApiResponse {
+async fn handle_replication(
+    state: &RelayState,
+    path: &str,
+    query: &str,
+    accepted: ContentCoding,
+) -> ApiResponse {
     if path == LIVENESS_PATH {
         let can_serve_followers = hold_liveness_check(state).await;
         let empty = ObjectList { revision: 0, items: Vec::new() };
@@ -83,11 +94,7 @@
     }
     if let Some(prefix) = path.strip_prefix("/list/").and_then(|prefix| prefix.strip_prefix(SNAPSHOT_PREFIX))
     {
-        let list = state.replica.snapshot(prefix);
-        return list.map_or_else(
-            || text_response(StatusCode::SERVICE_UNAVAILABLE, "not known yet"),
-            |list| json_response(&list),
-        );
+        return list_response(state, prefix, accepted);
     }
     if !state.replica.can_serve_followers() {
         return text_response(StatusCode::SERVICE_UNAVAILABLE, "not a reader");
@@ -97,28 +104,52 @@
         pairs.filter(|(key, _)| *key == name).find_map(|(_, value)| value.parse::<u64>().ok())
     };
     if let Some(prefix) = path.strip_prefix("/list/") {
-        let list = state.replica.snapshot(prefix);
-        return list.map_or_else(
-            || text_response(StatusCode::SERVICE_UNAVAILABLE, "not known yet"),
-            |list| json_response(&list),
-        );
+        return list_response(state, prefix, accepted);
     }
     if let (Some(prefix), Some(since)) = (path.strip_prefix("/watch/"), query_number("since")) {
         let wait = Duration::from_millis(query_number("wait_ms").unwrap_or(0));
-        let changes = state.replica.wait_for_changes(prefix, since, wait).await;
-        return changes
-            .map_or_else(|| text_response(StatusCode::GONE, ""), |changes| json_response(&changes));
+        state.replica.wait_for_change(prefix, since, wait).await;
+        let changes = encode_read(state, prefix, ReplicaRead::Changes(since), accepted);
+        return changes.unwrap_or_else(|| text_response(StatusCode::GONE, ""));
     }
     text_response(StatusCode::NOT_FOUND, "")
 }
 
+fn list_response(state: &RelayState, prefix: &str, accepted: ContentCoding) -> ApiResponse {
+    let list = encode_read(state, prefix, ReplicaRead::List, accepted);
+    list.unwrap_or_else(|| text_response(StatusCode::SERVICE_UNAVAILABLE, "not known yet"))
+}
+
+/// Returns the response with the contents of the replica, or `None` if it does not have them.
+fn encode_read(
+    state: &RelayState,
+    prefix: &str,
+    read: ReplicaRead,
+    accepted: ContentCoding,
+) -> Option<ApiResponse> {
+    match state.response_cache.encode(&state.replica, prefix, read, accepted) {
+        Ok(body) => body.map(encoded_response),
+        Err(error) => Some(encoding_failure(&error)),
+    }
+}
+
+fn encoded_response(body: EncodedBody) -> ApiResponse {
+    let mut response = Response::new(Full::new(body.bytes));
+    if body.coding == ContentCoding::Deflate {
+        response.headers_mut().insert(header::CONTENT_ENCODING, DEFLATE_CODING);
+    }
+    response
+}
+
+fn encoding_failure(error: &dyn std::fmt::Display) -> ApiResponse {
+    log::error!("cannot encode a response: {error}");
+    text_response(StatusCode::INTERNAL_SERVER_ERROR, "")
+}
+
 fn json_response(value: &impl serde::Serialize) -> ApiResponse {
     match serde_json::to_string(value) {
         Ok(text) => text_response(StatusCode::OK, &text),
-        Err(error) => {
-            log::error!("cannot encode a response: {error}");
-            text_response(StatusCode::INTERNAL_SERVER_ERROR, "")
-        }
+        Err(error) => encoding_failure(&error),
     }
 }
 
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -14,6 +14,8 @@
 //! | [`own_registration`] | whether this process registers itself, beside others of its name |
 //! | [`sync_progress`] | progress of reading the store: revisions, lists that are too old, outages |
 //! | [`replication`] | replication of the store's contents from readers to followers |
+//! | [`response_cache`] | encoded replication responses, shared by all followers |
+//! | [`content_coding`] | compression of responses |
 //! | [`failure_detector`] | liveness checks of neighbours; removal of failed entry VMs |
 //! | [`caller_connection`] | caller connections: reading, pipelining, ordered responses |
 //! | [`connection_end`] | how caller connections end, and requests that got no response on them |
@@ -30,6 +32,7 @@
 pub mod caller_connection;
 pub mod caller_response;
 pub mod connection_end;
+pub mod content_coding;
 pub mod decision_log;
 pub mod failure_detector;
 pub mod http_api;
@@ -39,6 +42,7 @@
 pub mod request_body;
 pub mod request_handler;
 pub mod request_head;
+pub mod response_cache;
 pub mod shared_state;
 pub mod shutdown;
 pub mod startup;
--- a/crates/relay/src/replication.rs
+++ b/crates/relay/src/replication.rs
@@ -14,7 +14,7 @@
 use sniperelay_platform::{CallLimiter, HttpPlatform, PlatformTransport};
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::sync::watch;
@@ -61,6 +61,8 @@
 #[derive(Debug, Default)]
 struct PrefixReplica {
     revision: u64,
+    /// Number of the latest change; see [`StoreReplica::change_number`].
+    change_number: u64,
     objects: BTreeMap<String, StoredObject>,
     change_log: VecDeque<ObjectEvent>,
     /// Revision up to which changes have been dropped from the change log.
@@ -71,6 +73,8 @@
 #[derive(Debug)]
 pub struct StoreReplica {
     prefixes: Mutex<BTreeMap<String, PrefixReplica>>,
+    /// Number of changes of all prefixes.
+    change_count: AtomicU64,
     /// Notified after every change of `prefixes`.
     changed: watch::Sender<()>,
     /// Time of the last response from the store to this entry VM.
@@ -87,6 +91,7 @@
     fn default() -> Self {
         Self {
             prefixes: Mutex::default(),
+            change_count: AtomicU64::new(0),
             changed: watch::Sender::new(()),
             store_contact_at: Mutex::default(),
             reader_contact_at: Mutex::default(),
@@ -117,11 +122,22 @@
         self.is_store_unavailable.load(Ordering::Relaxed)
     }
 
+    fn next_change_number(&self) -> u64 {
+        self.change_count.fetch_add(1, Ordering::Relaxed) + 1
+    }
+
+    /// Returns the number of the latest change of a prefix. It is different after every change, also if the
+    /// revision stays the same. Returns `None` if the prefix has not been read yet.
+    pub fn change_number(&self, prefix: &str) -> Option<u64> {
+        self.lock_prefixes().get(prefix).map(|replica| replica.change_number)
+    }
+
     /// Replaces the copy of a prefix by a complete list, and clears the change log of the prefix.
     pub fn apply_snapshot(&self, prefix: &str, list: &ObjectList) {
         let objects = list.items.iter().map(|item| (item.key.clone(), item.clone())).collect();
         let replica = PrefixReplica {
             revision: list.revision,
+            change_number: self.next_change_number(),
             objects,
             change_log: VecDeque::new(),
             compacted_revision: list.revision,
@@ -138,6 +154,7 @@
             replica.apply(event);
         }
         replica.revision = replica.revision.max(list.revision);
+        replica.change_number = self.next_change_number();
         drop(prefixes);
         self.changed.send_replace(());
     }
@@ -167,32 +184,54 @@
 
     /// Returns all objects under a prefix, or `None` if the prefix has not been read yet.
     pub fn snapshot(&self, prefix: &str) -> Option<ObjectList> {
+        self.numbered_snapshot(prefix).map(|(_, list)| list)
+    }
+
+    /// Returns what [`Self::snapshot`] returns, with its change number.
+    pub fn numbered_snapshot(&self, prefix: &str) -> Option<(u64, ObjectList)> {
         let prefixes = self.lock_prefixes();
         let replica = prefixes.get(prefix).filter(|replica| replica.revision > 0)?;
-        Some(ObjectList { revision: replica.revision, items: replica.objects.values().cloned().collect() })
+        let items = replica.objects.values().cloned().collect();
+        Some((replica.change_number, ObjectList { revision: replica.revision, items }))
     }
 
     /// Waits up to `wait` for changes after revision `since`; the list is empty if there are none. Returns
     /// `None` if the prefix has not been read yet or the changes are no longer in the change log.
     pub async fn wait_for_changes(&self, prefix: &str, since: u64, wait: Duration) -> Option<EventList> {
+        self.wait_for_change(prefix, since, wait).await;
+        self.numbered_changes(prefix, since).map(|(_, list)| list)
+    }
+
+    /// Waits up to `wait` for changes after revision `since`, without returning them. Does not wait if there
+    /// will be none.
+    pub async fn wait_for_change(&self, prefix: &str, since: u64, wait: Duration) {
         let deadline = tokio::time::Instant::now() + wait;
         let mut changed = self.changed.subscribe();
         loop {
             changed.borrow_and_update();
-            let list = self.changes_since(prefix, since)?;
-            let has_changes = !list.events.is_empty();
-            if has_changes || tokio::time::timeout_at(deadline, changed.changed()).await.is_err() {
-                return Some(list);
+            let must_wait = self.must_wait(prefix, since);
+            if !must_wait || tokio::time::timeout_at(deadline, changed.changed()).await.is_err() {
+                return;
             }
         }
     }
 
-    fn changes_since(&self, prefix: &str, since: u64) -> Option<EventList> {
+    /// Returns whether the changes after revision `since` can be returned but there are none yet.
+    fn must_wait(&self, prefix: &str, since: u64) -> bool {
+        let prefixes = self.lock_prefixes();
+        let replica = prefixes.get(prefix).filter(|replica| replica.has_log_since(since));
+        replica.is_some_and(|replica| replica.changes_since(since).next().is_none())
+    }
+
+    /// Returns the changes after revision `since`, with the change number of the prefix. Returns `None` if the
+    /// prefix has not been read yet or the changes are no longer in the change log.
+    pub fn numbered_changes(&self, prefix: &str, since: u64) -> Option<(u64, EventList)> {
         let prefixes = self.lock_prefixes();
-        let replica = prefixes.get(prefix).filter(|replica| since >= replica.compacted_revision)?;
-        let events = replica.change_log.iter().filter(|event| event.version > since).cloned().collect();
+        let replica = prefixes.get(prefix).filter(|replica| replica.has_log_since(since))?;
+        let events = replica.changes_since(since).cloned().collect();
         // The follower may have reached a later revision than this entry VM.
-        Some(EventList { revision: replica.revision.max(since), events })
+        let list = EventList { revision: replica.revision.max(since), events };
+        Some((replica.change_number, list))
     }
 }
 
@@ -202,6 +241,14 @@
 }
 
 impl PrefixReplica {
+    fn has_log_since(&self, revision: u64) -> bool {
+        revision >= self.compacted_revision
+    }
+
+    fn changes_since(&self, revision: u64) -> impl Iterator<Item = &ObjectEvent> {
+        self.change_log.iter().filter(move |event| event.version > revision)
+    }
+
     fn apply(&mut self, event: &ObjectEvent) {
         match &event.value {
             Some(value) => {
@@ -329,7 +376,7 @@
 fn make_entry_vm_client(address: SocketAddr) -> HttpPlatform {
     let limiter =
         CallLimiter::new(READER_CALLS_PER_SECOND).with_full_bucket().with_max_backoff(MAX_READER_BACKOFF);
-    HttpPlatform::with_transport(PlatformTransport::new(address, limiter))
+    HttpPlatform::with_transport(PlatformTransport::new(address, limiter)).with_compression()
 }
 
 fn switch_to_direct(state: &RelayState, reason: &str) {
--- a/crates/relay/src/shared_state.rs
+++ b/crates/relay/src/shared_state.rs
@@ -2,6 +2,7 @@
 
 use crate::decision_log::DecisionLog;
 use crate::replication::StoreReplica;
+use crate::response_cache::ResponseCache;
 use arc_swap::{ArcSwap, ArcSwapOption};
 use sniperelay_config::RelaySettings;
 use sniperelay_core::dispatch::DispatchSettings;
@@ -74,6 +75,8 @@
     pub response_memory: Arc<MemoryBudget>,
     /// Local copy of the store's contents, which followers read.
     pub replica: StoreReplica,
+    /// Encoded responses to followers.
+    pub response_cache: ResponseCache,
     /// Rate limits for log lines about decisions.
     pub decisions: DecisionLog,
     /// Number of open caller connections.
@@ -122,6 +125,7 @@
             pool: TargetPool::default(),
             response_memory: MemoryBudget::new(settings.limits.response_memory_bytes),
             replica: StoreReplica::default(),
+            response_cache: ResponseCache::default(),
             decisions: DecisionLog::default(),
             connections: AtomicUsize::new(0),
             is_membership_settled: AtomicBool::new(false),
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -221,6 +221,49 @@
     })
 }
 
+/// Number of routes of [`large_config`].
+pub const LARGE_CONFIG_ROUTES: u64 = 4000;
+
+/// Returns a configuration of about 900 KB, near the store's limit for one object. Names, hosts, paths and
+/// times differ from route to route; part of each name and path is a number without any pattern.
+pub fn large_config(version: &str) -> Value {
+    let mut large = config(version);
+    for index in 0..LARGE_CONFIG_ROUTES {
+        let (name, route) = large_config_route(index);
+        large["Routes"][name] = route;
+    }
+    large
+}
+
+fn large_config_route(index: u64) -> (String, Value) {
+    const AREAS: [&str; 8] =
+        ["orders", "catalog", "accounts", "billing", "search", "media", "inventory", "messaging"];
+    const ACTIONS: [&str; 7] = ["list", "detail", "create", "update", "archive", "export", "history"];
+    const TIMEOUTS: [&str; 5] = ["800ms", "1500ms", "2s", "5s", "12s"];
+    const LATENCIES: [&str; 4] = ["90ms", "250ms", "400ms", "1s"];
+    let random = scramble(index);
+    let choose = |shift: u32, count: usize| ((random >> shift) as usize) % count;
+    let (area, action) = (AREAS[choose(0, 8)], ACTIONS[choose(8, 7)]);
+    let group = choose(16, 470);
+    let id = format!("{:08x}", random >> 32);
+    let route = json!({
+        "Host": format!("{area}-{group}.region-{}.internal.example", choose(28, 9)),
+        "PathPrefix": format!("/v{}/{area}/{action}/{id}/", choose(40, 3)),
+        "Kind": if choose(48, 3) == 0 { "unsafe" } else { "safe" },
+        "Timeout": TIMEOUTS[choose(50, 5)], "TargetLatency": LATENCIES[choose(54, 4)],
+        "Priority": choose(56, 4), "MaxAttempts": 1 + choose(58, 3), "Service": "s",
+    });
+    (format!("{area}-{group}-{action}-{id}"), route)
+}
+
+/// Returns a number whose bits have no pattern (the finalizer of SplitMix64).
+fn scramble(index: u64) -> u64 {
+    let mut value = (index + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    value ^ (value >> 31)
+}
+
 pub fn registration(address: SocketAddr, state: &str) -> Value {
     json!({"Service": "s", "Address": address, "Zone": "z", "Slots": 4, "State": state, "WarmupLeft": "0ms"})
 }
--- a/crates/relay/tests/replication.rs
+++ b/crates/relay/tests/replication.rs
@@ -2,11 +2,14 @@
 
 mod common;
 
-use common::{config, registration};
-use sniperelay_platform::api::{EventList, ObjectEvent, ObjectList, StoredObject};
+use common::{config, large_config, registration};
+use sniperelay_platform::HttpPlatform;
+use sniperelay_platform::api::{EventList, ObjectEvent, ObjectList, PlatformApi, StoredObject};
 use sniperelay_relay::RunningRelay;
 use sniperelay_relay::replication::{StoreReplica, StoreSource};
 use sniperelay_standin::platform::PlatformStandin;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 fn object(name: &str, version: u64) -> StoredObject {
@@ -73,8 +76,12 @@
 
 impl Fleet {
     async fn start(count: usize) -> Self {
+        Self::start_with_config(count, &config("00000001")).await
+    }
+
+    async fn start_with_config(count: usize, config: &serde_json::Value) -> Self {
         let store = PlatformStandin::start().await.unwrap();
-        store.put("config/main", config("00000001").to_string());
+        store.put("config/main", config.to_string());
         let relays =
             (0..count).map(|index| common::start_named_relay(&format!("vm{index}"), store.address()));
         Self { relays: relays.collect(), store }
@@ -225,3 +232,101 @@
         assert_eq!(held, 0, "no entries may be held, because the store was always available");
     }
 }
+
+/// Large configurations reach the follower of three readers, and it receives them in less than a fifth of their
+/// plain size. A follower may change its reader at any time, so only versions that it has received from the
+/// reader that it followed before and after are measured.
+///
+/// Several threads run the entry VMs, as if each had a process of its own: in a debug build, each of them takes some
+/// time to decode the configuration, and on one thread together they miss liveness checks.
+#[tokio::test(flavor = "multi_thread")]
+async fn follower_receives_a_changed_large_configuration_compressed() {
+    let fleet = Fleet::start_with_config(4, &large_config("00000001")).await;
+    fleet.wait_until(|state| state.is_ready() && state.entry_vms.load().len() == 4).await;
+    while fleet.relays.iter().filter(|relay| relay.state().replica.is_reader()).count() != 3 {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    let follower = fleet.relays.iter().find(|relay| !relay.state().replica.is_reader()).unwrap().state();
+    let mut measured = None;
+    for number in 2..22 {
+        while followed_reader(follower).is_none() {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        let Some(reader) = followed_reader(follower) else { continue };
+        let before = received_bytes(&reader);
+        fleet.store.put("config/main", large_config(&format!("{number:08x}")).to_string());
+        fleet.wait_until(|state| version(state) == number).await;
+        let received = received_bytes(&reader) - before;
+        let is_same = followed_reader(follower).is_some_and(|after| Arc::ptr_eq(&reader, &after));
+        if is_same && received >= MIN_CONFIG_WIRE_BYTES {
+            measured = Some((reader.address(), received));
+            break;
+        }
+    }
+    let (address, wire_bytes) = measured.expect("the follower received no version from a single reader");
+    let plain_client = HttpPlatform::new(address, 100);
+    let list = plain_client.list("snapshot/config/").await.unwrap();
+    let plain_bytes = received_bytes(&plain_client);
+    let value_bytes = list.items[0].value.len();
+    println!("configuration {value_bytes} bytes, plain response {plain_bytes}, received {wire_bytes}");
+    assert!((850_000..1_000_000).contains(&value_bytes), "{value_bytes} bytes");
+    assert!(wire_bytes < plain_bytes / 5, "{wire_bytes} of {plain_bytes} bytes were sent");
+    let routes = follower.routes.load_full().unwrap();
+    assert_eq!(routes.config.routes.len() as u64, common::LARGE_CONFIG_ROUTES + 2);
+}
+
+/// Number of bytes below which a follower cannot have received the large configuration: four bytes, half of the
+/// digits that have no pattern, for each route.
+const MIN_CONFIG_WIRE_BYTES: u64 = 4 * common::LARGE_CONFIG_ROUTES;
+
+fn received_bytes(client: &HttpPlatform) -> u64 {
+    client.counters().received_bytes.load(Ordering::Relaxed)
+}
+
+/// Returns the client of the reader that an entry VM follows.
+fn followed_reader(state: &sniperelay_relay::shared_state::RelayState) -> Option<Arc<HttpPlatform>> {
+    match &*state.replica.subscribe_source().borrow() {
+        StoreSource::Reader(client) => Some(client.clone()),
+        StoreSource::Direct => None,
+    }
+}
+
+/// Lists, snapshots and watches are compressed only if the request permits it and the response is large.
+#[tokio::test(flavor = "multi_thread")]
+async fn responses_are_compressed_only_if_they_are_large_and_the_request_permits_it() {
+    let fleet = Fleet::start_with_config(1, &large_config("00000001")).await;
+    let target = registration("127.0.0.1:9".parse().unwrap(), "ready");
+    fleet.store.put("servers/i1", target.to_string());
+    fleet.wait_until(|state| state.is_ready() && state.replica.can_serve_followers()).await;
+    let state = fleet.relays[0].state();
+    // From then on, the change log has the large configuration.
+    let since = state.replica.snapshot("config/").unwrap().revision;
+    fleet.store.put("config/main", large_config("00000002").to_string());
+    fleet.wait_until(|state| version(state) == 2).await;
+    let address = state.own_record().peer_address;
+    let watch = format!("/watch/config/?since={since}&wait_ms=0");
+    let deflate = "Accept-Encoding: deflate\r\n";
+    // Each row: path, header of the request, whether the response is compressed.
+    let rows = [
+        ("/list/config/", "", false),
+        ("/list/snapshot/config/", "", false),
+        (watch.as_str(), "", false),
+        ("/list/config/", deflate, true),
+        ("/list/snapshot/config/", deflate, true),
+        (watch.as_str(), deflate, true),
+        ("/list/config/", "accept-encoding: gzip, DEFLATE;q=0.5\r\n", true),
+        ("/list/config/", "Accept-Encoding: gzip\r\n", false),
+        ("/list/config/", "Accept-Encoding: deflate;q=0\r\n", false),
+        ("/list/servers/", deflate, false),
+        ("/list/sniperelay-pulse/", deflate, false),
+    ];
+    for (path, request_header, is_compressed) in rows {
+        let mut caller = common::Caller::open(address).await;
+        caller.send(&format!("GET {path} HTTP/1.1\r\nHost: a\r\n{request_header}\r\n")).await;
+        let response = caller.receive().await.expect("no response");
+        let coding = common::header(&response, "content-encoding");
+        assert_eq!(coding, is_compressed.then(|| "deflate".to_owned()), "{path} {request_header}");
+        let is_json = serde_json::from_str::<serde_json::Value>(common::body(&response)).is_ok();
+        assert_eq!(is_json, !is_compressed, "{path} {request_header}");
+    }
+}
