serve: connections are reused only within the idle time that their peer states

Cause: the pool of 'serve' reused connections to targets and to other entry VMs that had been idle for up to 15 s, whatever the peer stated. Entry VMs close them after 10 s by default. Claims were sent on such connections as well. Change: an idle connection is reused for three fifths of the time in the peer's 'Keep-Alive: timeout=N', at most for 15 s. A target that states nothing keeps the 15 s; an entry VM that states nothing closes after an unknown time, so its connection is not reused. Claims, the only requests that are forwarded to entry VMs, use connections that were idle for less than 1 s. keep_alive_time and NON_IDEMPOTENT_MAX_IDLE are the relay's, moved to connection_reuse; the relay's own default of 5 s stays there. Measured, on the parent and with the change: - connection_is_not_reused_after_the_idle_time_that_its_target_states: fails (timeout=1: 1 connection instead of 2), passes. - claims_do_not_reuse_connections_that_were_idle_for_long: fails (1 connection instead of 2), passes. - connection_to_an_entry_vm_is_reused_only_within_the_idle_time_that_it_states: fails (timeout=1, after 800 ms: 1 instead of 2), passes. Conclusion: forwarded claims no longer meet the idle close of an entry VM that states its time. A claim that finds only older connections closes them, as in the relay; what these reconnects cost reads of the same target is not measured.

--- a/crates/node/src/traffic/attempt.rs
+++ b/crates/node/src/traffic/attempt.rs
@@ -3,12 +3,16 @@
 //! A response counts as the response to this attempt only if it returns the attempt's ID. On a new
 //! connection, a response without an ID is accepted, too, because nothing else can arrive there; such a
 //! connection is not reused.
+//!
+//! A connection is reused within the idle time that its peer states. Entry VMs close idle connections sooner
+//! than most targets: a connection to one that states no time is not reused.
 
 use crate::dispatcher_handle::AttemptSlot;
 use crate::shared_state::ClaimedKey;
 use crate::traffic::body::RequestBody;
+use crate::traffic::connection_reuse::{NON_IDEMPOTENT_MAX_IDLE, keep_alive_time};
 use crate::traffic::headers;
-use crate::traffic::pool::{PooledConnection, TargetPool};
+use crate::traffic::pool::{MAX_IDLE_TIME, PooledConnection, TargetPool};
 use crate::wall_clock;
 use http::{HeaderValue, Request, Response};
 use hyper::body::Incoming;
@@ -78,8 +82,11 @@
     key: Option<Arc<ClaimedKey>>,
     slot: Option<AttemptSlot>,
 ) -> AttemptResult {
+    // Only requests with a key are forwarded to other entry VMs.
+    let is_idempotent = key.is_none() && slot.is_some();
+    let max_idle = if is_idempotent { MAX_IDLE_TIME } else { NON_IDEMPOTENT_MAX_IDLE };
     loop {
-        let Ok(mut connection) = pool.take(address).await else {
+        let Ok(mut connection) = pool.take_fresh(address, max_idle).await else {
             return AttemptResult::Failed { failure: AttemptFailure::Connect, slot };
         };
         let Some(sender) = connection.sender() else { continue };
@@ -136,6 +143,11 @@
             return AttemptResult::Failed { failure: AttemptFailure::ConnectionLost, slot };
         }
     }
+    match keep_alive_time(response.headers()) {
+        Some(time) => connection.set_max_idle_time(time),
+        None if slot.is_none() => connection.forbid_reuse(),
+        None => {}
+    }
     if response.headers().contains_key(headers::REFUSED) && response.status().is_server_error() {
         key.iter().for_each(|key| key.mark_refused());
         return AttemptResult::Failed { failure: AttemptFailure::Refused, slot };
--- a/crates/node/src/traffic/pool.rs
+++ b/crates/node/src/traffic/pool.rs
@@ -19,7 +19,7 @@
 /// Timeout for establishing a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Maximum idle time of a connection in the pool.
-const MAX_IDLE_TIME: Duration = Duration::from_secs(15);
+pub const MAX_IDLE_TIME: Duration = Duration::from_secs(15);
 /// Maximum number of idle connections per target, unless the target has a lower limit of its own.
 pub const MAX_IDLE_PER_TARGET: usize = 8;
 /// Size of the read buffer of a connection, and thereby maximum size of a response head, in bytes. A
@@ -67,6 +67,8 @@
     pub is_reused: bool,
     /// Whether the connection is closed instead of being returned to the pool.
     is_reuse_forbidden: bool,
+    /// Time for which the connection may stay idle in the pool.
+    max_idle_time: Duration,
 }
 
 impl TargetPool {
@@ -151,6 +153,7 @@
             idle_limits: self.idle_limits.clone(),
             is_reused,
             is_reuse_forbidden: false,
+            max_idle_time: MAX_IDLE_TIME,
         }
     }
 }
@@ -167,14 +170,20 @@
     }
 
     /// Closes the connection after this request instead of returning it to the pool, because a second copy
-    /// of this response would be taken for the next response.
+    /// of this response would be taken for the next response, or because its peer may close it at any time.
     pub fn forbid_reuse(&mut self) {
         self.is_reuse_forbidden = true;
     }
 
+    /// Sets the time for which the connection may stay idle after this request.
+    pub fn set_max_idle_time(&mut self, max_idle_time: Duration) {
+        self.max_idle_time = max_idle_time;
+    }
+
     /// Returns the connection to the pool for the next request.
     pub fn return_to_pool(self) {
-        self.return_to_pool_for(MAX_IDLE_TIME);
+        let max_idle_time = self.max_idle_time;
+        self.return_to_pool_for(max_idle_time);
     }
 
     /// Returns the connection to the pool, where it may stay idle for at most `max_idle_time`.
--- a/crates/node/tests/idle_connections.rs
+++ b/crates/node/tests/idle_connections.rs
@@ -1,4 +1,5 @@
-//! Tests of idle connections: what callers are told about them, and how they are closed.
+//! Tests of idle connections: what callers are told about them, how they are closed, and for how long those to
+//! targets and to other entry VMs are reused.
 
 mod common;
 
@@ -6,11 +7,14 @@
 use common::{
     TIMEOUT, header_of, send_raw_request, start_cluster, start_limited_cluster, status_of, wait_until,
 };
+use http_body_util::BodyExt;
+use sniperelay_node::traffic::attempt::{AttemptDeadline, AttemptResult, run_attempt};
 use sniperelay_node::traffic::body::full_body;
+use sniperelay_node::traffic::pool::TargetPool;
 use std::io::Write;
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
@@ -169,3 +173,71 @@
         format!("HTTP/1.1 200 OK\r\nSniperelay-Attempt: {{attempt}}\r\n{lines}Content-Length: 2\r\n\r\nok");
     RawTarget::start(move |_| vec![RawStep::Write(text.clone())]).await
 }
+
+/// Each row: what the target states, and the number of connections for two requests with a pause of 0.8 s.
+#[tokio::test(flavor = "multi_thread")]
+async fn connection_is_not_reused_after_the_idle_time_that_its_target_states() {
+    for (lines, connections) in
+        [("Keep-Alive: timeout=1\r\n", 2), ("Keep-Alive: timeout=30, max=9\r\n", 1), ("", 1)]
+    {
+        let cluster = start_cluster(1, 1).await;
+        let target = start_stating_target(lines).await;
+        use_raw_targets(&cluster, "rota-board", &[&target]).await;
+        let mut stream = connect_and_use(cluster.caller_addresses()[0]).await;
+        tokio::time::sleep(Duration::from_millis(800)).await;
+        assert_eq!(status_of(&exchange(&mut stream, READ).await), 200);
+        assert_eq!(target.connections.load(Ordering::Relaxed), connections, "{lines:?}");
+        cluster.shut_down();
+    }
+}
+
+/// A claim is sent only on a connection that was used shortly before. An older one may be about to be closed.
+#[tokio::test(flavor = "multi_thread")]
+async fn claims_do_not_reuse_connections_that_were_idle_for_long() {
+    let cluster = start_cluster(1, 1).await;
+    let address = cluster.caller_addresses()[0];
+    let target = start_stating_target("").await;
+    use_raw_targets(&cluster, "claim-desk", &[&target]).await;
+    let lookup =
+        "GET /.sniperelay/lookup?service=claim-desk HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+    let lookup = send_raw_request(address, lookup).await;
+    let ticket = lookup.split("\"ticket\":\"").nth(1).and_then(|text| text.split('"').next()).unwrap();
+    for index in 0..2 {
+        let claim = format!(
+            "POST /claims HTTP/1.1\r\nHost: claim-desk\r\nIdempotency-Key: {ticket}-{index}\r\n\
+             Content-Length: 0\r\nConnection: close\r\n\r\n"
+        );
+        assert_eq!(status_of(&send_raw_request(address, &claim).await), 200);
+        tokio::time::sleep(Duration::from_millis(1100)).await;
+    }
+    assert_eq!(target.connections.load(Ordering::Relaxed), 2);
+    cluster.shut_down();
+}
+
+/// Only claims are forwarded to other entry VMs. Each row: what the entry VM states, the pause between two
+/// requests, and the number of connections for them.
+#[tokio::test]
+async fn connection_to_an_entry_vm_is_reused_only_within_the_idle_time_that_it_states() {
+    for (lines, pause_millis, connections) in [
+        ("Keep-Alive: timeout=8\r\n", 50, 1),
+        ("Keep-Alive: timeout=1\r\n", 800, 2),
+        ("Keep-Alive: timeout=8\r\n", 1100, 2),
+        ("", 50, 2),
+    ] {
+        let peer = start_stating_target(lines).await;
+        let pool = TargetPool::default();
+        for _ in 0..2 {
+            let request =
+                http::Request::post("/claims").header("host", "claim-desk").body(full_body("")).unwrap();
+            let deadline = AttemptDeadline::at(Instant::now() + TIMEOUT);
+            let attempt = run_attempt(pool.clone(), peer.address, request, deadline, None, None).await;
+            let AttemptResult::Responded { response, connection, .. } = attempt else {
+                panic!("no response: {attempt:?}")
+            };
+            response.into_body().collect().await.unwrap();
+            connection.return_to_pool();
+            tokio::time::sleep(Duration::from_millis(pause_millis)).await;
+        }
+        assert_eq!(peer.connections.load(Ordering::Relaxed), connections, "{lines:?}, {pause_millis} ms");
+    }
+}
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -6,7 +6,7 @@
 
 use crate::shared_state::RelayState;
 use bytes::{Bytes, BytesMut};
-use http::header::{self, HeaderMap, HeaderName};
+use http::header::{self, HeaderMap};
 use http::{Method, Request, Response, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -16,6 +16,7 @@
 use sniperelay_node::boot_clock::{self, BootTime};
 use sniperelay_node::dispatcher_handle::AttemptSlot;
 use sniperelay_node::traffic::body::{RequestBody, full_body};
+use sniperelay_node::traffic::connection_reuse::{NON_IDEMPOTENT_MAX_IDLE, keep_alive_time};
 use sniperelay_node::traffic::headers::strip_hop_by_hop;
 use sniperelay_node::traffic::pool::PooledConnection;
 use std::sync::Arc;
@@ -25,11 +26,6 @@
 /// Time for which an idle connection is kept open if the target does not state a keep-alive time:
 /// half of the shortest time after which targets are known to close idle connections.
 const DEFAULT_KEEP_ALIVE: Duration = Duration::from_secs(5);
-/// Fraction of the keep-alive time stated by the target for which an idle connection is kept open.
-const KEEP_ALIVE_SHARE: f64 = 0.6;
-/// Maximum idle time of a connection that is reused for a non-idempotent request. After a longer time
-/// the target may have dropped the connection, and the request would be lost.
-const NON_IDEMPOTENT_MAX_IDLE: Duration = Duration::from_secs(1);
 
 /// Cause of a failed attempt whose response belongs to another request, for log lines.
 const FOREIGN_ANSWER: &str = "answer names another request";
@@ -177,7 +173,7 @@
 ) -> AttemptResult {
     let report = platform_headers::read_report(response.headers());
     let is_leaving = platform_headers::is_misdirected(&response);
-    let keep_alive = keep_alive_time(response.headers());
+    let keep_alive = keep_alive_time(response.headers()).unwrap_or(DEFAULT_KEEP_ALIVE);
     let is_not_executed = platform_headers::is_not_executed(&response);
     let is_own = is_own_response(outbound, &response, connection.is_reused);
     let defect =
@@ -270,16 +266,3 @@
     (response.status().is_success() && !platform_headers::is_from_target(headers))
         .then_some("answer bears no seal")
 }
-
-fn keep_alive_time(headers: &HeaderMap) -> Duration {
-    let keep_alive_text =
-        headers.get(HeaderName::from_static("keep-alive")).and_then(|value| value.to_str().ok());
-    let timeout = keep_alive_text.and_then(|text| {
-        let parts = text.split(',').filter_map(|part| part.trim().split_once('='));
-        parts
-            .filter(|(name, _)| name.eq_ignore_ascii_case("timeout"))
-            .find_map(|(_, value)| value.parse::<u32>().ok())
-    });
-    timeout
-        .map_or(DEFAULT_KEEP_ALIVE, |seconds| Duration::from_secs_f64(f64::from(seconds) * KEEP_ALIVE_SHARE))
-}
