Replication: a transfer is completed although another reader is followed

Change: bytes are no sign of life of a reader any more. Another one is followed as before, and each kind of object is read there at once; only a transfer in progress is completed from the earlier reader as long as its bytes arrive (600 ms without any end it). Versions never decrease, so that what it brings late does no harm. The measurement of the compressed size takes its bytes from a counter of the replica now, since each kind of object has a client of its own; its bounds are unchanged.

--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -46,7 +46,7 @@
         self.transport.address()
     }
 
-    /// Returns whether a part of a response was received within the last `span`.
+    /// Returns whether a part of a response body was received within the last `span`.
     pub fn has_received_within(&self, span: Duration) -> bool {
         self.transport.has_received_within(span)
     }
--- a/crates/platform/src/transport.rs
+++ b/crates/platform/src/transport.rs
@@ -164,7 +164,7 @@
     address: SocketAddr,
     limiter: Mutex<CallLimiter>,
     counters: Arc<CallCounters>,
-    /// Time at which a part of a response was last received.
+    /// Time at which a part of a response body was last received.
     last_receipt: Mutex<Option<Instant>>,
 }
 
@@ -179,6 +179,12 @@
         }
     }
 
+    /// Counts the calls with `counters`, which several transports may share.
+    pub fn with_counters(mut self, counters: Arc<CallCounters>) -> Self {
+        self.counters = counters;
+        self
+    }
+
     /// Returns the address of the platform.
     pub fn address(&self) -> SocketAddr {
         self.address
@@ -189,7 +195,7 @@
         &self.counters
     }
 
-    /// Returns whether a part of a response was received within the last `span`.
+    /// Returns whether a part of a response body was received within the last `span`.
     pub fn has_received_within(&self, span: Duration) -> bool {
         let last_receipt = *self.last_receipt.lock().unwrap_or_else(PoisonError::into_inner);
         last_receipt.is_some_and(|receipt| receipt.elapsed() < span)
@@ -246,7 +252,6 @@
         let deadline = tokio::time::Instant::now() + timeout;
         let head = tokio::time::timeout_at(deadline, self.receive_head(request));
         let (response, _driver) = head.await.unwrap_or_else(|_| Err(call_timed_out()))?;
-        self.record_receipt();
         let (parts, incoming) = response.into_parts();
         let body = self.receive_body(incoming, deadline).await?;
         self.counters.received_bytes.fetch_add(body.len() as u64, Ordering::Relaxed);
--- a/crates/relay/src/replication.rs
+++ b/crates/relay/src/replication.rs
@@ -11,6 +11,7 @@
 use sniperelay_hosted::registration::EntryVmRecord;
 use sniperelay_node::boot_clock::{self, BootTime};
 use sniperelay_platform::api::{EventList, ObjectEvent, ObjectList, PlatformApi, StoredObject};
+use sniperelay_platform::transport::CallCounters;
 use sniperelay_platform::{CallLimiter, HttpPlatform, PlatformTransport};
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
@@ -49,12 +50,12 @@
 const MAX_READER_BACKOFF: Duration = Duration::from_millis(100);
 
 /// Source from which this entry VM reads the contents of the store.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum StoreSource {
     /// The store itself: this entry VM is a reader, or no reader is available.
     Direct,
-    /// Another entry VM that reads the store.
-    Reader(Arc<HttpPlatform>),
+    /// Another entry VM that reads the store, at its address for other entry VMs.
+    Reader(SocketAddr),
 }
 
 /// Local copy of the objects under one prefix.
@@ -81,6 +82,8 @@
     store_contact_at: Mutex<Option<BootTime>>,
     /// Time of the last response from a reader.
     reader_contact_at: Mutex<Option<BootTime>>,
+    /// Counters of the reads from readers.
+    reader_calls: Arc<CallCounters>,
     is_reader: AtomicBool,
     /// Whether neither a reader nor the store responded to the last check.
     is_store_unavailable: AtomicBool,
@@ -95,6 +98,7 @@
             changed: watch::Sender::new(()),
             store_contact_at: Mutex::default(),
             reader_contact_at: Mutex::default(),
+            reader_calls: Arc::default(),
             is_reader: AtomicBool::new(false),
             is_store_unavailable: AtomicBool::new(false),
             source: watch::Sender::new(StoreSource::Direct),
@@ -112,6 +116,11 @@
         self.source.subscribe()
     }
 
+    /// Returns the counters of the reads from readers.
+    pub fn reader_calls(&self) -> &Arc<CallCounters> {
+        &self.reader_calls
+    }
+
     /// Returns whether this entry VM is a reader according to its list of entry VMs.
     pub fn is_reader(&self) -> bool {
         self.is_reader.load(Ordering::Relaxed)
@@ -354,38 +363,39 @@
     candidates.filter(is_chosen).cloned().collect()
 }
 
-/// Sends a liveness check to a reader and follows it if it responds. A reader that is followed already also counts
-/// as live while it sends a response to a read: a large one delays the response to the check on a shared link. A
-/// reader that refuses the check is not live.
-///
-/// Returns whether the reader is live.
+/// Sends a liveness check to a reader and follows it if it responds. Returns whether it responded.
 async fn try_follow_reader(state: &RelayState, reader: &EntryVmRecord) -> bool {
     let address = reader.peer_address;
-    let followed = match &*state.replica.source.borrow() {
-        StoreSource::Reader(client) if client.address() == address => Some(client.clone()),
-        _ => None,
-    };
-    let client = make_entry_vm_client(address);
-    let timeout = LIVENESS_CHECK_HOLD + LIVENESS_CHECK_MARGIN;
-    let response = tokio::time::timeout(timeout, client.list(LIVENESS_PREFIX)).await;
+    let is_followed =
+        matches!(*state.replica.source.borrow(), StoreSource::Reader(followed) if followed == address);
+    let check = make_entry_vm_client(address);
+    let response =
+        tokio::time::timeout(LIVENESS_CHECK_HOLD + LIVENESS_CHECK_MARGIN, check.list(LIVENESS_PREFIX)).await;
     let has_responded = matches!(response, Ok(Ok(_)));
     if has_responded {
         state.replica.record_reader_contact();
     }
-    if let Some(followed) = followed {
-        return has_responded || (response.is_err() && followed.has_received_within(timeout));
-    }
-    if has_responded {
+    if has_responded && !is_followed {
         log::info!(reader = reader.name.as_str(); "store followed through {}", reader.name);
-        state.replica.source.send_replace(StoreSource::Reader(Arc::new(client)));
+        state.replica.source.send_replace(StoreSource::Reader(address));
     }
     has_responded
 }
 
+/// Creates a client for reads from the reader at `address`, whose calls `counters` counts.
+pub fn make_reader_client(address: SocketAddr, counters: Arc<CallCounters>) -> HttpPlatform {
+    HttpPlatform::with_transport(make_transport(address).with_counters(counters)).with_compression()
+}
+
+/// Creates a client for other calls to an entry VM.
 fn make_entry_vm_client(address: SocketAddr) -> HttpPlatform {
+    HttpPlatform::with_transport(make_transport(address)).with_compression()
+}
+
+fn make_transport(address: SocketAddr) -> PlatformTransport {
     let limiter =
         CallLimiter::new(READER_CALLS_PER_SECOND).with_full_bucket().with_max_backoff(MAX_READER_BACKOFF);
-    HttpPlatform::with_transport(PlatformTransport::new(address, limiter)).with_compression()
+    PlatformTransport::new(address, limiter)
 }
 
 fn switch_to_direct(state: &RelayState, reason: &str) {
--- a/crates/relay/src/store_sync.rs
+++ b/crates/relay/src/store_sync.rs
@@ -8,7 +8,7 @@
 //! revision.
 
 use crate::own_registration::{FoundRegistration, OwnRegistration};
-use crate::replication::{StoreSource, fetch_seed_snapshot};
+use crate::replication::{StoreSource, fetch_seed_snapshot, make_reader_client};
 use crate::shared_state::{EntryVmMap, RelayState, TargetMap};
 use crate::sync_progress::{NextRead, ReadOutcome, StoreAvailability, SyncProgress};
 use sniperelay_core::target::TargetLifecycle;
@@ -21,6 +21,8 @@
 use sniperelay_platform::api::{EventList, ObjectList, PlatformApi, StoredObject};
 use sniperelay_platform::{HttpPlatform, PlatformError, Result};
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::pin::{Pin, pin};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -45,6 +47,8 @@
 const MAX_COALESCE_PAUSE: Duration = Duration::from_secs(1);
 /// Pause after a reader failed, unless the source changes earlier.
 const READER_FAILURE_PAUSE: Duration = Duration::from_millis(700);
+/// Time without received bytes after which a transfer from an earlier reader is abandoned.
+const TRANSFER_STALL_TIMEOUT: Duration = Duration::from_millis(600);
 /// Pause after a failed call to the store, unless the source changes earlier.
 const STORE_FAILURE_PAUSE: Duration = Duration::from_millis(120);
 /// Time after the store becomes available again for which targets whose entries expired during the
@@ -234,6 +238,9 @@
     progress: SyncProgress,
     availability: StoreAvailability,
     source: watch::Receiver<StoreSource>,
+    /// Client for the reader that is followed. It is used for this prefix only, so that it shows the progress of
+    /// this prefix's transfers.
+    reader: Option<Arc<HttpPlatform>>,
     /// Versions of the existing objects by key.
     known_versions: BTreeMap<String, u64>,
     /// Whether to pause before the next watch, to coalesce further changes.
@@ -254,6 +261,7 @@
             progress: SyncProgress::default(),
             availability: StoreAvailability::default(),
             source,
+            reader: None,
             known_versions: BTreeMap::new(),
             is_coalescing: false,
             is_from_seed: false,
@@ -295,10 +303,13 @@
         if std::mem::take(&mut self.is_coalescing) {
             tokio::time::sleep(self.coalesce_pause()).await;
         }
-        let source = self.source.borrow_and_update().clone();
-        let result = match &source {
+        let source = *self.source.borrow_and_update();
+        let result = match source {
             StoreSource::Direct => self.read_from_store().await,
-            StoreSource::Reader(reader) => self.read_from_reader(reader).await,
+            StoreSource::Reader(address) => {
+                let reader = self.reader_client(address);
+                self.read_from_reader(&reader).await
+            }
         };
         match result {
             Ok(outcome) => self.handle_outcome(outcome).await,
@@ -309,6 +320,17 @@
         }
     }
 
+    /// Returns the client for the reader at `address`.
+    fn reader_client(&mut self, address: SocketAddr) -> Arc<HttpPlatform> {
+        match &self.reader {
+            Some(reader) if reader.address() == address => reader.clone(),
+            _ => {
+                let counters = self.state.replica.reader_calls().clone();
+                self.reader.insert(Arc::new(make_reader_client(address, counters))).clone()
+            }
+        }
+    }
+
     async fn handle_outcome(&mut self, outcome: WatcherOutcome) -> Vec<StoreChange> {
         let is_from_seed = std::mem::take(&mut self.is_from_seed);
         if !is_from_seed && self.availability.record_outcome(&outcome, boot_clock::now()) {
@@ -380,11 +402,15 @@
             let list = reader.list(self.prefix).await?;
             return Ok(self.apply_list(list, true));
         };
+        let mut watch = pin!(reader.watch(self.prefix, revision, MAX_READER_WATCH_WAIT));
         let events = tokio::select! {
-            events = reader.watch(self.prefix, revision, MAX_READER_WATCH_WAIT) => events?,
-            Ok(()) = self.source.changed() => return Ok(ReadOutcome::SourceChanged),
+            events = &mut watch => Some(events),
+            Ok(()) = self.source.changed() => finish_transfer(reader, watch).await,
         };
-        Ok(ReadOutcome::Read(self.apply_events(events)))
+        match events {
+            Some(events) => Ok(ReadOutcome::Read(self.apply_events(events?))),
+            None => Ok(ReadOutcome::SourceChanged),
+        }
     }
 
     /// Applies a list. `is_current` states whether it takes effect at once.
@@ -452,6 +478,20 @@
     }
 }
 
+/// Finishes a call to an earlier reader as long as bytes of its response arrive. Returns `None` if the call is
+/// abandoned.
+///
+/// A large response fills the link, so that liveness checks fail and another reader is followed. A transfer that
+/// is abandoned for this reason would begin again there, and fill that link, too.
+async fn finish_transfer<T>(reader: &HttpPlatform, mut call: Pin<&mut impl Future<Output = T>>) -> Option<T> {
+    while reader.has_received_within(TRANSFER_STALL_TIMEOUT) {
+        if let Ok(result) = tokio::time::timeout(TRANSFER_STALL_TIMEOUT, &mut call).await {
+            return Some(result);
+        }
+    }
+    None
+}
+
 /// Watches the registered entry VMs and keeps this entry VM registered.
 pub async fn watch_entry_vms(state: Arc<RelayState>) {
     let mut watcher = PrefixWatcher::new(state.clone(), ENTRY_VM_PREFIX);
--- a/crates/relay/tests/replication.rs
+++ b/crates/relay/tests/replication.rs
@@ -5,10 +5,11 @@
 use common::{config, large_config, registration};
 use sniperelay_platform::HttpPlatform;
 use sniperelay_platform::api::{EventList, ObjectEvent, ObjectList, PlatformApi, StoredObject};
+use sniperelay_platform::transport::CallCounters;
 use sniperelay_relay::RunningRelay;
 use sniperelay_relay::replication::{StoreReplica, StoreSource};
 use sniperelay_standin::platform::PlatformStandin;
-use std::sync::Arc;
+use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -253,20 +254,19 @@
             tokio::time::sleep(Duration::from_millis(10)).await;
         }
         let Some(reader) = followed_reader(follower) else { continue };
-        let before = received_bytes(&reader);
+        let before = received_bytes(follower.replica.reader_calls());
         fleet.store.put("config/main", large_config(&format!("{number:08x}")).to_string());
         fleet.wait_until(|state| version(state) == number).await;
-        let received = received_bytes(&reader) - before;
-        let is_same = followed_reader(follower).is_some_and(|after| Arc::ptr_eq(&reader, &after));
-        if is_same && received >= MIN_CONFIG_WIRE_BYTES {
-            measured = Some((reader.address(), received));
+        let received = received_bytes(follower.replica.reader_calls()) - before;
+        if followed_reader(follower) == Some(reader) && received >= MIN_CONFIG_WIRE_BYTES {
+            measured = Some((reader, received));
             break;
         }
     }
     let (address, wire_bytes) = measured.expect("the follower received no version from a single reader");
     let plain_client = HttpPlatform::new(address, 100);
     let list = plain_client.list("snapshot/config/").await.unwrap();
-    let plain_bytes = received_bytes(&plain_client);
+    let plain_bytes = received_bytes(plain_client.counters());
     let value_bytes = list.items[0].value.len();
     println!("configuration {value_bytes} bytes, plain response {plain_bytes}, received {wire_bytes}");
     assert!((850_000..1_000_000).contains(&value_bytes), "{value_bytes} bytes");
@@ -279,14 +279,14 @@
 /// digits that have no pattern, for each route.
 const MIN_CONFIG_WIRE_BYTES: u64 = 4 * common::LARGE_CONFIG_ROUTES;
 
-fn received_bytes(client: &HttpPlatform) -> u64 {
-    client.counters().received_bytes.load(Ordering::Relaxed)
+fn received_bytes(counters: &CallCounters) -> u64 {
+    counters.received_bytes.load(Ordering::Relaxed)
 }
 
-/// Returns the client of the reader that an entry VM follows.
-fn followed_reader(state: &sniperelay_relay::shared_state::RelayState) -> Option<Arc<HttpPlatform>> {
-    match &*state.replica.subscribe_source().borrow() {
-        StoreSource::Reader(client) => Some(client.clone()),
+/// Returns the address of the reader that an entry VM follows.
+fn followed_reader(state: &sniperelay_relay::shared_state::RelayState) -> Option<SocketAddr> {
+    match *state.replica.subscribe_source().borrow() {
+        StoreSource::Reader(address) => Some(address),
         StoreSource::Direct => None,
     }
 }
