relay: closing an idle connection does not cut off its last response

Cause: closed idle connections at once. A connection counts as idle from the moment at which its last response has been handed to the socket; a slow caller may still be receiving it. A request that then crosses the close resets the connection, and the reset discards what has not been sent. Found by the review, at an idle close and at the end of a planned stop. Change: the sending side is closed and the socket stays open, unread, until the caller closes its side, for one second at most (half a second in a planned stop, to fit into the grace period).

--- a/crates/relay/src/caller_connection.rs
+++ b/crates/relay/src/caller_connection.rs
@@ -35,6 +35,8 @@
 /// Maximum time for which a caller's bytes are discarded after the last response, so that closing the
 /// connection does not reset it before the caller has read the response.
 const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
+/// [`LINGER_TIMEOUT`] at the end of a graceful shutdown, which leaves a fifth of the grace period for it.
+const SHUTDOWN_LINGER_TIMEOUT: Duration = Duration::from_millis(500);
 /// Timeout for writing the head of a response together with a small body, and for each further write.
 /// The caller of a large response must accept some bytes of the body within this time.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
@@ -404,8 +406,8 @@
 
     /// Cancels the requests in flight and closes the connection.
     ///
-    /// An idle connection is closed without reading from it: a request that crosses the close is then reset
-    /// unread, and its caller may repeat it.
+    /// An idle connection is closed without reading from it: a request that crosses the close is reset unread,
+    /// and its caller may repeat it.
     async fn finish(&mut self, end: ConnectionEnd) {
         let idle = self.waiting_since.elapsed();
         for request in self.running.drain(..) {
@@ -414,7 +416,18 @@
         if end == ConnectionEnd::IdleTimeout {
             self.state.metrics.process().connections_timed_out.fetch_add(1, Ordering::Relaxed);
         }
+        if end == ConnectionEnd::Failed {
+            return;
+        }
+        if let Err(error) = self.stream.shutdown().await {
+            log::debug!("cannot shut down a caller connection: {error}");
+            return;
+        }
         if !end.follows_response() {
+            let is_shutting_down = end == ConnectionEnd::ShuttingDown;
+            let timeout = if is_shutting_down { SHUTDOWN_LINGER_TIMEOUT } else { LINGER_TIMEOUT };
+            // After the timeout the connection is closed anyway.
+            drop(tokio::time::timeout(timeout, self.await_caller_close()).await);
             return;
         }
         let late_bytes = self.linger().await;
@@ -423,14 +436,17 @@
         }
     }
 
-    /// Closes the connection in such a way that the caller can still read the last response. Returns the first
-    /// bytes that arrive meanwhile.
+    /// Waits until the caller has closed its side, without reading; for ever if it sends anything. The caller may still be receiving an earlier
+    /// response, and closing the socket with unread bytes would reset it.
+    async fn await_caller_close(&mut self) {
+        if matches!(self.stream.peek(&mut [0; 1]).await, Ok(1..)) {
+            std::future::pending().await
+        }
+    }
+
+    /// Discards what the caller still sends, so that it can read the last response. Returns the first bytes.
     async fn linger(&mut self) -> BytesMut {
         let mut late_bytes = BytesMut::new();
-        if let Err(error) = self.stream.shutdown().await {
-            log::debug!("cannot shut down a caller connection: {error}");
-            return late_bytes;
-        }
         let discard = async {
             let mut scratch = [0; 1024];
             while let Ok(count @ 1..) = self.stream.read(&mut scratch).await {
