--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code)]
 
+pub mod crashing_target;
+
 use serde_json::{Value, json};
 use sniperelay_config::parse_relay_settings;
 use sniperelay_relay::RunningRelay;
