Soak: a request that crashes targets, by an option

A target that receives it closes all of its connections and refuses new ones for 1 s. More than three sends later than 3 s after the third crash are a violation; signals and store faults within 3 s before a send excuse it. Without the option nothing sends the request; targets now listen on 127.0.0.2, where no connection takes the port of one that is down. A proxy stands before each target, so an entry VM sees accepted connections that close at once, not refused ones.

--- a/crates/cli/tests/soak.rs
+++ b/crates/cli/tests/soak.rs
@@ -5,7 +5,12 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_short_soak_violates_no_guarantee() {
-    let plan = SoakPlan { binary: PathBuf::from(env!("CARGO_BIN_EXE_sniperelay")), seed: 1, fault_count: 8 };
+    let plan = SoakPlan {
+        binary: PathBuf::from(env!("CARGO_BIN_EXE_sniperelay")),
+        seed: 1,
+        fault_count: 8,
+        crashing_requests: false,
+    };
     let report = run_soak(&plan).await.unwrap();
     assert!(
         report.violations.is_empty(),
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -72,6 +72,10 @@
     /// number of faults per seed
     #[argh(option, default = "20")]
     faults: usize,
+    /// also send a request again and again that crashes each target that begins to run it, and check that it is
+    /// hardly sent on once it has crashed three; the other faults of a seed stay the same
+    #[argh(switch)]
+    crashing_requests: bool,
     /// path of the sniperelay binary
     #[argh(option, default = "std::path::PathBuf::from(\"target/release/sniperelay\")")]
     binary: std::path::PathBuf,
@@ -81,7 +85,12 @@
 async fn run_soaks(args: &SoakArgs) -> Result<bool> {
     let mut all_hold = true;
     for seed in args.seed..args.seed + args.seeds {
-        let plan = SoakPlan { binary: args.binary.clone(), seed, fault_count: args.faults };
+        let plan = SoakPlan {
+            binary: args.binary.clone(),
+            seed,
+            fault_count: args.faults,
+            crashing_requests: args.crashing_requests,
+        };
         let report = run_soak(&plan).await?;
         println!(
             "seed {seed}: {} requests, {} served, {} guarantees violated",
@@ -89,12 +98,19 @@
             report.served,
             report.violations.len()
         );
+        if args.crashing_requests {
+            println!(
+                "  {} targets crashed by a request, {} late sends of it",
+                report.crashes, report.late_sends
+            );
+        }
         if !report.violations.is_empty() {
             all_hold = false;
             println!("  faults: {}", report.faults.join(", "));
             report.violations.iter().take(20).for_each(|violation| println!("  {violation}"));
+            let option = if args.crashing_requests { " --crashing-requests" } else { "" };
             println!(
-                "  to reproduce: cargo run --release -p sniperelay-standin -- soak --seed {seed} --faults {}",
+                "  to reproduce: cargo run --release -p sniperelay-standin -- soak --seed {seed} --faults {}{option}",
                 args.faults
             );
         }
--- a/crates/standin/src/soak/caller.rs
+++ b/crates/standin/src/soak/caller.rs
@@ -175,7 +175,7 @@
 }
 
 /// Connects to an entry VM. Returns `None` after a short pause if the connection fails or times out.
-async fn connect(fleet: &SoakFleet, index: usize) -> Option<TcpStream> {
+pub(super) async fn connect(fleet: &SoakFleet, index: usize) -> Option<TcpStream> {
     let connect = TcpStream::connect(fleet.caller_address(index));
     match tokio::time::timeout(REQUEST_TIMEOUT, connect).await {
         Ok(Ok(stream)) => Some(stream),
@@ -193,6 +193,11 @@
     let request = format!(
         "{method} {path} HTTP/1.1\r\nHost: soak.example\r\nX-Request-Id: {id}\r\nX-Deadline-Ms: 1500\r\n{body}"
     );
+    exchange(stream, &request).await
+}
+
+/// Sends a request. Returns `None` if no complete response arrives.
+pub(super) async fn exchange(stream: &mut TcpStream, request: &str) -> Option<HttpMessage> {
     stream.write_all(request.as_bytes()).await.ok()?;
     let mut buffer = Vec::new();
     tokio::time::timeout(REQUEST_TIMEOUT, read_message(stream, &mut buffer)).await.ok()?
--- a/crates/standin/src/soak/mod.rs
+++ b/crates/standin/src/soak/mod.rs
@@ -14,7 +14,9 @@
 //! - a route that always exists is always found;
 //! - a process exits only on a signal, and completes a planned stop within twice the time that its
 //!   settings allow;
-//! - service recovers after all faults are cleared.
+//! - service recovers after all faults are cleared;
+//! - with crashing requests only: a request that crashes each target that begins to run it is hardly sent on once it
+//!   has crashed three; see [`crash`].
 //!
 //! Not checked: that every request gets a complete response; that a process never returns to an older
 //! configuration version, although the versions increase during the soak; and which signal ended a
@@ -25,11 +27,13 @@
 //! | module | job |
 //! |---|---|
 //! | [`caller`] | callers, and the log of their requests |
+//! | [`crash`] | a request that crashes targets, if the plan has it |
 //! | [`fleet`] | entry VM processes and signals |
 //! | [`proxy`] | loopback proxy that injects faults |
 //! | [`target`] | targets that count the runs of each request |
 
 pub mod caller;
+pub mod crash;
 pub mod fleet;
 pub mod proxy;
 pub mod target;
@@ -37,6 +41,7 @@
 use crate::platform::{PlatformStandin, StoreCopy};
 use anyhow::Result;
 use caller::{RequestLog, run_caller};
+use crash::{CrashLog, CrashingCaller};
 use fleet::SoakFleet;
 use proxy::{ProxyMode, SoakProxy};
 use rand::rngs::SmallRng;
@@ -67,6 +72,8 @@
     pub seed: u64,
     /// Number of faults, injected one after another.
     pub fault_count: usize,
+    /// Whether a caller also sends a request that crashes targets. The other faults stay the same.
+    pub crashing_requests: bool,
 }
 
 /// Result of a soak.
@@ -76,6 +83,10 @@
     pub requests: usize,
     /// Number of requests served with status 200.
     pub served: usize,
+    /// Number of targets that a request has crashed.
+    pub crashes: usize,
+    /// Number of sends of that request that count; see [`crash`].
+    pub late_sends: usize,
     /// Injected faults, in order.
     pub faults: Vec<String>,
     /// Descriptions of the violated guarantees.
@@ -103,6 +114,7 @@
     store_proxy: Arc<SoakProxy>,
     targets: Vec<(Arc<SoakTarget>, Arc<SoakProxy>)>,
     fleet: SoakFleet,
+    crash_log: CrashLog,
     config_version: u64,
     /// Copy from which the store returns with a later fault.
     store_copy: Option<StoreCopy>,
@@ -115,7 +127,8 @@
 /// Returns an error if the processes cannot be started.
 pub async fn run_soak(plan: &SoakPlan) -> Result<SoakReport> {
     let run_counter = RunCounter::default();
-    let mut environment = SoakEnvironment::start(&plan.binary, plan.seed, &run_counter).await?;
+    let crash_log = CrashLog::default();
+    let mut environment = SoakEnvironment::start(&plan.binary, plan.seed, &run_counter, &crash_log).await?;
     let request_log = RequestLog::default();
     let callers: Vec<_> = (0..CALLER_COUNT)
         .map(|index| {
@@ -126,6 +139,8 @@
             ))
         })
         .collect();
+    let crashing_caller =
+        plan.crashing_requests.then(|| CrashingCaller::start(environment.fleet.clone(), plan.seed));
     let mut report = SoakReport::default();
     for _ in 0..plan.fault_count {
         let fault = environment.inject_fault().await;
@@ -134,6 +149,9 @@
         tokio::time::sleep(Duration::from_millis(pause)).await;
     }
     environment.clear_faults();
+    if let Some(caller) = crashing_caller {
+        caller.finish().await;
+    }
     tokio::time::sleep(RECOVERY_TIME).await;
     request_log.stop();
     for caller in callers {
@@ -149,19 +167,22 @@
     }
     report.violations.extend(environment.fleet.violations());
     report.violations.extend(request_log.find_violations(&run_counter));
+    report.violations.extend(crash_log.find_violation());
+    (report.crashes, report.late_sends) = (crash_log.count(), crash_log.late_sends());
     (report.requests, report.served) = request_log.counts();
     environment.fleet.kill_all();
     Ok(report)
 }
 
 impl SoakEnvironment {
-    async fn start(binary: &Path, seed: u64, run_counter: &RunCounter) -> Result<Self> {
+    async fn start(binary: &Path, seed: u64, run_counter: &RunCounter, crash_log: &CrashLog) -> Result<Self> {
         let store = PlatformStandin::start().await?;
         let store_proxy = SoakProxy::start(store.address()).await?;
         let mut targets = Vec::new();
         for index in 0..TARGET_COUNT {
-            let target =
-                SoakTarget::start(&format!("t{index}"), run_counter.clone(), seed + index as u64).await?;
+            let name = format!("t{index}");
+            let seed = seed + index as u64;
+            let target = SoakTarget::start(&name, run_counter.clone(), crash_log.clone(), seed).await?;
             let proxy = SoakProxy::start(target.address()).await?;
             targets.push((target, proxy));
         }
@@ -173,6 +194,7 @@
             store_proxy,
             targets,
             fleet,
+            crash_log: crash_log.clone(),
             config_version: 1,
             store_copy: None,
         };
@@ -201,10 +223,9 @@
             4 => self.set_target_mode(index, ProxyMode::Reset),
             5 => self.set_target_mode(index, ProxyMode::HoldResponses),
             6 => self.set_target_mode(index, ProxyMode::PassThrough),
-            7 => self.fleet.kill(vm),
-            8 => self.fleet.stop(vm),
-            9 => self.fleet.pause(vm, Duration::from_millis(1500)),
+            kind @ 7..=9 => self.signal_entry_vm(kind, vm),
             10 => {
+                self.crash_log.record_store_event();
                 self.store.discard_changes();
                 "store drops its change history".to_owned()
             }
@@ -226,10 +247,21 @@
         }
     }
 
+    /// Sends the signal that belongs to a kind of fault.
+    fn signal_entry_vm(&self, kind: u32, vm: usize) -> String {
+        self.crash_log.record_signal();
+        match kind {
+            7 => self.fleet.kill(vm),
+            8 => self.fleet.stop(vm),
+            _ => self.fleet.pause(vm, Duration::from_millis(1500)),
+        }
+    }
+
     /// Lets the store return from the last copy, if there is one. The operator and the targets write again what
     /// they have written, as they do on the platform.
     fn restore_store(&mut self) -> String {
         let Some(copy) = self.store_copy.take() else { return "store has no copy".to_owned() };
+        self.crash_log.record_store_event();
         self.store.restore(&copy);
         self.store.put("config/main", make_config(self.config_version).to_string());
         (0..TARGET_COUNT).for_each(|index| self.register_target(index, "ready"));
@@ -237,6 +269,10 @@
     }
 
     fn set_store_mode(&self, mode: ProxyMode) -> String {
+        match mode {
+            ProxyMode::PassThrough => self.crash_log.record_store_cleared(),
+            _ => self.crash_log.record_store_fault(),
+        }
         self.store_proxy.set_mode(mode);
         format!("store {mode:?}")
     }
@@ -249,7 +285,7 @@
     /// Clears the faults of the store, the proxies and the registrations. The fleet restarts and resumes
     /// processes by itself.
     fn clear_faults(&mut self) {
-        self.store_proxy.set_mode(ProxyMode::PassThrough);
+        self.set_store_mode(ProxyMode::PassThrough);
         self.targets.iter().for_each(|(_, proxy)| proxy.set_mode(ProxyMode::PassThrough));
         (0..TARGET_COUNT).for_each(|index| self.register_target(index, "ready"));
         self.store.control.responses_to_lose.store(0, Ordering::Relaxed);
--- a/crates/standin/src/soak/target.rs
+++ b/crates/standin/src/soak/target.rs
@@ -1,9 +1,12 @@
 //! Targets of the soak. They count the runs of each request and respond incorrectly at random.
 //!
+//! A request with [`CRASHING_PATH`] ends a target with all of its connections; no caller sends it by default.
+//!
 //! They use plain sockets and the headers that `sniperelay relay` expects, and have neither the slots
 //! nor the queue of [`crate::target`].
 
 use crate::soak::caller::read_message;
+use crate::soak::crash::{CRASHING_PATH, CrashLog};
 use anyhow::Result;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -13,6 +16,14 @@
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
+use tokio::task::JoinSet;
+
+/// Time for which a target that has crashed refuses connections.
+const DOWN_TIME: Duration = Duration::from_secs(1);
+/// Any port of this address. Connections do not originate from it, so none of them takes the port while the
+/// target is down.
+const ANY_ADDRESS: &str = "127.0.0.2:0";
 
 /// Number of runs of each request, by request ID, summed over all targets.
 #[derive(Debug, Clone, Default)]
@@ -35,6 +46,7 @@
     name: String,
     address: SocketAddr,
     run_counter: RunCounter,
+    crash_log: CrashLog,
     rng: Mutex<SmallRng>,
 }
 
@@ -49,23 +61,51 @@
     /// # Errors
     ///
     /// Returns an error if no port can be bound.
-    pub async fn start(name: &str, run_counter: RunCounter, seed: u64) -> Result<Arc<Self>> {
-        let listener = TcpListener::bind("127.0.0.1:0").await?;
+    pub async fn start(
+        name: &str,
+        run_counter: RunCounter,
+        crash_log: CrashLog,
+        seed: u64,
+    ) -> Result<Arc<Self>> {
+        let listener = TcpListener::bind(ANY_ADDRESS).await?;
         let target = Arc::new(Self {
             name: name.to_owned(),
             address: listener.local_addr()?,
             run_counter,
+            crash_log,
             rng: Mutex::new(SmallRng::seed_from_u64(seed)),
         });
-        let server = target.clone();
-        tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(server.clone().serve(stream));
-            }
-        });
+        tokio::spawn(target.clone().run(listener));
         Ok(target)
     }
 
+    /// Serves connections. After a crash, the target is back at its address after [`DOWN_TIME`].
+    async fn run(self: Arc<Self>, mut listener: TcpListener) {
+        loop {
+            self.clone().serve_until_crash(listener).await;
+            tokio::time::sleep(DOWN_TIME).await;
+            listener = match TcpListener::bind(self.address).await {
+                Ok(listener) => listener,
+                Err(error) => return log::error!("target {} cannot come back: {error}", self.name),
+            };
+        }
+    }
+
+    /// Serves connections until a request crashes the target. All connections end with it.
+    async fn serve_until_crash(self: Arc<Self>, listener: TcpListener) {
+        let crash = Arc::new(Notify::new());
+        let mut connections = JoinSet::new();
+        loop {
+            tokio::select! {
+                () = crash.notified() => return connections.shutdown().await,
+                Some(_) = connections.join_next() => {}
+                Ok((stream, _)) = listener.accept() => {
+                    connections.spawn(self.clone().serve(stream, crash.clone()));
+                }
+            }
+        }
+    }
+
     /// Returns the name of the target, which is also its instance ID.
     pub fn name(&self) -> &str {
         &self.name
@@ -86,11 +126,16 @@
     }
 
     /// Serves one connection. Health checks always succeed, other requests meet a random fault now and then.
-    async fn serve(self: Arc<Self>, mut stream: TcpStream) {
+    async fn serve(self: Arc<Self>, mut stream: TcpStream, crash: Arc<Notify>) {
         let mut buffer = Vec::new();
         // Copy of an earlier response, which is written before the next one.
         let mut late_copy = String::new();
         while let Some(request) = read_message(&mut stream, &mut buffer).await {
+            if request.first_line.contains(CRASHING_PATH) {
+                self.crash_log.record_crash();
+                crash.notify_one();
+                return std::future::pending().await;
+            }
             let reply = if request.first_line.starts_with("GET /health") {
                 let load = self.random_load();
                 let head = format!("HTTP/1.1 200 OK\r\nX-Instance-Id: {}\r\n{load}", self.name);
