relay: requests under which targets crash are quarantined

Cause: nothing recorded that a target crashed while it ran a request. The request came again with another ID, at any entry VM, was sent on, retried once, and crashed up to two targets each time. Class: a failure that is handled one request at a time, although its cause is in what the requests have in common. Change: when the connection of an attempt is lost, the target is checked: it counts as crashed if it twice, 300 ms apart, refuses or closes a new connection, or if another instance responds there. The crash counts against the content of the request (method, host, path, query, credentials, body). With three crashes, requests with it are refused at once with 503 and the time to come back; with two they get one attempt. Entry VMs report crashes to each other through the store, one object each, written only when a target has crashed. What protects healthy requests: a completed run clears the content; a crash counts once, and not against content when other content with more crashes ran on the same target; as long as one caller is affected, it is for that caller only; the quarantine ends after 30 s (setting quarantine-ms) with a single trial, four times later after each further crash, and after three failed trials only when the content has not been requested for an hour. The table is bounded (1,024 contents, 64 reported). The log names the content's hash, the crashes and the reporters. Ruled out: retries beyond the budget (two attempts a request in the record); restarted targets mistaken for crashed ones.

--- a/crates/config/src/relay.rs
+++ b/crates/config/src/relay.rs
@@ -3,6 +3,7 @@
 
 use crate::reader::{IniSource, Result, SectionReader};
 use crate::settings::{LogSettings, UNSET_ADDRESS, read_log};
+use sniperelay_core::quarantine::DEFAULT_FIRST_QUARANTINE;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -13,6 +14,9 @@
 /// Minimum memory for responses, in bytes: a few of the read buffers of target connections.
 const MIN_RESPONSE_MEMORY_BYTES: usize = 1024 * 1024;
 
+/// Minimum duration of a first quarantine: crashes become known everywhere within about a second.
+const MIN_FIRST_QUARANTINE: Duration = Duration::from_secs(1);
+
 /// Name, failure domain and addresses of the entry VM.
 #[derive(Debug, Clone)]
 pub struct RelayEntrySettings {
@@ -86,6 +90,8 @@
     /// Memory for the responses that are being received from targets or sent to callers, in bytes. One
     /// response gets half of it at most.
     pub response_memory_bytes: usize,
+    /// Time for which requests with content under which targets have crashed are refused at first.
+    pub first_quarantine: Duration,
 }
 
 /// All settings of an entry VM on a hosted platform.
@@ -197,7 +203,11 @@
             "a whole number",
             DEFAULT_RESPONSE_MEMORY_BYTES,
         ),
+        first_quarantine: section.millis_or("quarantine-ms", DEFAULT_FIRST_QUARANTINE),
     };
+    if settings.first_quarantine < MIN_FIRST_QUARANTINE {
+        section.report("quarantine-ms", format!("must be at least {}", MIN_FIRST_QUARANTINE.as_millis()));
+    }
     if settings.response_memory_bytes < MIN_RESPONSE_MEMORY_BYTES {
         section.report("response-memory-bytes", format!("must be at least {MIN_RESPONSE_MEMORY_BYTES}"));
     }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -19,6 +19,7 @@
 //! | [`route`] | routes by host and path prefix, and the service documents derived from them |
 //! | [`execution`] | what is known about the execution of a request, over all of its attempts |
 //! | [`leaving`] | targets that have reported that they are leaving |
+//! | [`quarantine`] | requests under which targets have crashed, and their quarantine |
 //! | [`memory_budget`] | memory for responses, shared so that endless ones leave room for others |
 //! | [`budget`] | retry and hedge budgets, as a ratio to first attempts |
 //! | [`probe_schedule`] | wall-clock schedule that keeps probes within their budget |
@@ -52,6 +53,7 @@
 pub mod overlay;
 pub mod pick;
 pub mod probe_schedule;
+pub mod quarantine;
 pub mod queue;
 pub mod reason;
 pub mod route;
--- a/crates/core/src/reason.rs
+++ b/crates/core/src/reason.rs
@@ -92,6 +92,8 @@
         TargetTimeout => "target-timeout",
         /// The caller disconnected.
         CallerGone => "caller-gone",
+        /// Targets have crashed while they ran requests with the same content.
+        Quarantined => "quarantined",
         /// The entry VM is stopping.
         Stopping => "stopping",
         /// Too many caller connections are open.
--- a/crates/node/src/dispatcher_handle.rs
+++ b/crates/node/src/dispatcher_handle.rs
@@ -349,4 +349,9 @@
         let counters = ranks.map(|rank| metrics.rank(&document.name, &rank.name)).collect();
         Self { document, dispatcher_handle, counters }
     }
+
+    /// Returns the counters of a rank, or of the last one if an earlier document had more ranks.
+    pub fn rank_counters(&self, rank: RankId) -> &RankCounters {
+        &self.counters[rank.min(self.counters.len() - 1)]
+    }
 }
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -105,6 +105,10 @@
     pub targets_held_off: AtomicU64,
     /// Targets that have reported in a response that they are leaving.
     pub targets_reported_leaving: AtomicU64,
+    /// Crashes of targets while they ran a request, as seen by this entry VM.
+    pub target_crashes: AtomicU64,
+    /// Requests refused because targets have crashed under their content.
+    pub requests_quarantined: AtomicU64,
     /// Caller connections closed because they were idle for too long.
     pub connections_timed_out: AtomicU64,
     /// Requests in flight when their caller's connection ended.
@@ -116,7 +120,7 @@
 }
 
 impl ProcessCounters {
-    fn named(&self) -> [(&'static str, &AtomicU64); 23] {
+    fn named(&self) -> [(&'static str, &AtomicU64); 25] {
         [
             ("lookups", &self.lookups),
             ("probe_calls", &self.probe_calls),
@@ -137,6 +141,8 @@
             ("responses_cut", &self.responses_cut),
             ("targets_held_off", &self.targets_held_off),
             ("targets_reported_leaving", &self.targets_reported_leaving),
+            ("target_crashes", &self.target_crashes),
+            ("requests_quarantined", &self.requests_quarantined),
             ("connections_timed_out", &self.connections_timed_out),
             ("requests_cancelled", &self.requests_cancelled),
             ("requests_discarded", &self.requests_discarded),
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -19,6 +19,7 @@
 use sniperelay_node::traffic::connection_reuse::{NON_IDEMPOTENT_MAX_IDLE, keep_alive_time};
 use sniperelay_node::traffic::headers::strip_hop_by_hop;
 use sniperelay_node::traffic::pool::PooledConnection;
+use std::net::IpAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -41,6 +42,8 @@
     pub headers: HeaderMap,
     /// Complete body.
     pub body: Bytes,
+    /// Address of the caller.
+    pub caller: IpAddr,
     /// Whether the request may run more than once.
     pub is_idempotent: bool,
     /// Time by which the complete response must have been received. [`run_attempt`] checks it only
--- a/crates/relay/src/caller_connection.rs
+++ b/crates/relay/src/caller_connection.rs
@@ -21,6 +21,7 @@
 use socket2::SockRef;
 use std::collections::VecDeque;
 use std::mem::MaybeUninit;
+use std::net::IpAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -64,40 +65,46 @@
             _ = drain.wait_for(|is_draining| *is_draining) => break,
         };
         match accepted {
-            Ok((stream, _)) => start_connection(&state, stream, &drain),
+            Ok((stream, caller)) => start_connection(&state, stream, caller.ip(), &drain),
             Err(error) => {
                 log::warn!("cannot accept a caller connection: {error}");
                 tokio::time::sleep(ACCEPT_PAUSE).await;
             }
         }
     }
-    for (stream, _) in take_backlog(listener) {
-        start_connection(&state, stream, &drain);
+    for (stream, caller) in take_backlog(listener) {
+        start_connection(&state, stream, caller.ip(), &drain);
     }
 }
 
 /// Starts to serve a connection, unless the connection limit is reached. The connection counts as open
 /// from here on, so that a shutdown does not end before its task has run.
-fn start_connection(state: &Arc<RelayState>, stream: TcpStream, drain: &watch::Receiver<bool>) {
+fn start_connection(
+    state: &Arc<RelayState>,
+    stream: TcpStream,
+    caller: IpAddr,
+    drain: &watch::Receiver<bool>,
+) {
     if state.connections.load(Ordering::Relaxed) >= state.settings.limits.caller_connections {
         log::warn!("connection limit reached; closed a new caller connection");
         return;
     }
     state.connections.fetch_add(1, Ordering::Relaxed);
     let guard = ConnectionGuard(state.clone());
-    tokio::spawn(serve_connection(state.clone(), stream, drain.clone(), guard));
+    tokio::spawn(serve_connection(state.clone(), stream, caller, drain.clone(), guard));
 }
 
 async fn serve_connection(
     state: Arc<RelayState>,
     stream: TcpStream,
+    caller: IpAddr,
     drain: watch::Receiver<bool>,
     _guard: ConnectionGuard,
 ) {
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!("cannot set TCP_NODELAY on a caller connection: {error}");
     }
-    let mut connection = CallerConnection::new(state, stream, drain);
+    let mut connection = CallerConnection::new(state, stream, caller, drain);
     let end = connection.serve().await.unwrap_or_else(|error| {
         log::debug!("caller connection ended: {error}");
         ConnectionEnd::Failed
@@ -146,6 +153,8 @@
 struct CallerConnection {
     state: Arc<RelayState>,
     stream: TcpStream,
+    /// Address of the caller.
+    caller: IpAddr,
     drain: watch::Receiver<bool>,
     buffer: BytesMut,
     partial: Option<PartialRequest>,
@@ -165,10 +174,11 @@
 }
 
 impl CallerConnection {
-    fn new(state: Arc<RelayState>, stream: TcpStream, drain: watch::Receiver<bool>) -> Self {
+    fn new(state: Arc<RelayState>, stream: TcpStream, caller: IpAddr, drain: watch::Receiver<bool>) -> Self {
         Self {
             state,
             stream,
+            caller,
             drain,
             buffer: BytesMut::new(),
             partial: None,
@@ -331,7 +341,7 @@
         let method = head.method.clone();
         let is_idempotent = self.is_idempotent(&head);
         let wants_close = head.wants_close;
-        let task = tokio::spawn(handle_request(self.state.clone(), head, body));
+        let task = tokio::spawn(handle_request(self.state.clone(), self.caller, head, body));
         self.running.push_back(RunningRequest { id, method, is_idempotent, wants_close, task });
     }
 
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -19,6 +19,8 @@
 //! | [`failure_detector`] | liveness checks of neighbours; removal of failed entry VMs |
 //! | [`caller_connection`] | caller connections: reading, pipelining, ordered responses |
 //! | [`connection_end`] | how caller connections end, and requests that got no response on them |
+//! | [`crash_quarantine`] | quarantine of requests under which targets crash |
+//! | [`crash_reports`] | exchange of crash reports between entry VMs |
 //! | [`request_head`] | parsing of request heads |
 //! | [`request_body`] | reading of request bodies |
 //! | [`caller_response`] | encoding of responses |
@@ -33,6 +35,8 @@
 pub mod caller_response;
 pub mod connection_end;
 pub mod content_coding;
+pub mod crash_quarantine;
+pub mod crash_reports;
 pub mod decision_log;
 pub mod failure_detector;
 pub mod http_api;
--- a/crates/relay/src/request_handler.rs
+++ b/crates/relay/src/request_handler.rs
@@ -6,6 +6,7 @@
 
 use crate::attempt::{AttemptResult, OutboundRequest, TargetResponse, run_attempt};
 use crate::caller_response::{CallerResponse, RelayRefusal};
+use crate::crash_quarantine::{SuspectedTarget, admit_request, check_for_crash, record_completion};
 use crate::decision_log::{AttemptRecord, DecisionKind};
 use crate::request_head::RequestHead;
 use crate::shared_state::RelayState;
@@ -17,13 +18,14 @@
 use sniperelay_core::dispatch::{AttemptFailure, FailureDecision, ResponseDecision};
 use sniperelay_core::execution::ExecutionRecord;
 use sniperelay_core::ids::{RankId, TargetKey};
+use sniperelay_core::quarantine::Admission;
 use sniperelay_core::reason::{Outcome, RefusalReason, RetryReason};
 use sniperelay_core::route::RouteSpec;
 use sniperelay_hosted::headers::{self as platform_headers, TargetReport};
 use sniperelay_node::boot_clock;
 use sniperelay_node::dispatcher_handle::{AttemptSlot, DispatchSignal, RequestGuard, ServiceEntry};
 use sniperelay_node::lifecycle::LifecyclePhase;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
@@ -41,8 +43,13 @@
 const SHUTDOWN_RETRY_AFTER: Duration = Duration::from_millis(1);
 
 /// Handles one request and returns its response.
-pub async fn handle_request(state: Arc<RelayState>, head: RequestHead, body: Bytes) -> CallerResponse {
-    match try_handle_request(&state, head, body).await {
+pub async fn handle_request(
+    state: Arc<RelayState>,
+    caller: IpAddr,
+    head: RequestHead,
+    body: Bytes,
+) -> CallerResponse {
+    match try_handle_request(&state, caller, head, body).await {
         Ok(response) => response,
         Err(refusal) => CallerResponse::from_refusal(&refusal),
     }
@@ -50,6 +57,7 @@
 
 async fn try_handle_request(
     state: &Arc<RelayState>,
+    caller: IpAddr,
     head: RequestHead,
     body: Bytes,
 ) -> Result<CallerResponse> {
@@ -81,15 +89,22 @@
         path_and_query: head.path_and_query,
         headers: head.headers,
         body,
+        caller,
         is_idempotent: spec.is_idempotent,
         deadline: boot_clock::now() + timeout,
     };
+    let admission = admit_request(state, &outbound, &head.host);
+    if let Admission::Quarantined { retry_after, .. } = admission {
+        entry.rank_counters(destination.rank).count_refusal(RefusalReason::Quarantined);
+        return Err(RelayRefusal::not_run(RefusalReason::Quarantined, retry_after));
+    }
     let times = RequestTimes {
         arrived_at,
         on_time_deadline: arrived_at + spec.latency.min(timeout),
         final_deadline: arrived_at + timeout,
     };
     let mut handler = RequestHandler::new(state.clone(), entry, outbound, times, destination.rank, spec);
+    handler.is_single_attempt |= admission == Admission::SingleAttempt;
     let mut result = handler.submit_and_wait(destination.rank, times.on_time_deadline).await;
     if result.as_ref().is_err_and(|refusal| handler.can_be_resubmitted(refusal)) {
         result = handler.submit_and_wait(destination.late_rank, times.final_deadline).await;
@@ -216,7 +231,7 @@
         request_guard: RequestGuard,
         result: Result<CallerResponse>,
     ) -> Result<CallerResponse> {
-        let counters = &self.entry.counters[rank.min(self.entry.counters.len() - 1)];
+        let counters = self.entry.rank_counters(rank);
         match &result {
             Ok(_) => counters.count_response(
                 self.times.arrived_at.elapsed(),
@@ -386,12 +401,24 @@
             AttemptFailure::Refused => RefusalReason::TargetRefused,
             AttemptFailure::ConnectionLost | AttemptFailure::ServerError => RefusalReason::ConnectionLost,
         };
+        if failure == AttemptFailure::ConnectionLost {
+            self.start_crash_check(&slot);
+        }
         self.execution.record_failure(failure);
         self.last_failure_reason = Some(reason);
         let is_final = slot.record_failure(failure) == FailureDecision::Final;
         is_final.then(|| Err(self.make_refusal(reason, TARGET_REFUSED_RETRY_AFTER)))
     }
 
+    /// Starts to check whether the target of a lost connection has crashed.
+    fn start_crash_check(&self, slot: &AttemptSlot) {
+        let Some(instance) = slot.instance() else { return };
+        let health_path = self.entry.document.measuring.path.clone();
+        let target = SuspectedTarget { instance, address: slot.address(), health_path };
+        let check = check_for_crash(self.state.clone(), self.outbound.clone(), target);
+        tokio::spawn(check);
+    }
+
     fn handle_response(
         &mut self,
         response: Box<TargetResponse>,
@@ -407,6 +434,7 @@
             return self.handle_failure(AttemptFailure::ServerError, slot);
         }
         self.execution.record_response();
+        record_completion(&self.state, &self.outbound);
         slot.record_response_size(response.body.len());
         if slot.record_response(None, false) == ResponseDecision::Discard {
             return None;
@@ -423,6 +451,7 @@
     ) -> Option<Result<CallerResponse>> {
         if platform_headers::is_from_target(&response.headers) && !indicates_not_run(response.status) {
             self.fallback_response = Some(response);
+            record_completion(&self.state, &self.outbound);
         }
         self.handle_failure(AttemptFailure::ServerError, slot)
     }
--- a/crates/relay/src/shared_state.rs
+++ b/crates/relay/src/shared_state.rs
@@ -1,5 +1,6 @@
 //! State shared by all tasks: routes, services, entry VMs and the phase of the process.
 
+use crate::crash_quarantine::CrashQuarantine;
 use crate::decision_log::DecisionLog;
 use crate::replication::StoreReplica;
 use crate::response_cache::ResponseCache;
@@ -79,6 +80,8 @@
     pub response_cache: ResponseCache,
     /// Rate limits for log lines about decisions.
     pub decisions: DecisionLog,
+    /// Requests under which targets have crashed.
+    pub quarantine: CrashQuarantine,
     /// Number of open caller connections.
     pub connections: AtomicUsize,
     /// Whether entry VMs that started at the same time have had time to register, and the list of
@@ -127,6 +130,7 @@
             replica: StoreReplica::default(),
             response_cache: ResponseCache::default(),
             decisions: DecisionLog::default(),
+            quarantine: CrashQuarantine::new(settings.limits.first_quarantine),
             connections: AtomicUsize::new(0),
             is_membership_settled: AtomicBool::new(false),
             has_targets: AtomicBool::new(false),
@@ -264,6 +268,11 @@
         }
     }
 
+    /// Returns the time at which a registered instance has started, in milliseconds since the Unix epoch.
+    pub fn started_millis(&self, instance: &InstanceName) -> Option<u64> {
+        self.targets().values().find(|record| record.instance == *instance)?.started_millis
+    }
+
     fn targets(&self) -> Arc<TargetMap> {
         self.targets.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
@@ -388,6 +397,15 @@
         listed_homes.filter_map(|home| addresses.get(&home.incarnation).copied()).collect()
     }
 
+    /// Returns the number of homes of a host whose trials of quarantined requests come before those of this entry
+    /// VM.
+    pub fn trial_position(&self, host: &str) -> u32 {
+        let own = self.own_record().home_candidate().incarnation;
+        let homes = self.choose_host_homes(host, &self.targets());
+        let position = homes.iter().position(|home| home.incarnation == own).unwrap_or(homes.len());
+        u32::try_from(position).unwrap_or(u32::MAX)
+    }
+
     fn choose_host_homes(&self, host: &str, targets: &TargetMap) -> Vec<HomeCandidate> {
         let vms = self.entry_vms.load();
         let unresponsive = self.lock_unresponsive_vms();
--- a/crates/relay/src/startup.rs
+++ b/crates/relay/src/startup.rs
@@ -3,6 +3,7 @@
 //! See [`crate::shutdown`] for what happens after the signal.
 
 use crate::caller_connection::serve_callers;
+use crate::crash_reports::exchange_crash_reports;
 use crate::failure_detector::check_neighbours;
 use crate::http_api::serve_http_api;
 use crate::load_probe::probe_targets;
@@ -127,6 +128,7 @@
     tokio::spawn(watch_config(state.clone()));
     tokio::spawn(watch_targets(state.clone()));
     tokio::spawn(watch_entry_vms(state.clone()));
+    tokio::spawn(exchange_crash_reports(state.clone()));
     tokio::spawn(maintain_source(state.clone()));
     tokio::spawn(check_neighbours(state.clone()));
     tokio::spawn(probe_targets(state.clone()));
--- a/crates/relay/src/store_sync.rs
+++ b/crates/relay/src/store_sync.rs
@@ -211,7 +211,7 @@
     }
 }
 
-fn object_name(key: &str) -> &str {
+pub(crate) fn object_name(key: &str) -> &str {
     key.split_once('/').map_or(key, |(_, name)| name)
 }
 
@@ -221,7 +221,7 @@
 
 /// A change of one object.
 #[derive(Debug)]
-enum StoreChange {
+pub(crate) enum StoreChange {
     /// The object was created or changed and has this value.
     Updated(StoredObject),
     /// The object is in the older copy from which the store has returned. Its value may be older than what was
@@ -232,7 +232,7 @@
 }
 
 /// Watches the objects under one prefix.
-struct PrefixWatcher {
+pub(crate) struct PrefixWatcher {
     state: Arc<RelayState>,
     prefix: &'static str,
     progress: SyncProgress,
@@ -253,7 +253,8 @@
 type WatcherOutcome = ReadOutcome<Vec<StoreChange>>;
 
 impl PrefixWatcher {
-    fn new(state: Arc<RelayState>, prefix: &'static str) -> Self {
+    /// Creates a watcher that has read nothing yet.
+    pub(crate) fn new(state: Arc<RelayState>, prefix: &'static str) -> Self {
         let source = state.replica.subscribe_source();
         Self {
             state,
@@ -286,7 +287,8 @@
         self.availability.available_since()
     }
 
-    fn is_caught_up(&self) -> bool {
+    /// Returns whether the changes returned so far may take effect.
+    pub(crate) fn is_caught_up(&self) -> bool {
         self.progress.is_caught_up()
     }
 
@@ -298,8 +300,13 @@
         Some(FoundRegistration { version, is_own: *vms.get(&own.name)? == own, is_restored })
     }
 
+    /// Returns the version of an object that exists.
+    pub(crate) fn known_version(&self, key: &str) -> Option<u64> {
+        self.known_versions.get(key).copied()
+    }
+
     /// Waits for changes. May return an empty list.
-    async fn next_changes(&mut self) -> Vec<StoreChange> {
+    pub(crate) async fn next_changes(&mut self) -> Vec<StoreChange> {
         if std::mem::take(&mut self.is_coalescing) {
             tokio::time::sleep(self.coalesce_pause()).await;
         }
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -329,11 +329,16 @@
 }
 
 pub fn start_seeded_relay(name: &str, store: SocketAddr, seeds: &str) -> RunningRelay {
+    start_configured_relay(name, store, seeds, "")
+}
+
+/// Starts an entry VM with `more` sections of settings.
+pub fn start_configured_relay(name: &str, store: SocketAddr, seeds: &str, more: &str) -> RunningRelay {
     let any_address = "127.0.0.1:0";
     let text = format!(
         "[entry-vm]\nname = {name}\nfailure-domain = z\ncaller-address = {any_address}\nready-address = {any_address}\n\
          lookup-address = {any_address}\npeer-address = {any_address}\ncontrol-address = {any_address}\nseeds = {seeds}\nmetrics-address = {any_address}\n[platform]\naddress = {store}\n\
-         calls-per-second = 1000\nbounds = {{\"Grace\":\"1s\"}}\n"
+         calls-per-second = 1000\nbounds = {{\"Grace\":\"1s\"}}\n{more}"
     );
     RunningRelay::start(parse_relay_settings("test.ini", &text).unwrap()).unwrap()
 }
--- a/crates/relay/tests/request_crashes.rs
+++ b/crates/relay/tests/request_crashes.rs
@@ -74,6 +74,10 @@
 
 impl CrashEnv {
     async fn start(mark: RequestMark) -> Self {
+        Self::start_configured(mark, "").await
+    }
+
+    async fn start_configured(mark: RequestMark, more_settings: &str) -> Self {
         let store = PlatformStandin::start().await.unwrap();
         store.put("config/main", config("00000001").to_string());
         let mut targets = Vec::new();
@@ -81,7 +85,9 @@
             targets.push(CrashingTarget::start(store.clone(), index, mark, SERVICE_TIME).await);
         }
         let names = (0..ENTRY_VM_COUNT).map(|index| format!("vm{index}"));
-        let relays = names.map(|name| common::start_named_relay(&name, store.address())).collect();
+        let relays = names
+            .map(|name| common::start_configured_relay(&name, store.address(), "", more_settings))
+            .collect();
         let env = Self { relays, targets };
         env.wait_until(knows_all).await;
         env
@@ -283,14 +289,14 @@
 
 /// Guards against a judgement without end: targets that died for another reason must not shut out a healthy request.
 #[tokio::test]
-#[ignore = "needs a setting for the duration of a quarantine"]
 async fn request_whose_targets_died_for_another_reason_is_served_again() {
     const MAX_SHUT_OUT: Duration = Duration::from_secs(30);
-    let env = CrashEnv::start(CRASHING_READ).await;
+    let env = CrashEnv::start_configured(CRASHING_READ, "[limits]\nquarantine-ms = 5000\n").await;
     let ending = end_three_targets_that_hold(&env, OTHER_READ);
     tokio::time::timeout(HANG_LIMIT, ending).await.expect("the targets did not get the request");
     let ended_at = Instant::now();
     tokio::time::sleep(CONTACT).await;
+    assert_eq!(env.send(0, OTHER_READ).await.status(), Some(503), "the targets ended under this request");
     for vm in 0..ENTRY_VM_COUNT {
         while env.send(vm, OTHER_READ).await.status() != Some(200) {
             assert!(ended_at.elapsed() < MAX_SHUT_OUT, "entry VM {vm} still refuses the request");
