--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -13,11 +13,12 @@
 //! - As long as all crashes are those of one caller, only that caller is concerned.
 //! - A quarantine ends. After it, one request at a time is let through as a trial. A crash begins the next
 //!   quarantine, which is longer; a completed run clears the content.
-//! - The table is bounded. The content whose last crash is the oldest makes room.
+//! - The table is bounded. The content with the fewest crashes makes room, the oldest of them first.
 //!
 //! Times are on a clock that does not stop while the VM is suspended. Reports carry no times: a crash counts
 //! as recent when its report arrives.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 
@@ -38,7 +39,7 @@
 const QUARANTINE_GROWTH: u32 = 4;
 /// Number of trials that end with a crash after which the content stays quarantined for as long as it is
 /// requested. The users' platform allows three runs after the threshold.
-const MAX_FAILED_TRIALS: usize = 3;
+const MAX_FAILED_TRIALS: u32 = 3;
 /// Time without requests after which content with [`MAX_FAILED_TRIALS`] failed trials gets another one.
 const LONGEST_QUARANTINE: Duration = Duration::from_secs(3600);
 /// Delay of the trials of an entry VM for each entry VM that comes before it, so that the first trial is known
@@ -94,6 +95,8 @@
     Unrestricted,
     /// The request may be sent to one target only: the next crash begins a quarantine.
     SingleAttempt,
+    /// The request may be sent to one target only, although its content was quarantined until now.
+    Trial,
     /// The request is quarantined.
     Quarantined {
         /// Number of crashes under its content.
@@ -114,6 +117,8 @@
     last_crash_at: Duration,
     /// Time of the last completed run that this entry VM has seen.
     completed_at: Option<Duration>,
+    /// Number of crashes after the end of a quarantine.
+    failed_trials: u32,
     trial_until: Option<Duration>,
 }
 
@@ -128,7 +133,10 @@
         self.callers.len() >= MANY_CALLERS || self.callers.contains(&caller)
     }
 
-    fn record_new_crash(&mut self, callers: &[CallerHash], now: Duration) {
+    /// Records crashes that were not known before. `quarantine` is the one that they follow.
+    fn record_new_crashes(&mut self, callers: &[CallerHash], quarantine: Option<Duration>, now: Duration) {
+        let is_trial = quarantine.is_some_and(|quarantine| now >= self.last_crash_at + quarantine);
+        self.failed_trials += u32::from(is_trial);
         self.last_crash_at = now;
         self.trial_until = None;
         for caller in callers {
@@ -143,11 +151,17 @@
         self.own.clear();
         self.cleared = self.reported.values().flatten().copied().collect();
         self.callers.clear();
+        self.failed_trials = 0;
         self.trial_until = None;
     }
 
     fn has_failed_all_trials(&self) -> bool {
-        self.crashes().len() >= QUARANTINE_THRESHOLD + MAX_FAILED_TRIALS
+        self.failed_trials >= MAX_FAILED_TRIALS
+    }
+
+    /// Returns the duration of the quarantine if there are enough crashes for one.
+    fn current_quarantine(&self, first_quarantine: Duration) -> Option<Duration> {
+        (self.crashes().len() >= QUARANTINE_THRESHOLD).then(|| self.quarantine(first_quarantine))
     }
 
     /// Returns how long the content is quarantined after its last crash.
@@ -155,8 +169,7 @@
         if self.has_failed_all_trials() {
             return LONGEST_QUARANTINE;
         }
-        let failed_trials = self.crashes().len().saturating_sub(QUARANTINE_THRESHOLD);
-        first_quarantine * QUARANTINE_GROWTH.pow(failed_trials as u32)
+        first_quarantine * QUARANTINE_GROWTH.pow(self.failed_trials)
     }
 
     fn is_expired(&self, first_quarantine: Duration, now: Duration) -> bool {
@@ -201,6 +214,11 @@
         self.entries.len()
     }
 
+    /// Returns whether anything is known about a content.
+    pub fn contains(&self, content: ContentHash) -> bool {
+        self.entries.contains_key(&content)
+    }
+
     /// Returns the number of crashes that count against a content.
     pub fn crashes(&self, content: ContentHash) -> usize {
         let Some(evidence) = self.entries.get(&content) else { return 0 };
@@ -223,25 +241,40 @@
 
     /// Records a crash. One before a completed run does not count. Returns the number of crashes that count.
     pub fn record_crash(&mut self, observed: ObservedCrash, now: Duration) -> usize {
+        let first_quarantine = self.first_quarantine;
         let evidence = self.entry(observed.content, now);
+        let quarantine = evidence.current_quarantine(first_quarantine);
         let is_cleared =
             evidence.completed_at.is_some_and(|completed_at| completed_at >= observed.crashed_at);
         if !is_cleared && evidence.own.len() < MAX_CRASHES && evidence.own.insert(observed.crash) {
-            evidence.record_new_crash(&[observed.caller], now);
+            evidence.record_new_crashes(&[observed.caller], quarantine, now);
             self.publish_at = Some(now);
         }
         self.crashes(observed.content)
     }
 
-    /// Records that a target has completed a run of a request with this content.
-    pub fn record_completion(&mut self, content: ContentHash, now: Duration) {
+    /// Records that a target has completed a run of a request with this content. That of another caller proves
+    /// nothing while all crashes are those of one.
+    pub fn record_completion(&mut self, content: ContentHash, caller: CallerHash, now: Duration) {
         let Some(evidence) = self.entries.get_mut(&content) else { return };
+        if !evidence.callers.is_empty() && !evidence.concerns(caller) {
+            return;
+        }
         if !evidence.own.is_empty() {
             self.publish_at.get_or_insert(now + WITHDRAWAL_DELAY);
         }
         evidence.clear(now);
     }
 
+    /// Returns the time until the end of a quarantine that applies to a request, for requests that have been
+    /// admitted before it began.
+    pub fn quarantine_of(&self, content: ContentHash, caller: CallerHash, now: Duration) -> Option<Duration> {
+        let evidence = self.entries.get(&content).filter(|evidence| evidence.concerns(caller))?;
+        let end = evidence.last_crash_at + evidence.quarantine(self.first_quarantine);
+        let is_quarantined = now < end && self.crashes(content) >= QUARANTINE_THRESHOLD;
+        is_quarantined.then(|| end - now)
+    }
+
     /// Decides on a request, before it is sent for the first time. `position` is the number of entry VMs whose
     /// trials come before those of this one.
     pub fn admit(
@@ -268,7 +301,7 @@
             return Admission::Quarantined { crashes, retry_after: end - now };
         }
         evidence.trial_until = Some(now + TRIAL_TIMEOUT);
-        Admission::SingleAttempt
+        Admission::Trial
     }
 
     /// Replaces the reports of another entry VM. Content that it no longer reports has been served there.
@@ -278,8 +311,10 @@
                 evidence.reported.remove(reporter);
             }
         }
+        let first_quarantine = self.first_quarantine;
         for report in reports.iter().take(MAX_REPORTS) {
             let evidence = self.entry(report.content, now);
+            let quarantine = evidence.current_quarantine(first_quarantine);
             if evidence.reported.len() >= MAX_REPORTERS && !evidence.reported.contains_key(reporter) {
                 continue;
             }
@@ -287,7 +322,7 @@
             let crashes = report.crashes.iter().take(MAX_CRASHES).copied().collect();
             evidence.reported.insert(reporter.to_owned(), crashes);
             if !evidence.crashes().is_subset(&known) {
-                evidence.record_new_crash(&report.callers, now);
+                evidence.record_new_crashes(&report.callers, quarantine, now);
             }
         }
     }
@@ -297,8 +332,9 @@
         for report in reports.iter().take(MAX_REPORTS) {
             let evidence = self.entry(report.content, now);
             evidence.own.extend(report.crashes.iter().take(MAX_CRASHES));
-            evidence.record_new_crash(&report.callers, now);
+            evidence.record_new_crashes(&report.callers, None, now);
         }
+        self.publish_at.get_or_insert(now);
     }
 
     /// Returns the time from which the reports of this entry VM have to be published, if they have changed.
@@ -306,11 +342,13 @@
         self.publish_at
     }
 
-    /// Returns the reports to publish, the latest crashes first, and marks them as published.
+    /// Returns the reports to publish, those of the most crashes first, and marks them as published.
     pub fn take_reports(&mut self) -> Vec<CrashReport> {
         self.publish_at = None;
         let mut own: Vec<_> = self.entries.iter().filter(|(_, evidence)| !evidence.own.is_empty()).collect();
-        own.sort_by_key(|(content, evidence)| (std::cmp::Reverse(evidence.last_crash_at), **content));
+        own.sort_by_key(|(content, evidence)| {
+            (Reverse((evidence.own.len(), evidence.last_crash_at)), **content)
+        });
         let reports = own.into_iter().take(MAX_REPORTS).map(|(content, evidence)| CrashReport {
             content: *content,
             crashes: evidence.own.iter().copied().collect(),
@@ -352,16 +390,17 @@
 
     fn entry(&mut self, content: ContentHash, now: Duration) -> &mut CrashEvidence {
         if self.entries.len() >= MAX_ENTRIES && !self.entries.contains_key(&content) {
-            self.evict_oldest();
+            self.evict_weakest();
         }
         let new = || CrashEvidence { last_crash_at: now, ..CrashEvidence::default() };
         self.entries.entry(content).or_insert_with(new)
     }
 
-    fn evict_oldest(&mut self) {
-        let oldest =
-            self.entries.iter().min_by_key(|(content, evidence)| (evidence.last_crash_at, **content));
-        if let Some(content) = oldest.map(|(content, _)| *content) {
+    fn evict_weakest(&mut self) {
+        let rank = |(content, evidence): &(&ContentHash, &CrashEvidence)| {
+            (evidence.crashes().len(), evidence.last_crash_at, **content)
+        };
+        if let Some(content) = self.entries.iter().min_by_key(rank).map(|(content, _)| *content) {
             self.entries.remove(&content);
         }
     }
--- a/crates/relay/src/crash_quarantine.rs
+++ b/crates/relay/src/crash_quarantine.rs
@@ -2,8 +2,8 @@
 //! has crashed.
 //!
 //! An attempt whose connection is lost proves neither that the target has crashed nor that this request was the
-//! cause. A target counts as crashed if it twice accepts no connection or closes it without a response, or if another
-//! instance responds at its address. The decisions are made by [`sniperelay_core::quarantine`].
+//! cause. A target counts as crashed if it twice refuses a new connection, or if another instance responds at its address.
+//! One that accepts connections and resets them may be full. The decisions are made by [`sniperelay_core::quarantine`].
 
 use crate::attempt::OutboundRequest;
 use crate::decision_log::DecisionKind;
@@ -93,7 +93,7 @@
         return Admission::Unrestricted;
     }
     let identity = RequestIdentity::of(outbound);
-    if state.quarantine.lock().crashes(identity.content) == 0 {
+    if !state.quarantine.lock().contains(identity.content) {
         return Admission::Unrestricted;
     }
     let position = state.trial_position(host);
@@ -125,14 +125,26 @@
     );
 }
 
+/// Returns the time until the end of a quarantine that has begun since the request was admitted.
+pub fn later_quarantine(state: &RelayState, outbound: &OutboundRequest) -> Option<Duration> {
+    if state.quarantine.lock().is_empty() {
+        return None;
+    }
+    let RequestIdentity { content, caller } = RequestIdentity::of(outbound);
+    state.quarantine.lock().quarantine_of(content, caller, boot_clock::now())
+}
+
 /// Records that a target has responded to a request, so that it did not crash under it.
 pub fn record_completion(state: &RelayState, outbound: &OutboundRequest) {
     if state.quarantine.lock().is_empty() {
         return;
     }
-    let content = RequestIdentity::of(outbound).content;
-    state.quarantine.lock().record_completion(content, boot_clock::now());
-    state.quarantine.has_changed.notify_one();
+    let RequestIdentity { content, caller } = RequestIdentity::of(outbound);
+    let mut table = state.quarantine.lock();
+    if table.contains(content) {
+        table.record_completion(content, caller, boot_clock::now());
+        state.quarantine.has_changed.notify_one();
+    }
 }
 
 /// Checks whether a target has crashed after the connection of an attempt was lost, and records it.
@@ -181,8 +193,8 @@
 }
 
 impl SuspectedTarget {
-    /// Returns whether the instance seems to have ended: a new connection to its address is refused or closed, or
-    /// another instance responds. Without any response within the timeout it is not known to have ended.
+    /// Returns whether the instance seems to have ended: a new connection to its address is refused, or another
+    /// instance responds. Without a clear response it is not known to have ended.
     async fn has_ended(&self, state: &RelayState) -> bool {
         tokio::time::timeout(CHECK_TIMEOUT, self.check(state)).await.unwrap_or(false)
     }
@@ -206,7 +218,7 @@
             .header(header::HOST, self.address.to_string())
             .body(full_body(Bytes::new()));
         let (Some(sender), Ok(request)) = (connection.sender(), request) else { return false };
-        let Ok(response) = sender.send_request(request).await else { return true };
+        let Ok(response) = sender.send_request(request).await else { return false };
         read_instance(response.headers()).is_some_and(|instance| *instance != *self.instance)
     }
 }
--- a/crates/relay/src/crash_reports.rs
+++ b/crates/relay/src/crash_reports.rs
@@ -40,12 +40,16 @@
 /// Applies a change of one object. Before this process publishes, its own object is that of an earlier process.
 fn apply_change(state: &RelayState, change: StoreChange, is_publishing: bool) {
     let now = boot_clock::now();
-    let (StoreChange::Updated(object) | StoreChange::Restored(object)) = change else {
-        // The reports of a removed entry VM count until they expire.
-        return;
+    let is_written = matches!(change, StoreChange::Updated(_));
+    let (key, reports) = match change {
+        // An entry VM deletes its object when it has nothing to report any more.
+        StoreChange::Deleted(key) => (key, Ok(Vec::new())),
+        StoreChange::Updated(object) | StoreChange::Restored(object) => {
+            (object.key, decode_crash_reports(&object.value))
+        }
     };
-    let name = object_name(&object.key);
-    let reports = match decode_crash_reports(&object.value) {
+    let name = object_name(&key);
+    let reports = match reports {
         Ok(reports) => reports,
         Err(error) => {
             log::warn!("cannot read the crash reports of entry VM '{name}': {error}");
@@ -57,20 +61,23 @@
         table.merge_reports(name, &reports, now);
     } else if !is_publishing {
         table.adopt_reports(&reports, now);
+    } else if !is_written {
+        // The store has returned from an older copy, or this process has deleted its object.
+        table.restore_reports(now);
+        state.quarantine.has_changed.notify_one();
     }
 }
 
 /// Publishes the reports of this entry VM whenever they have changed.
 async fn publish_reports(state: Arc<RelayState>, key: String, mut version: ObjectVersion) {
-    let mut published: Vec<CrashReport> = Vec::new();
     loop {
         wait_until_due(&state).await;
         let reports = state.quarantine.lock().take_reports();
-        if reports != published || (version == 0 && !reports.is_empty()) {
+        if version != 0 || !reports.is_empty() {
             match write_reports(&state, &key, version, &reports).await {
                 Ok(written) => {
                     log::info!(version = written; "{} contents with crashes of targets reported", reports.len());
-                    (version, published) = (written, reports);
+                    version = written;
                 }
                 Err(PlatformError::Conflict { current }) => {
                     version = current;
--- a/crates/relay/src/request_handler.rs
+++ b/crates/relay/src/request_handler.rs
@@ -6,7 +6,9 @@
 
 use crate::attempt::{AttemptResult, OutboundRequest, TargetResponse, run_attempt};
 use crate::caller_response::{CallerResponse, RelayRefusal};
-use crate::crash_quarantine::{SuspectedTarget, admit_request, check_for_crash, record_completion};
+use crate::crash_quarantine::{
+    SuspectedTarget, admit_request, check_for_crash, later_quarantine, record_completion,
+};
 use crate::decision_log::{AttemptRecord, DecisionKind};
 use crate::request_head::RequestHead;
 use crate::shared_state::RelayState;
@@ -104,7 +106,8 @@
         final_deadline: arrived_at + timeout,
     };
     let mut handler = RequestHandler::new(state.clone(), entry, outbound, times, destination.rank, spec);
-    handler.is_single_attempt |= admission == Admission::SingleAttempt;
+    handler.is_trial = admission == Admission::Trial;
+    handler.is_single_attempt |= handler.is_trial || admission == Admission::SingleAttempt;
     let mut result = handler.submit_and_wait(destination.rank, times.on_time_deadline).await;
     if result.as_ref().is_err_and(|refusal| handler.can_be_resubmitted(refusal)) {
         result = handler.submit_and_wait(destination.late_rank, times.final_deadline).await;
@@ -160,6 +163,8 @@
     rank: RankId,
     /// Whether the route allows only one attempt.
     is_single_attempt: bool,
+    /// Whether the request is the trial of a quarantined content.
+    is_trial: bool,
     attempts: FuturesUnordered<AttemptFuture>,
     abort_handles: Vec<(TargetKey, AbortHandle)>,
     /// Attempts made so far, for log lines.
@@ -186,6 +191,7 @@
             times,
             rank,
             is_single_attempt: spec.max_attempts < 2,
+            is_trial: false,
             attempts: FuturesUnordered::new(),
             abort_handles: Vec::new(),
             attempt_records: Vec::new(),
@@ -331,6 +337,12 @@
     fn handle_signal(&mut self, signal: Option<DispatchSignal>) -> Option<Result<CallerResponse>> {
         match signal? {
             DispatchSignal::Start { slot, retry, .. } => {
+                // Targets may have crashed under the same content while the request was queued.
+                if let Some(retry_after) = self.begun_quarantine() {
+                    drop(slot);
+                    let is_final = !self.execution.has_attempt_in_flight();
+                    return is_final.then(|| Err(self.make_refusal(RefusalReason::Quarantined, retry_after)));
+                }
                 if let Some(reason) = retry {
                     self.entry.counters[0].count_retry(reason);
                 }
@@ -410,6 +422,11 @@
         is_final.then(|| Err(self.make_refusal(reason, TARGET_REFUSED_RETRY_AFTER)))
     }
 
+    /// Returns the time until the end of a quarantine that has begun since this request was admitted.
+    fn begun_quarantine(&self) -> Option<Duration> {
+        if self.is_trial { None } else { later_quarantine(&self.state, &self.outbound) }
+    }
+
     /// Starts to check whether the target of a lost connection has crashed.
     fn start_crash_check(&self, slot: &AttemptSlot) {
         let Some(instance) = slot.instance() else { return };
--- a/crates/relay/src/shared_state.rs
+++ b/crates/relay/src/shared_state.rs
@@ -402,8 +402,10 @@
     pub fn trial_position(&self, host: &str) -> u32 {
         let own = self.own_record().home_candidate().incarnation;
         let homes = self.choose_host_homes(host, &self.targets());
-        let position = homes.iter().position(|home| home.incarnation == own).unwrap_or(homes.len());
-        u32::try_from(position).unwrap_or(u32::MAX)
+        let position = homes.iter().position(|home| home.incarnation == own);
+        // Other entry VMs get hardly any requests for the host; their names spread their trials.
+        let other_position = homes.len() as u64 + own % OTHER_TRIAL_POSITIONS;
+        position.unwrap_or(other_position as usize) as u32
     }
 
     fn choose_host_homes(&self, host: &str, targets: &TargetMap) -> Vec<HomeCandidate> {
@@ -477,6 +479,8 @@
 /// Minimum age from which a report is outdated. Targets change their speed a few times per second.
 const MIN_REPORT_AGE: Duration = Duration::from_millis(150);
 
+/// Number of trial positions over which entry VMs that are no homes of a host are spread.
+const OTHER_TRIAL_POSITIONS: u64 = 64;
 /// Maximum number of entry VM addresses in one lookup response.
 const MAX_LOOKUP_ADDRESSES: usize = 64;
 /// Share of the platform's budget for further attempts that all entry VMs together may accumulate.
