--- a/crates/config/src/relay.rs
+++ b/crates/config/src/relay.rs
@@ -5,6 +5,7 @@
 use crate::settings::{LogSettings, UNSET_ADDRESS, read_log};
 use sniperelay_core::quarantine::DEFAULT_FIRST_QUARANTINE;
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 const KNOWN_SECTIONS: &[&str] = &["entry-vm", "platform", "routing", "limits", "log"];
@@ -14,8 +15,9 @@
 /// Minimum memory for responses, in bytes: a few of the read buffers of target connections.
 const MIN_RESPONSE_MEMORY_BYTES: usize = 1024 * 1024;
 
-/// Minimum duration of a first quarantine: crashes become known everywhere within about a second.
-const MIN_FIRST_QUARANTINE: Duration = Duration::from_secs(1);
+/// Limits of the duration of a first quarantine. Crashes become known everywhere within about a second; the longest
+/// quarantine takes an hour.
+const FIRST_QUARANTINE_LIMITS: RangeInclusive<Duration> = Duration::from_secs(1)..=Duration::from_secs(3600);
 
 /// Name, failure domain and addresses of the entry VM.
 #[derive(Debug, Clone)]
@@ -205,8 +207,8 @@
         ),
         first_quarantine: section.millis_or("quarantine-ms", DEFAULT_FIRST_QUARANTINE),
     };
-    if settings.first_quarantine < MIN_FIRST_QUARANTINE {
-        section.report("quarantine-ms", format!("must be at least {}", MIN_FIRST_QUARANTINE.as_millis()));
+    if !FIRST_QUARANTINE_LIMITS.contains(&settings.first_quarantine) {
+        section.report("quarantine-ms", "must be 1000 to 3600000");
     }
     if settings.response_memory_bytes < MIN_RESPONSE_MEMORY_BYTES {
         section.report("response-memory-bytes", format!("must be at least {MIN_RESPONSE_MEMORY_BYTES}"));
--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -183,7 +183,7 @@
     }
 }
 
-/// Contents under which targets have crashed, as far as this entry VM knows.
+/// Contents under which targets have crashed, from own observations and reports.
 #[derive(Debug)]
 pub struct QuarantineTable {
     first_quarantine: Duration,
--- a/crates/relay/tests/request_crashes.rs
+++ b/crates/relay/tests/request_crashes.rs
@@ -15,7 +15,7 @@
 
 const ENTRY_VM_COUNT: usize = 3;
 const TARGET_COUNT: usize = 8;
-/// Time within which entry VMs in touch with each other know what one of them knows.
+/// Time within which what one entry VM has seen is known to all others that it can reach.
 const CONTACT: Duration = Duration::from_millis(3000);
 /// Number of targets after whose end a request is to be known for it.
 const KNOWN_AFTER_ENDS: usize = 3;
