--- a/crates/standin/src/soak/crash.rs
+++ b/crates/standin/src/soak/crash.rs
@@ -14,7 +14,7 @@
 
 /// Path of the request.
 pub const CRASHING_PATH: &str = "/read/poison";
-/// Time within which entry VMs in touch with each other know what one of them knows.
+/// Time within which all entry VMs that reach each other learn what one of them has seen.
 const CONTACT: Duration = Duration::from_secs(3);
 /// Number of crashed targets after which the request must be known.
 const KNOWN_AFTER_CRASHES: usize = 3;
