relay: read, log and count the limits that targets state

The header is decoded in the adapter (decimal, finite, not negative; of several values the lowest; anything else is logged and changes nothing). The target table holds the last statement and its time: a response without a limit ends it only if its request was sent after the statement. A line per change, rate limited, and the counters limits_stated and limited_sends (requests and probes sent to a target that states a limit). Requests are sent as before.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -19,6 +19,7 @@
 //! | [`route`] | routes by host and path prefix, and the service documents derived from them |
 //! | [`execution`] | what is known about the execution of a request, over all of its attempts |
 //! | [`leaving`] | targets that have reported that they are leaving |
+//! | [`rate_limit`] | request rate limits that targets state |
 //! | [`quarantine`] | requests under which targets have crashed, and their quarantine |
 //! | [`memory_budget`] | memory for responses, shared so that endless ones leave room for others |
 //! | [`budget`] | retry and hedge budgets, as a ratio to first attempts |
@@ -55,6 +56,7 @@
 pub mod probe_schedule;
 pub mod quarantine;
 pub mod queue;
+pub mod rate_limit;
 pub mod reason;
 pub mod route;
 pub mod target;
--- a/crates/core/src/target.rs
+++ b/crates/core/src/target.rs
@@ -11,6 +11,7 @@
 mod state;
 
 use crate::ids::{DomainName, InstanceName, TargetKey};
+use crate::rate_limit::{LimitChange, TargetLimit};
 use slotmap::SlotMap;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -202,6 +203,7 @@
             ejected_until: None,
             suspended_until: None,
             held_until: None,
+            rate_limit: None,
             free_list_index: None,
             is_in_timer_list: false,
         };
@@ -443,6 +445,31 @@
         }
     }
 
+    /// Returns the limit that a target states, in requests per second, if it states one.
+    pub fn stated_limit(&self, key: TargetKey) -> Option<f64> {
+        self.targets.get(key)?.rate_limit()?.observation().per_second
+    }
+
+    /// Records the limit that a target states in a response, in requests per second, or that it states none.
+    /// `sent_at` is the time at which the request was sent.
+    pub fn record_limit(
+        &mut self,
+        key: TargetKey,
+        per_second: Option<f64>,
+        sent_at: Instant,
+        now: Instant,
+    ) -> LimitChange {
+        let Some(target) = self.targets.get_mut(key) else { return LimitChange::Unchanged };
+        match (&mut target.rate_limit, per_second) {
+            (Some(limit), _) => limit.record_response(per_second, sent_at, now),
+            (None, Some(per_second)) => {
+                target.rate_limit = Some(TargetLimit::new(per_second, now));
+                LimitChange::Stated(per_second)
+            }
+            (None, None) => LimitChange::Unchanged,
+        }
+    }
+
     /// Returns when the first target accepts requests again if all targets that are not leaving have asked
     /// for a pause.
     pub fn held_as_a_whole_until(&self) -> Option<Instant> {
--- a/crates/core/src/target/state.rs
+++ b/crates/core/src/target/state.rs
@@ -1,6 +1,7 @@
 //! State of one target, from the point of view of one entry VM.
 
 use crate::ids::{DomainName, InstanceName};
+use crate::rate_limit::TargetLimit;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -166,6 +167,8 @@
     pub(super) suspended_until: Option<Instant>,
     /// Time until which the target has asked for no requests.
     pub(super) held_until: Option<Instant>,
+    /// Limit that the target has stated, if it has.
+    pub(super) rate_limit: Option<TargetLimit>,
     pub(super) free_list_index: Option<usize>,
     /// Whether the target is in the table's timer list.
     pub(super) is_in_timer_list: bool,
@@ -214,6 +217,11 @@
         self.held_until
     }
 
+    /// Returns the limit that the target has stated, if it has.
+    pub fn rate_limit(&self) -> Option<&TargetLimit> {
+        self.rate_limit.as_ref()
+    }
+
     /// Returns whether the target is ejected because its responses kept failing.
     pub fn is_ejected(&self) -> bool {
         self.ejected_until.is_some()
--- a/crates/node/src/dispatcher_handle.rs
+++ b/crates/node/src/dispatcher_handle.rs
@@ -12,6 +12,7 @@
 };
 use sniperelay_core::document::ServiceDocument;
 use sniperelay_core::ids::{IncarnationId, InstanceName, RankId, RequestId, ServiceName, TargetKey};
+use sniperelay_core::rate_limit::LimitChange;
 use sniperelay_core::reason::{RefusalReason, RetryReason};
 use sniperelay_core::target::{LoadReport, SharedReport, TargetSpec};
 use sniperelay_wire::PeerMessage;
@@ -296,6 +297,18 @@
         });
     }
 
+    /// Returns the limit that the target states, in requests per second, if it states one.
+    pub fn limit(&self) -> Option<f64> {
+        self.handle.read(|dispatcher| dispatcher.targets().stated_limit(self.target))
+    }
+
+    /// Records the limit that the target's response states, in requests per second, or that it states none.
+    pub fn record_limit(&self, per_second: Option<f64>) -> LimitChange {
+        self.handle.run_operation(|dispatcher, now, _| {
+            dispatcher.record_limit(self.request, self.target, per_second, now)
+        })
+    }
+
     /// Records that the response body is complete, and releases the slot.
     pub fn record_complete_body(self) {
         self.handle.run_operation(|dispatcher, _, _| dispatcher.record_complete_body(self.target));
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -103,6 +103,10 @@
     pub responses_cut: AtomicU64,
     /// Pauses that targets have asked for.
     pub targets_held_off: AtomicU64,
+    /// Limits that targets have stated, counted when they are new or have changed.
+    pub limits_stated: AtomicU64,
+    /// Requests and probes sent to targets while they stated a limit.
+    pub limited_sends: AtomicU64,
     /// Targets that have reported in a response that they are leaving.
     pub targets_reported_leaving: AtomicU64,
     /// Crashes of targets while they ran a request, as seen by this entry VM.
@@ -120,7 +124,7 @@
 }
 
 impl ProcessCounters {
-    fn named(&self) -> [(&'static str, &AtomicU64); 25] {
+    fn named(&self) -> [(&'static str, &AtomicU64); 27] {
         [
             ("lookups", &self.lookups),
             ("probe_calls", &self.probe_calls),
@@ -140,6 +144,8 @@
             ("early_refusals", &self.early_refusals),
             ("responses_cut", &self.responses_cut),
             ("targets_held_off", &self.targets_held_off),
+            ("limits_stated", &self.limits_stated),
+            ("limited_sends", &self.limited_sends),
             ("targets_reported_leaving", &self.targets_reported_leaving),
             ("target_crashes", &self.target_crashes),
             ("requests_quarantined", &self.requests_quarantined),
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -4,6 +4,7 @@
 //! success, the target's seal. Corrupted or truncated responses therefore never reach a caller, and
 //! an idempotent request can still be retried at another target.
 
+use crate::decision_log::DecisionKind;
 use crate::shared_state::RelayState;
 use bytes::{Bytes, BytesMut};
 use http::header::{self, HeaderMap};
@@ -12,6 +13,7 @@
 use hyper::body::Incoming;
 use sniperelay_core::dispatch::AttemptFailure;
 use sniperelay_core::memory_budget::MemoryShare;
+use sniperelay_core::rate_limit::LimitChange;
 use sniperelay_hosted::headers::{self as platform_headers, TargetReport};
 use sniperelay_node::boot_clock::{self, BootTime};
 use sniperelay_node::dispatcher_handle::AttemptSlot;
@@ -19,10 +21,10 @@
 use sniperelay_node::traffic::connection_reuse::{NON_IDEMPOTENT_MAX_IDLE, keep_alive_time};
 use sniperelay_node::traffic::headers::strip_hop_by_hop;
 use sniperelay_node::traffic::pool::PooledConnection;
-use std::net::IpAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Time for which an idle connection is kept open if the target does not state a keep-alive time:
 /// half of the shortest time after which targets are known to close idle connections.
@@ -127,6 +129,7 @@
         let Some(request) = make_request(&outbound, remaining, &instance) else {
             return failed_attempt(AttemptFailure::Connect, "request cannot be written", slot);
         };
+        count_limited_send(&state, &slot);
         match sender.try_send_request(request).await {
             Ok(response) => {
                 return receive_response(&state, &outbound, response, connection, slot).await;
@@ -147,6 +150,12 @@
     }
 }
 
+fn count_limited_send(state: &RelayState, slot: &AttemptSlot) {
+    if slot.limit().is_some() {
+        state.metrics.process().limited_sends.fetch_add(1, Ordering::Relaxed);
+    }
+}
+
 /// Minimum time until the deadline with which a request is still sent.
 const MIN_REMAINING_TIME: Duration = Duration::from_millis(2);
 
@@ -228,6 +237,37 @@
         log::info!(target = text; "target {} held off for {pause:?}, as it asked", slot.address());
         slot.hold_off(pause);
     }
+    record_limit(state, response, slot);
+}
+
+/// Records the limit that a target states. A value that cannot be read changes nothing.
+fn record_limit(state: &RelayState, response: &Response<Incoming>, slot: &AttemptSlot) {
+    let change = match platform_headers::read_rate_limit(response.headers()) {
+        Ok(per_second) => slot.record_limit(per_second),
+        Err(error) => {
+            log::info!("limit of target {} ignored: {error}", slot.address());
+            return;
+        }
+    };
+    log_limit_change(state, &slot.instance().unwrap_or_default(), slot.address(), change);
+}
+
+/// Logs and counts a change of the limit that a target states.
+pub(crate) fn log_limit_change(state: &RelayState, instance: &str, address: SocketAddr, change: LimitChange) {
+    let text = match change {
+        LimitChange::Unchanged => return,
+        LimitChange::Stated(per_second) => {
+            state.metrics.process().limits_stated.fetch_add(1, Ordering::Relaxed);
+            format!("a limit of {per_second} requests per second")
+        }
+        LimitChange::Ended => "no limit any more".to_owned(),
+    };
+    // A target may state another limit with each response.
+    if let Some(suppressed_lines) =
+        state.decisions.admit(DecisionKind::LimitChanged, "targets", Instant::now())
+    {
+        log::info!(target = instance, left_out = suppressed_lines; "target {address} states {text}");
+    }
 }
 
 /// Receives a complete body. Returns the cause of the failure, for log lines, if the body breaks off or
--- a/crates/relay/src/decision_log.rs
+++ b/crates/relay/src/decision_log.rs
@@ -32,6 +32,8 @@
     OnTime,
     /// The request's connection ended without a response.
     Unanswered,
+    /// A target states another limit than before.
+    LimitChanged,
 }
 
 impl DecisionKind {
@@ -44,6 +46,7 @@
             Self::Retried => "repeated",
             Self::OnTime => "answered",
             Self::Unanswered => "unanswered",
+            Self::LimitChanged => "limit changed",
         }
     }
 }
--- a/crates/relay/src/load_probe.rs
+++ b/crates/relay/src/load_probe.rs
@@ -48,6 +48,9 @@
     address: SocketAddr,
 ) {
     state.metrics.process().probe_calls.fetch_add(1, Ordering::Relaxed);
+    if entry.dispatcher_handle.read(|dispatcher| dispatcher.targets().stated_limit(target).is_some()) {
+        state.metrics.process().limited_sends.fetch_add(1, Ordering::Relaxed);
+    }
     let result = tokio::time::timeout(PROBE_TIMEOUT, request_report(&state, &entry, target, address)).await;
     let Ok(Some(report)) = result else {
         log::debug!("no report from target {address}");
