--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code)]
 
 pub mod crashing_target;
+pub mod limited_target;
 
 use serde_json::{Value, json};
 use sniperelay_config::parse_relay_settings;
--- /dev/null
+++ b/crates/relay/tests/rate_limits.rs
@@ -0,0 +1,115 @@
+//! Tests of request rate limits that targets state, with several entry VMs over real sockets.
+
+mod common;
+
+use common::limited_target::LimitedTarget;
+use common::{Caller, config, registration, request, start_named_relay, status};
+use sniperelay_relay::RunningRelay;
+use sniperelay_standin::platform::PlatformStandin;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// Length of the time in which arrivals at a limited target are counted.
+const WINDOW: Duration = Duration::from_secs(4);
+/// Time after which an entry VM that has seen a limit must keep it.
+const REACTION_TIME: Duration = Duration::from_millis(500);
+
+/// Returns how many requests may reach a target in [`WINDOW`] if it states this limit.
+fn allowed(per_second: f64) -> usize {
+    (1.5 * per_second * WINDOW.as_secs_f64() + 5.0) as usize
+}
+
+/// Two entry VMs, both homes of the only host, and targets `i0`, `i1`, …
+struct LimitFleet {
+    _store: Arc<PlatformStandin>,
+    relays: Vec<RunningRelay>,
+    targets: Vec<Arc<LimitedTarget>>,
+}
+
+impl LimitFleet {
+    /// Starts targets with these limits; a target without a limit has an empty one.
+    async fn start(limits: &[&str]) -> Self {
+        let store = PlatformStandin::start().await.unwrap();
+        let mut targets = Vec::new();
+        for (index, limit) in limits.iter().enumerate() {
+            let target = LimitedTarget::start(&format!("i{index}"), limit).await;
+            store.put(&format!("servers/i{index}"), registration(target.address, "ready").to_string());
+            targets.push(target);
+        }
+        store.put("config/main", config("00000001").to_string());
+        let relays: Vec<RunningRelay> =
+            (0..2).map(|index| start_named_relay(&format!("vm{index}"), store.address())).collect();
+        let fleet = Self { _store: store, relays, targets };
+        fleet.wait_until_ready().await;
+        fleet
+    }
+
+    async fn wait_until_ready(&self) {
+        let is_ready = |relay: &RunningRelay| {
+            relay.state().is_ready() && relay.state().entry_vms.load().len() == self.relays.len()
+        };
+        while !self.relays.iter().all(is_ready) {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    }
+
+    /// Sends requests to one entry VM at a steady rate, each on a connection of its own, and returns their
+    /// statuses.
+    async fn send_steadily(&self, vm: usize, per_second: u32, time: Duration) -> Vec<u16> {
+        let address = self.relays[vm].state().own_record().caller_address;
+        let pause = Duration::from_secs(1) / per_second;
+        let count = time.as_millis() / pause.as_millis();
+        let mut tasks = Vec::new();
+        for index in 0..count {
+            tasks.push(tokio::spawn(async move {
+                let mut caller = Caller::open(address).await;
+                caller.send(&request("GET", "/read/1", &format!("{vm}-{index}"), "")).await;
+                status(&caller.receive().await.unwrap())
+            }));
+            tokio::time::sleep(pause).await;
+        }
+        let mut statuses = Vec::new();
+        for task in tasks {
+            statuses.push(task.await.unwrap());
+        }
+        statuses
+    }
+}
+
+/// Guards against a fleet that sends a target more requests than the limit that it states, because the header is
+/// ignored or because each entry VM keeps the limit by itself.
+#[tokio::test]
+async fn limit_of_a_target_holds_for_all_entry_vms_together() {
+    let fleet = LimitFleet::start(&["", ""]).await;
+    let limited = fleet.targets[0].clone();
+    let load = Duration::from_secs(6);
+    let stated_at = Instant::now() + Duration::from_millis(500);
+    let announce = async {
+        tokio::time::sleep_until(stated_at.into()).await;
+        limited.set_limit("5");
+    };
+    let (first, second, ()) =
+        tokio::join!(fleet.send_steadily(0, 40, load), fleet.send_steadily(1, 20, load), announce);
+    let peak = limited.peak_after(stated_at + REACTION_TIME, WINDOW);
+    assert!(peak <= allowed(5.0), "{peak} requests and probes in 4 s, {} allowed", allowed(5.0));
+    let since = stated_at + REACTION_TIME + Duration::from_millis(500);
+    let used = limited.requests_between(since, since + WINDOW);
+    assert!(used >= 10, "only {used} of 20 requests that the limit allows");
+    assert!(first.iter().chain(&second).all(|status| *status == 200), "the other target has room");
+}
+
+/// Guards against load probes that reach a target beyond the limit that it states.
+#[tokio::test]
+async fn target_that_accepts_nothing_gets_hardly_any_probes() {
+    let fleet = LimitFleet::start(&["0", ""]).await;
+    let limited = fleet.targets[0].clone();
+    // Until both entry VMs have seen the limit.
+    fleet.send_steadily(0, 40, Duration::from_millis(500)).await;
+    fleet.send_steadily(1, 40, Duration::from_millis(500)).await;
+    let since = Instant::now() + REACTION_TIME;
+    let load = Duration::from_secs(5);
+    let (first, second) = tokio::join!(fleet.send_steadily(0, 20, load), fleet.send_steadily(1, 20, load));
+    let peak = limited.peak_after(since, WINDOW);
+    assert!(peak <= allowed(0.0), "{peak} requests and probes in 4 s, {} allowed", allowed(0.0));
+    assert!(first.iter().chain(&second).all(|status| *status == 200));
+}
