Targets' rate limits hold over all entry VMs

Callers of targets in need saw nothing, the targets got several times the limit that they stated. Cause: the header was not read, and no mechanism bounds the rate at a target over all entry VMs; load probes added to it. Class: a limit that belongs to the fleet, known to none of its members.

Each limited target has an owner, one of the homes that share it, chosen by hash. Entry VMs with requests for the target claim a share from the owner every 300 ms, all claims for one owner in one call; the owner divides the limit by the rates of requests for the service, and valid shares never add up to more than the limit. A share lasts 1 s and fills a token bucket; without a valid share nothing is sent. Limited targets are not probed for load; the owner alone checks after 2 s without a response whether the limit still applies. A limit belongs to the instance and survives its absence from the table. If all usable targets are limited, a request that cannot start in time is refused at once (reason target-limit) with the time in which the queue ahead of it is served, the urgent ranks first.

Weighed: a share by the number of homes needs no messages but is not used up where callers are uneven, and does not bound entry VMs that are no homes but are still called; a count in the store costs a write per request.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -14,6 +14,7 @@
 mod admit;
 mod attempt;
 mod bind;
+mod limits;
 mod loan;
 mod shared_slots;
 mod tick;
@@ -22,6 +23,7 @@
 use crate::budget::AttemptBudget;
 use crate::document::ServiceDocument;
 use crate::estimate::{MeanEstimate, QuantileEstimate, SizeEstimate};
+use crate::event_rate::EventRate;
 use crate::fair_share::FairShareScheduler;
 use crate::ids::{IncarnationId, QueuedKey, RankId, RequestId, TargetKey};
 use crate::pick::PickPolicy;
@@ -36,10 +38,13 @@
 use std::time::{Duration, Instant};
 
 pub use attempt::{AttemptFailure, FailureDecision, ResponseDecision, ResponseMetadata};
+pub use limits::DueClaim;
 pub use shared_slots::ServiceStats;
 
-/// Length of one [`DrainRate`] bucket.
-const RATE_BUCKET: Duration = Duration::from_millis(100);
+/// Bucket length of the rate at which requests of a rank are started.
+const DRAIN_RATE_BUCKET: Duration = Duration::from_millis(100);
+/// Bucket length of the rate at which requests arrive.
+const ARRIVAL_RATE_BUCKET: Duration = Duration::from_millis(500);
 
 /// A request to be admitted.
 #[derive(Debug, Clone, Copy)]
@@ -114,37 +119,6 @@
     pub seed: u64,
 }
 
-/// Rate at which requests of a rank are started, measured over the current and the previous bucket.
-#[derive(Debug, Default)]
-struct DrainRate {
-    bucket_start: Option<Instant>,
-    previous: u32,
-    current: u32,
-}
-
-impl DrainRate {
-    fn record(&mut self, now: Instant) {
-        self.advance(now);
-        self.current += 1;
-    }
-
-    fn per_second(&mut self, now: Instant) -> f64 {
-        self.advance(now);
-        let elapsed = self.bucket_start.map_or(Duration::ZERO, |start| now.saturating_duration_since(start));
-        f64::from(self.previous + self.current) / (RATE_BUCKET + elapsed).as_secs_f64()
-    }
-
-    fn advance(&mut self, now: Instant) {
-        let start = *self.bucket_start.get_or_insert(now);
-        let buckets = now.saturating_duration_since(start).as_nanos() / RATE_BUCKET.as_nanos();
-        if buckets > 0 {
-            self.previous = if buckets == 1 { self.current } else { 0 };
-            self.current = 0;
-            self.bucket_start = Some(start + RATE_BUCKET * u32::try_from(buckets).unwrap_or(u32::MAX));
-        }
-    }
-}
-
 /// Queue and statistics of one rank.
 #[derive(Debug)]
 struct RankState {
@@ -161,7 +135,10 @@
     response_bytes: SizeEstimate,
     /// Mean time for which a request holds a slot.
     hold_time: MeanEstimate,
-    drain_rate: DrainRate,
+    /// Rate at which requests of the rank arrive, including those that are refused.
+    arrival_rate: EventRate,
+    /// Rate at which requests of the rank are started.
+    drain_rate: EventRate,
 }
 
 /// An attempt in flight.
@@ -347,7 +324,8 @@
             usual_latency: QuantileEstimate::new(0.5, initial),
             response_bytes: SizeEstimate::default(),
             hold_time: MeanEstimate::new(initial),
-            drain_rate: DrainRate::default(),
+            arrival_rate: EventRate::new(ARRIVAL_RATE_BUCKET),
+            drain_rate: EventRate::new(DRAIN_RATE_BUCKET),
         }
     }
 }
--- a/crates/core/src/dispatch/admit.rs
+++ b/crates/core/src/dispatch/admit.rs
@@ -21,6 +21,7 @@
     /// A rank that does not exist in the current document is treated as the least urgent one.
     pub fn submit(&mut self, mut request: NewRequest, now: Instant, actions: &mut Vec<DispatchAction>) {
         request.rank = request.rank.min(self.ranks.len() - 1);
+        self.ranks[request.rank].arrival_rate.record(now);
         if let Err(reason) = self.check_admission(&request, now) {
             let retry_after = self.retry_after(request.rank, now);
             actions.push(DispatchAction::Refuse { request: request.request, reason, retry_after });
@@ -54,6 +55,12 @@
         if self.targets.held_as_a_whole_until().is_some_and(|end| end >= request.deadline) {
             return Err(RefusalReason::DeadlineUnreachable);
         }
+        let limited_wait = self.limited_wait(request.rank, now);
+        if limited_wait
+            .is_some_and(|wait| now + wait + self.min_response_time(request.rank) > request.deadline)
+        {
+            return Err(RefusalReason::TargetLimit);
+        }
         if self.ranks[request.rank].queue.len() >= self.document.ranks[request.rank].queue_limit {
             return Err(RefusalReason::QueueFull);
         }
@@ -100,7 +107,8 @@
     /// Returns the delay after which a refused request is likely to be admitted.
     pub(super) fn retry_after(&mut self, rank: RankId, now: Instant) -> Duration {
         let pause = self.remaining_pause(now);
-        self.predicted_wait(rank, now).max(MIN_RETRY_AFTER).max(pause)
+        let limited_wait = self.limited_wait(rank, now).unwrap_or_default();
+        self.predicted_wait(rank, now).max(MIN_RETRY_AFTER).max(pause).max(limited_wait)
     }
 
     /// Returns the time until the first target accepts requests again if all have asked for a pause.
--- a/crates/core/src/dispatch/attempt.rs
+++ b/crates/core/src/dispatch/attempt.rs
@@ -4,7 +4,6 @@
 use crate::ids::{RequestId, TargetKey};
 use crate::pick::PickPolicy;
 use crate::queue::QueuedRequest;
-use crate::rate_limit::LimitChange;
 use crate::reason::RetryReason;
 use crate::target::{LoadReport, WorkReading};
 use std::time::{Duration, Instant};
@@ -167,22 +166,6 @@
         self.expire_queued(now, actions);
     }
 
-    /// Records the limit that the response to an attempt states, in requests per second, or that it states
-    /// none. The response to an attempt that has been cancelled is ignored.
-    pub fn record_limit(
-        &mut self,
-        request: RequestId,
-        target: TargetKey,
-        per_second: Option<f64>,
-        now: Instant,
-    ) -> LimitChange {
-        let attempts = self.requests.get(&request).map_or(&[][..], |state| state.attempts.as_slice());
-        let Some(attempt) = attempts.iter().find(|attempt| attempt.target == target) else {
-            return LimitChange::Unchanged;
-        };
-        self.targets.record_limit(target, per_second, attempt.started, now)
-    }
-
     /// Records that the body of a response from this target was complete.
     pub fn record_complete_body(&mut self, target: TargetKey) {
         self.targets.record_complete_body(target);
--- a/crates/core/src/dispatch/bind.rs
+++ b/crates/core/src/dispatch/bind.rs
@@ -68,7 +68,7 @@
     }
 
     /// Returns the shortest time in which a response of `rank` can be expected.
-    fn min_response_time(&self, rank: RankId) -> Duration {
+    pub(super) fn min_response_time(&self, rank: RankId) -> Duration {
         match self.settings.policy {
             PickPolicy::SharedSlots => self.ranks[rank].usual_latency.value(),
             _ => self.ranks[rank].latency_p50.value(),
--- a/crates/core/src/dispatch/shared_slots.rs
+++ b/crates/core/src/dispatch/shared_slots.rs
@@ -111,15 +111,22 @@
 
     /// Returns the targets to probe for a report and marks them as probed. These are the targets
     /// with an outdated report and, sooner, those that may have become slow during a request that
-    /// another target could still answer in time. Returns none if there was no recent request.
+    /// another target could still answer in time, if there was a recent request; and the limited ones
+    /// whose limit is checked.
     pub fn take_targets_to_probe(&mut self, now: Instant) -> Vec<(TargetKey, SocketAddr)> {
+        let rechecked = self.targets.take_due_limit_rechecks(now);
+        let stale = self.take_targets_with_old_reports(now);
+        let probed = rechecked.into_iter().chain(stale);
+        probed.filter_map(|key| self.targets.get(key).map(|target| (key, target.address))).collect()
+    }
+
+    fn take_targets_with_old_reports(&mut self, now: Instant) -> Vec<TargetKey> {
         let has_recent_requests =
             self.last_request_at.is_some_and(|at| now.saturating_duration_since(at) < REPORT_PROBE_WINDOW);
         let Some(max_age) = self.max_report_age.filter(|_| has_recent_requests) else { return Vec::new() };
         let mut probed = self.targets.take_due_probes(max_age, now);
         probed.extend(self.targets.take_due_probes_of(&self.overdue_targets(now), OVERDUE_REPORT_AGE, now));
-        let probed = probed.into_iter();
-        probed.filter_map(|key| self.targets.get(key).map(|target| (key, target.address))).collect()
+        probed
     }
 
     /// Returns the targets with an attempt that takes longer than usual, where another target could
--- a/crates/core/src/home.rs
+++ b/crates/core/src/home.rs
@@ -5,7 +5,7 @@
 //! assignments.
 
 use crate::ids::{DomainName, IncarnationId};
-use std::collections::{BTreeMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -132,8 +132,7 @@
     homes: &[HomeCandidate],
     targets: &[(SocketAddr, DomainName)],
 ) -> Option<HashSet<SocketAddr>> {
-    let mut sorted: Vec<HomeCandidate> = homes.to_vec();
-    sorted.sort_by(|left, right| (&left.domain, left.incarnation).cmp(&(&right.domain, right.incarnation)));
+    let sorted = sort_into_cells(homes);
     let cells: Vec<&[HomeCandidate]> = sorted.chunks(HOMES_PER_CELL).collect();
     let owner_of_cell = |cell: &&[HomeCandidate]| cell[0].clone();
     let cell_owners: Vec<HomeCandidate> = cells.iter().map(owner_of_cell).collect();
@@ -143,6 +142,46 @@
     Some(owners.into_iter().filter(|(_, home)| *home == owner).map(|(address, _)| address).collect())
 }
 
+/// The entry VMs that own the rate limits of a service's targets.
+#[derive(Debug, Default)]
+pub struct LimitOwners {
+    homes: Vec<HomeCandidate>,
+    by_target: HashMap<SocketAddr, IncarnationId>,
+}
+
+impl LimitOwners {
+    /// Chooses the owners among the homes of a host with routes to the service: for each target one of the homes
+    /// that share the target, by hash.
+    pub fn choose(homes: &[HomeCandidate], targets: &[(SocketAddr, DomainName)]) -> Self {
+        let sorted = sort_into_cells(homes);
+        let cells: Vec<&[HomeCandidate]> = sorted.chunks(HOMES_PER_CELL).collect();
+        let cell_owners: Vec<HomeCandidate> = cells.iter().map(|cell| cell[0].clone()).collect();
+        let owners = assign_owners(&cell_owners, targets).into_iter();
+        let choose_in_cell = |(address, owner): (SocketAddr, IncarnationId)| {
+            let cell = cells.iter().find(|cell| cell[0].incarnation == owner)?;
+            Some((address, choose_by_hash(cell, address)?))
+        };
+        Self { by_target: owners.filter_map(choose_in_cell).collect(), homes: homes.to_vec() }
+    }
+
+    /// Returns the owner of a target's limit, or `None` if there are no homes. The limit of a target that is not
+    /// among the assigned ones, for example because it is leaving, is owned by any home.
+    pub fn owner_of(&self, target: SocketAddr) -> Option<IncarnationId> {
+        self.by_target.get(&target).copied().or_else(|| choose_by_hash(&self.homes, target))
+    }
+}
+
+fn choose_by_hash(homes: &[HomeCandidate], target: SocketAddr) -> Option<IncarnationId> {
+    let name = target.to_string();
+    homes.iter().map(|home| home.incarnation).min_by_key(|home| hash_with_seed(&name, *home))
+}
+
+fn sort_into_cells(homes: &[HomeCandidate]) -> Vec<HomeCandidate> {
+    let mut sorted = homes.to_vec();
+    sorted.sort_by(|left, right| (&left.domain, left.incarnation).cmp(&(&right.domain, right.incarnation)));
+    sorted
+}
+
 /// Sorts homes for one caller: homes in the caller's failure domain first, then by a hash that
 /// spreads callers over the homes.
 pub fn order_for_caller(
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,6 +8,7 @@
 //! |---|---|
 //! | [`document`] | typed configuration document of a service and its verifier |
 //! | [`estimate`] | estimates of durations and sizes |
+//! | [`event_rate`] | rate of events |
 //! | [`finding`] | findings of a verifier, with their location |
 //! | [`reason`] | outcomes, refusal reasons and retry reasons |
 //! | [`claim`] | idempotency keys that are bound to one process incarnation |
@@ -19,7 +20,8 @@
 //! | [`route`] | routes by host and path prefix, and the service documents derived from them |
 //! | [`execution`] | what is known about the execution of a request, over all of its attempts |
 //! | [`leaving`] | targets that have reported that they are leaving |
-//! | [`rate_limit`] | request rate limits that targets state |
+//! | [`rate_limit`] | request rate limits that targets state, and the use of a share of them |
+//! | [`limit_ledger`] | division of these limits among entry VMs |
 //! | [`quarantine`] | requests under which targets have crashed, and their quarantine |
 //! | [`memory_budget`] | memory for responses, shared so that endless ones leave room for others |
 //! | [`budget`] | retry and hedge budgets, as a ratio to first attempts |
@@ -43,12 +45,14 @@
 pub mod edit;
 pub mod edition;
 pub mod estimate;
+pub mod event_rate;
 pub mod execution;
 pub mod fair_share;
 pub mod finding;
 pub mod home;
 pub mod ids;
 pub mod leaving;
+pub mod limit_ledger;
 pub mod member;
 pub mod memory_budget;
 pub mod overlay;
--- a/crates/core/src/reason.rs
+++ b/crates/core/src/reason.rs
@@ -78,6 +78,8 @@
         DeadlineUnreachable => "deadline-unreachable",
         /// The deadline passed while the request was waiting.
         DeadlinePassed => "deadline-passed",
+        /// All targets state rate limits, which leave no room for the request before its deadline.
+        TargetLimit => "target-limit",
         /// The queue of the rank is full.
         QueueFull => "queue-full",
         /// No target of the service is usable.
--- a/crates/core/src/target.rs
+++ b/crates/core/src/target.rs
@@ -8,15 +8,17 @@
 //! for all others, so the cost of picking a target does not depend on the number of targets. The
 //! entry of a target in the lists is updated on every change of that target.
 
+mod limits;
 mod state;
 
 use crate::ids::{DomainName, InstanceName, TargetKey};
-use crate::rate_limit::{LimitChange, TargetLimit};
+use crate::rate_limit::TargetLimit;
 use slotmap::SlotMap;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+pub use limits::LimitedCapacity;
 use state::WorkMeter;
 pub use state::{
     LoadReport, SharedReport, SharedTarget, SlotLoan, TargetLifecycle, TargetSpec, TargetState, WorkReading,
@@ -65,6 +67,10 @@
     free_lists: [Vec<TargetKey>; 2],
     /// Targets with a report, loan, ejection or suspension that will expire.
     timer_list: Vec<TargetKey>,
+    /// Targets that state a limit, and some that no longer do.
+    limited_list: Vec<TargetKey>,
+    /// Limits of instances that are not in the table at present. They still apply if an instance returns.
+    retained_limits: HashMap<InstanceName, TargetLimit>,
     /// Number of current ejections and suspensions.
     excluded_count: usize,
     /// Mean of the reported slowdowns; 1.0 is the usual speed.
@@ -81,6 +87,8 @@
             by_address: HashMap::new(),
             free_lists,
             timer_list: Vec::new(),
+            limited_list: Vec::new(),
+            retained_limits: HashMap::new(),
             excluded_count: 0,
             average_slowdown: 1.0,
         }
@@ -124,7 +132,9 @@
             state.instance.clone_from(&target.instance);
             state.total_slots = 0;
             state.warm_up_until = (!target.warm_up.is_zero()).then(|| now + target.warm_up);
+            self.restore_limit(key);
         }
+        self.remove_old_limits(now);
     }
 
     fn detach_replaced_instance(&mut self, target: &SharedTarget) {
@@ -234,6 +244,7 @@
 
     fn remove_target(&mut self, key: TargetKey) {
         let Some(target) = self.targets.remove(key) else { return };
+        self.retain_limit(&target);
         if self.find(target.address) == Some(key) {
             self.by_address.remove(&target.address);
         }
@@ -316,6 +327,9 @@
     pub fn start_request(&mut self, key: TargetKey) {
         if let Some(target) = self.targets.get_mut(key) {
             target.in_flight += 1;
+            if let Some(limit) = &mut target.rate_limit {
+                limit.take_token();
+            }
             self.update_lists(key);
         }
     }
@@ -445,31 +459,6 @@
         }
     }
 
-    /// Returns the limit that a target states, in requests per second, if it states one.
-    pub fn stated_limit(&self, key: TargetKey) -> Option<f64> {
-        self.targets.get(key)?.rate_limit()?.observation().per_second
-    }
-
-    /// Records the limit that a target states in a response, in requests per second, or that it states none.
-    /// `sent_at` is the time at which the request was sent.
-    pub fn record_limit(
-        &mut self,
-        key: TargetKey,
-        per_second: Option<f64>,
-        sent_at: Instant,
-        now: Instant,
-    ) -> LimitChange {
-        let Some(target) = self.targets.get_mut(key) else { return LimitChange::Unchanged };
-        match (&mut target.rate_limit, per_second) {
-            (Some(limit), _) => limit.record_response(per_second, sent_at, now),
-            (None, Some(per_second)) => {
-                target.rate_limit = Some(TargetLimit::new(per_second, now));
-                LimitChange::Stated(per_second)
-            }
-            (None, None) => LimitChange::Unchanged,
-        }
-    }
-
     /// Returns when the first target accepts requests again if all targets that are not leaving have asked
     /// for a pause.
     pub fn held_as_a_whole_until(&self) -> Option<Instant> {
@@ -559,6 +548,9 @@
         if target.held_until.is_some_and(|until| until <= now) {
             target.held_until = None;
         }
+        if let Some(limit) = &mut target.rate_limit {
+            limit.refill(now);
+        }
         self.update_lists(key);
     }
 
--- a/crates/core/src/target/state.rs
+++ b/crates/core/src/target/state.rs
@@ -1,7 +1,7 @@
 //! State of one target, from the point of view of one entry VM.
 
 use crate::ids::{DomainName, InstanceName};
-use crate::rate_limit::TargetLimit;
+use crate::rate_limit::{LimitObservation, TargetLimit};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -217,9 +217,14 @@
         self.held_until
     }
 
-    /// Returns the limit that the target has stated, if it has.
-    pub fn rate_limit(&self) -> Option<&TargetLimit> {
-        self.rate_limit.as_ref()
+    /// Returns what the target has stated last about its limit, if it has stated one.
+    pub fn limit_observation(&self) -> Option<LimitObservation> {
+        self.rate_limit.map(|limit| limit.observation())
+    }
+
+    /// Returns whether a limit applies to the target.
+    pub fn is_limited(&self) -> bool {
+        self.rate_limit.is_some_and(|limit| limit.is_active())
     }
 
     /// Returns whether the target is ejected because its responses kept failing.
@@ -280,12 +285,12 @@
         f64::from(self.in_flight + self.foreign_in_flight) / f64::from(granted.max(1))
     }
 
-    /// Returns whether a probe is due: the target is usable, and both its last report and its last
-    /// probe are at least `age` old.
+    /// Returns whether a probe is due: the target is usable and states no limit, which probes would use up,
+    /// and both its last report and its last probe are at least `age` old.
     pub fn needs_report(&self, age: Duration, now: Instant) -> bool {
         let is_old = |at: Instant| now.saturating_duration_since(at) >= age;
         let is_stale = self.slowdown.is_none_or(|(_, reported)| is_old(reported));
-        is_stale && self.last_probe_at.is_none_or(is_old) && self.is_usable()
+        is_stale && self.last_probe_at.is_none_or(is_old) && self.is_usable() && !self.is_limited()
     }
 
     /// Returns the age of the last reported slowdown.
@@ -310,10 +315,12 @@
             || self.ejected_until.is_some()
             || self.suspended_until.is_some()
             || self.held_until.is_some()
+            || self.is_limited()
     }
 
     /// Returns whether another request may be sent to the target now.
     pub fn has_free_slot(&self) -> bool {
-        self.is_usable() && self.in_flight < self.limit()
+        let may_send = self.rate_limit.is_none_or(|limit| limit.has_token());
+        self.is_usable() && may_send && self.in_flight < self.limit()
     }
 }
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -107,6 +107,10 @@
     pub limits_stated: AtomicU64,
     /// Requests and probes sent to targets while they stated a limit.
     pub limited_sends: AtomicU64,
+    /// Calls to other entry VMs with claims for shares of limits.
+    pub limit_claims: AtomicU64,
+    /// Those calls that failed.
+    pub limit_claims_failed: AtomicU64,
     /// Targets that have reported in a response that they are leaving.
     pub targets_reported_leaving: AtomicU64,
     /// Crashes of targets while they ran a request, as seen by this entry VM.
@@ -124,7 +128,7 @@
 }
 
 impl ProcessCounters {
-    fn named(&self) -> [(&'static str, &AtomicU64); 27] {
+    fn named(&self) -> [(&'static str, &AtomicU64); 29] {
         [
             ("lookups", &self.lookups),
             ("probe_calls", &self.probe_calls),
@@ -146,6 +150,8 @@
             ("targets_held_off", &self.targets_held_off),
             ("limits_stated", &self.limits_stated),
             ("limited_sends", &self.limited_sends),
+            ("limit_claims", &self.limit_claims),
+            ("limit_claims_failed", &self.limit_claims_failed),
             ("targets_reported_leaving", &self.targets_reported_leaving),
             ("target_crashes", &self.target_crashes),
             ("requests_quarantined", &self.requests_quarantined),
--- a/crates/node/src/traffic/response.rs
+++ b/crates/node/src/traffic/response.rs
@@ -97,6 +97,7 @@
         | Reason::NoTarget
         | Reason::TargetRefused
         | Reason::ConnectFailed
+        | Reason::TargetLimit
         | Reason::Quarantined
         | Reason::Stopping
         | Reason::ConnectionLimit => StatusCode::SERVICE_UNAVAILABLE,
--- a/crates/relay/src/http_api.rs
+++ b/crates/relay/src/http_api.rs
@@ -2,11 +2,12 @@
 //! followers.
 
 use crate::content_coding::ContentCoding;
+use crate::limit_claims::{CLAIM_PATH, handle_claims};
 use crate::replication::{SNAPSHOT_PREFIX, hold_liveness_check};
 use crate::response_cache::{EncodedBody, ReplicaRead};
 use crate::shared_state::RelayState;
 use bytes::Bytes;
-use http::{Request, Response, StatusCode, header};
+use http::{Method, Request, Response, StatusCode, header};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -51,7 +52,7 @@
         tokio::spawn(async move {
             let service = service_fn(move |request: Request<Incoming>| {
                 let state = state.clone();
-                async move { Ok::<_, Infallible>(handle_api_request(&state, &request).await) }
+                async move { Ok::<_, Infallible>(handle_api_request(&state, request).await) }
             });
             let mut builder = http1::Builder::new();
             builder.timer(TokioTimer::new()).header_read_timeout(HEADER_TIMEOUT).max_buf_size(MAX_HEAD_BYTES);
@@ -62,7 +63,10 @@
     }
 }
 
-async fn handle_api_request<B>(state: &RelayState, request: &Request<B>) -> ApiResponse {
+async fn handle_api_request(state: &RelayState, request: Request<Incoming>) -> ApiResponse {
+    if request.uri().path() == CLAIM_PATH && request.method() == Method::POST {
+        return handle_limit_claims(state, request.into_body()).await;
+    }
     let query = request.uri().query().unwrap_or("");
     match request.uri().path() {
         READY_PATH => handle_ready(state),
@@ -75,6 +79,17 @@
     }
 }
 
+/// Handles claims of other entry VMs for shares of targets' limits.
+async fn handle_limit_claims(state: &RelayState, body: Incoming) -> ApiResponse {
+    match handle_claims(state, body).await {
+        Ok(shares) => Response::new(Full::new(shares)),
+        Err(error) => {
+            log::info!("claims for shares of limits refused: {error}");
+            text_response(StatusCode::BAD_REQUEST, "claims refused")
+        }
+    }
+}
+
 /// Handles lists, watches and liveness checks of entry VMs that follow this one, in the project's own
 /// dialect of the object API.
 async fn handle_replication(
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -26,6 +26,7 @@
 //! | [`caller_response`] | encoding of responses |
 //! | [`request_handler`] | handling of one request, from its route to its response |
 //! | [`attempt`] | one attempt at one target |
+//! | [`limit_claims`] | exchange of shares of targets' rate limits between entry VMs |
 //! | [`load_probe`] | probes for targets' load reports |
 //! | [`decision_log`] | log lines about decisions on requests |
 //! | [`http_api`] | lookups, readiness checks, metrics and replication to followers |
@@ -40,6 +41,7 @@
 pub mod decision_log;
 pub mod failure_detector;
 pub mod http_api;
+pub mod limit_claims;
 pub mod load_probe;
 pub mod own_registration;
 pub mod replication;
--- /dev/null
+++ b/crates/relay/src/limit_claims.rs
@@ -0,0 +1,310 @@
+//! Exchange of shares of targets' rate limits between entry VMs.
+//!
+//! An entry VM with requests for limited targets claims shares of their limits from the entry VMs that own them,
+//! all claims for one owner in one call. Nothing is exchanged about targets that state no limit or whose service
+//! gets no requests. An owner that does not respond grants no shares, so its targets get no requests from this
+//! entry VM once the last share has expired, until the owner responds or another entry VM takes its place.
+
+use crate::attempt::log_limit_change;
+use crate::decision_log::DecisionKind;
+use crate::shared_state::RelayState;
+use bytes::Bytes;
+use http::{Request, StatusCode, header};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use serde::{Deserialize, Serialize};
+use sniperelay_core::dispatch::DueClaim;
+use sniperelay_core::ids::{IncarnationId, InstanceName, ServiceName};
+use sniperelay_core::limit_ledger::LimitClaim;
+use sniperelay_core::rate_limit::{LimitObservation, LimitShare, SHARE_LIFETIME};
+use sniperelay_node::dispatcher_handle::ServiceEntry;
+use sniperelay_node::traffic::body::full_body;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+/// Result of an exchange of claims and shares.
+pub type Result<T> = std::result::Result<T, ClaimError>;
+
+/// Path of claims in the API for other entry VMs.
+pub const CLAIM_PATH: &str = "/limit-shares";
+/// Interval between two checks for claims that are due.
+const CLAIM_TICK: Duration = Duration::from_millis(50);
+/// Timeout for the response of an owner: shorter than the interval of claims.
+const CLAIM_TIMEOUT: Duration = Duration::from_millis(250);
+/// Maximum size of a message, in bytes: some hundred targets.
+const MAX_MESSAGE_BYTES: usize = 256 * 1024;
+
+/// Failure of an exchange of claims and shares.
+#[derive(Debug, thiserror::Error)]
+pub enum ClaimError {
+    /// The owner could not be reached, or its connection failed.
+    #[error("no connection to the owner: {0}")]
+    Connection(String),
+    /// The owner did not respond in time.
+    #[error("no response of the owner in time")]
+    Timeout,
+    /// The owner responded with this status.
+    #[error("the owner responded with status {0}")]
+    Status(StatusCode),
+    /// A message could not be decoded, or exceeds the size limit.
+    #[error("malformed message: {0}")]
+    Malformed(String),
+}
+
+/// Claims of one entry VM.
+#[derive(Debug, Serialize, Deserialize)]
+struct ClaimMessage {
+    claimant: IncarnationId,
+    claims: Vec<TargetClaim>,
+}
+
+/// Claim for a share of one target's limit.
+#[derive(Debug, Serialize, Deserialize)]
+struct TargetClaim {
+    service: ServiceName,
+    address: SocketAddr,
+    instance: InstanceName,
+    observation: ObservationMessage,
+    /// Rate of requests for the service, in requests per second.
+    weight: f64,
+}
+
+/// What is known about a limit.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+struct ObservationMessage {
+    /// Requests per second; `None` if the limit has ended.
+    per_second: Option<f64>,
+    /// Age of the observation, in milliseconds.
+    age_ms: u64,
+}
+
+impl ObservationMessage {
+    fn new(observation: LimitObservation, now: Instant) -> Self {
+        let age = now.saturating_duration_since(observation.observed_at);
+        Self { per_second: observation.per_second, age_ms: age.as_millis() as u64 }
+    }
+
+    /// Returns the observation, or `None` if it is not valid.
+    fn decode(self, now: Instant) -> Option<LimitObservation> {
+        let is_valid = self.per_second.is_none_or(|limit| limit.is_finite() && limit >= 0.0);
+        let observed_at = now.checked_sub(Duration::from_millis(self.age_ms))?;
+        is_valid.then_some(LimitObservation { per_second: self.per_second, observed_at })
+    }
+}
+
+/// Response to [`ClaimMessage`], with one entry for each claim.
+#[derive(Debug, Serialize, Deserialize)]
+struct ShareMessage {
+    shares: Vec<Option<TargetShare>>,
+}
+
+/// Share of one target's limit.
+#[derive(Debug, Serialize, Deserialize)]
+struct TargetShare {
+    observation: ObservationMessage,
+    /// Requests per second; `None` if the limit has ended.
+    per_second: Option<f64>,
+}
+
+/// A claim and the service that it belongs to.
+#[derive(Debug)]
+struct ServiceClaim {
+    entry: Arc<ServiceEntry>,
+    claim: DueClaim,
+}
+
+/// A target whose limit this entry VM owns.
+#[derive(Debug)]
+struct LimitedTarget<'a> {
+    entry: &'a Arc<ServiceEntry>,
+    address: SocketAddr,
+    instance: &'a InstanceName,
+}
+
+/// Claims shares of the limits of targets until the process ends.
+pub async fn claim_limit_shares(state: Arc<RelayState>) {
+    loop {
+        tokio::time::sleep(CLAIM_TICK).await;
+        for (owner, claims) in take_due_claims(&state) {
+            if owner == state.own_home_id() {
+                grant_own_shares(&state, &claims);
+            } else {
+                tokio::spawn(claim_from_owner(state.clone(), owner, claims));
+            }
+        }
+    }
+}
+
+/// Returns the claims that are due, by owner.
+fn take_due_claims(state: &RelayState) -> HashMap<IncarnationId, Vec<ServiceClaim>> {
+    let mut claims_by_owner: HashMap<IncarnationId, Vec<ServiceClaim>> = HashMap::new();
+    for (service, entry) in state.services.load().iter() {
+        let claims =
+            entry.dispatcher_handle.run_operation(|dispatcher, now, _| dispatcher.take_due_claims(now));
+        if claims.is_empty() {
+            continue;
+        }
+        let owners = state.limit_owners(service);
+        for claim in claims {
+            let Some(owner) = owners.owner_of(claim.address) else { continue };
+            claims_by_owner.entry(owner).or_default().push(ServiceClaim { entry: entry.clone(), claim });
+        }
+    }
+    claims_by_owner
+}
+
+fn grant_own_shares(state: &RelayState, claims: &[ServiceClaim]) {
+    let now = Instant::now();
+    for ServiceClaim { entry, claim } in claims {
+        let target = LimitedTarget { entry, address: claim.address, instance: &claim.instance };
+        let observation = claim.observation;
+        let own_claim = LimitClaim { claimant: state.own_home_id(), weight: claim.weight, observation };
+        let (observation, share) = grant_share(state, &target, own_claim, now);
+        apply_share(state, entry, claim, observation, share);
+    }
+}
+
+async fn claim_from_owner(state: Arc<RelayState>, owner: IncarnationId, claims: Vec<ServiceClaim>) {
+    let sent_at = Instant::now();
+    state.metrics.process().limit_claims.fetch_add(1, Ordering::Relaxed);
+    let response = match tokio::time::timeout(CLAIM_TIMEOUT, send_claims(&state, owner, &claims)).await {
+        Ok(result) => result,
+        Err(_) => Err(ClaimError::Timeout),
+    };
+    let shares = match response {
+        Ok(message) => message.shares,
+        Err(error) => return report_failure(&state, &error),
+    };
+    for (ServiceClaim { entry, claim }, share) in claims.iter().zip(shares) {
+        let Some(share) = share else { continue };
+        // Counted from the time of the claim: the share ends here no later than in the owner's ledger, and an
+        // own observation does not come back as a later one.
+        let Some(observation) = share.observation.decode(sent_at) else { continue };
+        let granted = share.per_second.filter(|rate| rate.is_finite() && *rate >= 0.0);
+        let granted =
+            granted.map(|per_second| LimitShare { per_second, expires_at: sent_at + SHARE_LIFETIME });
+        apply_share(&state, entry, claim, observation, granted);
+    }
+}
+
+fn report_failure(state: &RelayState, error: &ClaimError) {
+    state.metrics.process().limit_claims_failed.fetch_add(1, Ordering::Relaxed);
+    if let Some(suppressed_lines) =
+        state.decisions.admit(DecisionKind::LimitChanged, "claims", Instant::now())
+    {
+        log::warn!(left_out = suppressed_lines; "no share of the limits of targets: {error}");
+    }
+}
+
+fn apply_share(
+    state: &RelayState,
+    entry: &Arc<ServiceEntry>,
+    claim: &DueClaim,
+    observation: LimitObservation,
+    share: Option<LimitShare>,
+) {
+    let change = entry.dispatcher_handle.run_operation(|dispatcher, now, actions| {
+        dispatcher.apply_limit_share(claim.target, observation, share, now, actions)
+    });
+    log_limit_change(state, &claim.instance, claim.address, change);
+}
+
+async fn send_claims(
+    state: &RelayState,
+    owner: IncarnationId,
+    claims: &[ServiceClaim],
+) -> Result<ShareMessage> {
+    let address = state.peer_address(owner).ok_or_else(|| ClaimError::Connection("not registered".into()))?;
+    let message = encode_claims(state, claims);
+    let body = serde_json::to_vec(&message).map_err(|error| ClaimError::Malformed(error.to_string()))?;
+    let mut connection = state.pool.take(address).await.map_err(connection_error)?;
+    let request = Request::post(CLAIM_PATH)
+        .header(header::HOST, address.to_string())
+        .body(full_body(Bytes::from(body)))
+        .map_err(connection_error)?;
+    let sender = connection.sender().ok_or_else(|| ClaimError::Connection("closed".into()))?;
+    let response = sender.send_request(request).await.map_err(connection_error)?;
+    let status = response.status();
+    let message = read_message(response.into_body()).await;
+    connection.return_to_pool();
+    if status != StatusCode::OK {
+        return Err(ClaimError::Status(status));
+    }
+    message
+}
+
+fn connection_error(error: impl std::fmt::Display) -> ClaimError {
+    ClaimError::Connection(error.to_string())
+}
+
+fn encode_claims(state: &RelayState, claims: &[ServiceClaim]) -> ClaimMessage {
+    let now = Instant::now();
+    let encode = |claim: &ServiceClaim| TargetClaim {
+        service: claim.entry.document.name.clone(),
+        address: claim.claim.address,
+        instance: claim.claim.instance.clone(),
+        observation: ObservationMessage::new(claim.claim.observation, now),
+        weight: claim.claim.weight,
+    };
+    ClaimMessage { claimant: state.own_home_id(), claims: claims.iter().map(encode).collect() }
+}
+
+async fn read_message<T: serde::de::DeserializeOwned>(body: Incoming) -> Result<T> {
+    let malformed = |error: String| ClaimError::Malformed(error);
+    let body = Limited::new(body, MAX_MESSAGE_BYTES).collect().await;
+    let body = body.map_err(|error| malformed(error.to_string()))?.to_bytes();
+    serde_json::from_slice(&body).map_err(|error| malformed(error.to_string()))
+}
+
+/// Handles the claims of another entry VM and returns the encoded shares.
+///
+/// # Errors
+///
+/// Returns an error if the message is malformed or its sender is not registered.
+pub async fn handle_claims(state: &RelayState, body: Incoming) -> Result<Bytes> {
+    let message: ClaimMessage = read_message(body).await?;
+    if state.peer_address(message.claimant).is_none() {
+        return Err(ClaimError::Malformed("unknown claimant".into()));
+    }
+    let now = Instant::now();
+    let shares = message.claims.iter().map(|claim| grant_claim(state, message.claimant, claim, now));
+    let response = ShareMessage { shares: shares.collect() };
+    let encoded = serde_json::to_vec(&response).map_err(|error| ClaimError::Malformed(error.to_string()))?;
+    Ok(Bytes::from(encoded))
+}
+
+/// Grants a share to another entry VM. Returns `None` if this entry VM does not own the limit.
+fn grant_claim(
+    state: &RelayState,
+    claimant: IncarnationId,
+    claim: &TargetClaim,
+    now: Instant,
+) -> Option<TargetShare> {
+    let owner = state.limit_owners(&claim.service).owner_of(claim.address);
+    if owner != Some(state.own_home_id()) || !claim.weight.is_finite() {
+        return None;
+    }
+    let entry = state.services.load().get(&claim.service).cloned()?;
+    let target = LimitedTarget { entry: &entry, address: claim.address, instance: &claim.instance };
+    let observation = claim.observation.decode(now)?;
+    let claim = LimitClaim { claimant, weight: claim.weight, observation };
+    let (observation, share) = grant_share(state, &target, claim, now);
+    let observation = ObservationMessage::new(observation, now);
+    Some(TargetShare { observation, per_second: share.map(|share| share.per_second) })
+}
+
+/// Grants a share of a limit that this entry VM owns.
+fn grant_share(
+    state: &RelayState,
+    target: &LimitedTarget<'_>,
+    mut claim: LimitClaim,
+    now: Instant,
+) -> (LimitObservation, Option<LimitShare>) {
+    claim.observation = target.entry.dispatcher_handle.run_operation(|dispatcher, now, _| {
+        dispatcher.merge_claimed_limit(target.address, target.instance, claim.observation, now)
+    });
+    state.lock_limit_ledger().grant(target.instance, &claim, now)
+}
--- a/crates/relay/src/load_probe.rs
+++ b/crates/relay/src/load_probe.rs
@@ -5,13 +5,17 @@
 //! as long as this entry VM receives requests for its service. The health status in the response is
 //! ignored: it may be wrong either way.
 
+use crate::attempt::log_limit_change;
 use crate::shared_state::RelayState;
 use bytes::Bytes;
 use http::{Request, header};
 use http_body_util::{BodyExt, Limited};
 use sniperelay_core::ids::TargetKey;
 use sniperelay_core::target::SharedReport;
-use sniperelay_hosted::headers::{TargetReport, is_leaving, read_instance, read_pause, read_report};
+use sniperelay_hosted::fields::Result;
+use sniperelay_hosted::headers::{
+    TargetReport, is_leaving, read_instance, read_pause, read_rate_limit, read_report,
+};
 use sniperelay_node::dispatcher_handle::ServiceEntry;
 use sniperelay_node::traffic::body::full_body;
 use std::net::SocketAddr;
@@ -78,6 +82,7 @@
     let report = read_report(response.headers());
     let is_target_leaving = is_leaving(response.headers());
     let pause = read_pause(&response);
+    let limit = read_rate_limit(response.headers());
     let instance = read_instance(response.headers()).map(str::to_owned);
     Limited::new(response.into_body(), MAX_RESPONSE_BYTES).collect().await.ok()?;
     // A response without an instance is none to a probe: another response has arrived in its place.
@@ -92,6 +97,7 @@
     if is_target_leaving {
         state.record_leaving(&instance);
     }
+    record_probed_limit(state, entry, (target, address), &instance, limit);
     if let Some(pause) = pause {
         log::info!(target = instance.as_str(); "target {address} held off for {pause:?}, as it asked");
         state.metrics.process().targets_held_off.fetch_add(1, Ordering::Relaxed);
@@ -101,3 +107,21 @@
     }
     report
 }
+
+fn record_probed_limit(
+    state: &RelayState,
+    entry: &ServiceEntry,
+    (target, address): (TargetKey, SocketAddr),
+    instance: &str,
+    limit: Result<Option<f64>>,
+) {
+    match limit {
+        Ok(per_second) => {
+            let change = entry.dispatcher_handle.run_operation(|dispatcher, now, actions| {
+                dispatcher.record_probed_limit(target, per_second, now, actions)
+            });
+            log_limit_change(state, instance, address, change);
+        }
+        Err(error) => log::info!("limit of target {address} ignored: {error}"),
+    }
+}
--- a/crates/relay/src/request_handler.rs
+++ b/crates/relay/src/request_handler.rs
@@ -204,8 +204,10 @@
     /// Returns whether a request that was refused because of its deadline can be submitted again with a
     /// later one: no attempt was started, and the timeout has not expired.
     fn can_be_resubmitted(&self, refusal: &RelayRefusal) -> bool {
-        let is_too_late =
-            matches!(refusal.reason, RefusalReason::DeadlineUnreachable | RefusalReason::DeadlinePassed);
+        let is_too_late = matches!(
+            refusal.reason,
+            RefusalReason::DeadlineUnreachable | RefusalReason::DeadlinePassed | RefusalReason::TargetLimit
+        );
         is_too_late && self.attempt_records.is_empty() && Instant::now() < self.times.final_deadline
     }
 
--- a/crates/relay/src/shared_state.rs
+++ b/crates/relay/src/shared_state.rs
@@ -9,10 +9,11 @@
 use sniperelay_core::dispatch::DispatchSettings;
 use sniperelay_core::document::ServiceDocument;
 use sniperelay_core::home::{
-    HOMES_PER_CELL, HomeCandidate, SizedCandidate, cell_targets, choose_homes_by_capacity,
+    HOMES_PER_CELL, HomeCandidate, LimitOwners, SizedCandidate, cell_targets, choose_homes_by_capacity,
 };
 use sniperelay_core::ids::{IncarnationId, InstanceName, ServiceName};
 use sniperelay_core::leaving::LeavingReports;
+use sniperelay_core::limit_ledger::LimitLedger;
 use sniperelay_core::memory_budget::MemoryBudget;
 use sniperelay_core::pick::PickPolicy;
 use sniperelay_core::route::{RouteConfig, RouteTable};
@@ -91,6 +92,8 @@
     pub has_targets: AtomicBool,
     targets: Mutex<Arc<TargetMap>>,
     leaving_reports: Mutex<LeavingReports>,
+    /// Shares of the limits that this entry VM owns.
+    limit_ledger: Mutex<LimitLedger>,
     /// Required by `sniperelay_node::dispatcher_handle` but unused: entry VMs on this platform do not send each
     /// other messages.
     peers: UnboundedSender<OutgoingPeerMessage>,
@@ -136,6 +139,7 @@
             has_targets: AtomicBool::new(false),
             targets: Mutex::default(),
             leaving_reports: Mutex::default(),
+            limit_ledger: Mutex::default(),
             peers,
             settings,
         };
@@ -397,10 +401,40 @@
         listed_homes.filter_map(|home| addresses.get(&home.incarnation).copied()).collect()
     }
 
+    /// Returns the id under which this entry VM is a candidate for homes. It stays the same when it restarts.
+    pub fn own_home_id(&self) -> IncarnationId {
+        self.own_record().home_candidate().incarnation
+    }
+
+    /// Returns the owners of the rate limits of a service's targets.
+    pub fn limit_owners(&self, service: &ServiceName) -> LimitOwners {
+        let Some(routes) = self.routes.load_full() else { return LimitOwners::default() };
+        // One host decides, so that all entry VMs choose the same owners.
+        let hosts = routes.table.hosts().filter(|host| routes.table.services_of(host).contains(service));
+        let Some(host) = hosts.min() else { return LimitOwners::default() };
+        let targets = self.targets();
+        let live = targets.values().filter(|target| target.service == *service && is_live(target));
+        let live_targets: Vec<(SocketAddr, String)> =
+            live.map(|target| (target.address, target.domain.clone())).collect();
+        LimitOwners::choose(&self.choose_host_homes(host, &targets), &live_targets)
+    }
+
+    /// Locks and returns the shares of the limits that this entry VM owns.
+    pub fn lock_limit_ledger(&self) -> MutexGuard<'_, LimitLedger> {
+        self.limit_ledger.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the address at which the entry VM with this candidate id serves entry VMs, if it is registered.
+    pub fn peer_address(&self, home: IncarnationId) -> Option<SocketAddr> {
+        let vms = self.entry_vms.load();
+        let found = vms.values().find(|record| record.home_candidate().incarnation == home);
+        found.map(|record| record.peer_address)
+    }
+
     /// Returns the number of homes of a host whose trials of quarantined requests come before those of this entry
     /// VM.
     pub fn trial_position(&self, host: &str) -> u32 {
-        let own = self.own_record().home_candidate().incarnation;
+        let own = self.own_home_id();
         let homes = self.choose_host_homes(host, &self.targets());
         let position = homes.iter().position(|home| home.incarnation == own);
         // Other entry VMs get hardly any requests for the host; their names spread their trials.
@@ -432,7 +466,7 @@
     /// a service, there is no entry for the service.
     fn own_cells(&self, targets: &TargetMap) -> HashMap<ServiceName, OwnCell> {
         let Some(routes) = self.routes.load_full() else { return HashMap::new() };
-        let own = self.own_record().home_candidate().incarnation;
+        let own = self.own_home_id();
         let mut cells: HashMap<ServiceName, OwnCell> = HashMap::new();
         let mut counts: HashMap<ServiceName, (usize, usize)> = HashMap::new();
         for host in routes.table.hosts() {
--- a/crates/relay/src/startup.rs
+++ b/crates/relay/src/startup.rs
@@ -6,6 +6,7 @@
 use crate::crash_reports::exchange_crash_reports;
 use crate::failure_detector::check_neighbours;
 use crate::http_api::serve_http_api;
+use crate::limit_claims::claim_limit_shares;
 use crate::load_probe::probe_targets;
 use crate::replication::maintain_source;
 use crate::shared_state::{RelayState, UPKEEP_INTERVAL};
@@ -132,6 +133,7 @@
     tokio::spawn(maintain_source(state.clone()));
     tokio::spawn(check_neighbours(state.clone()));
     tokio::spawn(probe_targets(state.clone()));
+    tokio::spawn(claim_limit_shares(state.clone()));
     tokio::spawn(run_upkeep(state.clone()));
     tokio::spawn(close_idle_connections(state.clone()));
     tokio::spawn(expire_leaving_targets(state.clone()));
