Test: a limit holds while its owner stops

Three entry VMs of which one is no home, all with callers, one target with a limit of 10; the owner of the limit stops after 5 s.

--- a/crates/relay/tests/rate_limits.rs
+++ b/crates/relay/tests/rate_limits.rs
@@ -19,7 +19,7 @@
     (1.5 * per_second * WINDOW.as_secs_f64() + 5.0) as usize
 }
 
-/// Two entry VMs, both homes of the only host, and targets `i0`, `i1`, …
+/// Entry VMs, of which two are homes of the only host, and targets `i0`, `i1`, …
 struct LimitFleet {
     _store: Arc<PlatformStandin>,
     relays: Vec<RunningRelay>,
@@ -29,6 +29,10 @@
 impl LimitFleet {
     /// Starts targets with these limits; a target without a limit has an empty one.
     async fn start(limits: &[&str]) -> Self {
+        Self::start_with_vms(2, limits).await
+    }
+
+    async fn start_with_vms(vm_count: usize, limits: &[&str]) -> Self {
         let store = PlatformStandin::start().await.unwrap();
         let mut targets = Vec::new();
         for (index, limit) in limits.iter().enumerate() {
@@ -38,7 +42,7 @@
         }
         store.put("config/main", config("00000001").to_string());
         let relays: Vec<RunningRelay> =
-            (0..2).map(|index| start_named_relay(&format!("vm{index}"), store.address())).collect();
+            (0..vm_count).map(|index| start_named_relay(&format!("vm{index}"), store.address())).collect();
         let fleet = Self { _store: store, relays, targets };
         fleet.wait_until_ready().await;
         fleet
@@ -154,3 +158,30 @@
     assert!(refused >= 30, "{refused} of 40 requests refused");
     assert!(slowest < Duration::from_millis(500), "a refusal took {slowest:?}");
 }
+
+/// Guards against a limit that is exceeded or left unused while its owner changes: the owner stops, and an entry VM
+/// that is no home gets requests as well.
+#[tokio::test]
+async fn limit_holds_while_its_owner_stops() {
+    let mut fleet = LimitFleet::start_with_vms(3, &["10"]).await;
+    let target = fleet.targets[0].clone();
+    let owner = fleet.relays[0].state().limit_owners(&"s".to_owned()).owner_of(target.address);
+    let is_owner = |relay: &RunningRelay| Some(relay.state().own_home_id()) == owner;
+    let owner_index = fleet.relays.iter().position(is_owner).unwrap();
+    let time = Duration::from_secs(5);
+    let since = Instant::now() + REACTION_TIME + Duration::from_millis(500);
+    tokio::join!(
+        fleet.send_steadily(0, 20, time),
+        fleet.send_steadily(1, 20, time),
+        fleet.send_steadily(2, 20, time),
+    );
+    let stopping = tokio::spawn(fleet.relays.remove(owner_index).shutdown());
+    let stopped_at = Instant::now();
+    tokio::join!(fleet.send_steadily(0, 20, time), fleet.send_steadily(1, 20, time));
+    let peak = target.peak_after(since, WINDOW);
+    assert!(peak <= allowed(10.0), "{peak} requests and probes in 4 s, {} allowed", allowed(10.0));
+    let from = stopped_at + Duration::from_secs(1);
+    let used = target.requests_between(from, from + WINDOW);
+    assert!(used >= 28, "{used} of 40 requests after the owner has stopped");
+    stopping.await.unwrap();
+}
