relay: detect and report a partition from all targets

An entry VM that hears from no target for 200 ms after it has sent something checks three targets over new connections every 200 ms; after 450 ms and two failed rounds it is isolated, and two successful rounds end that (more if partitions follow each other within 10 s). Lines at both changes, the gauge is_isolated and the counter isolations. Idle connections are closed at the beginning, since they may hang after the partition. Requests are handled as before.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -22,6 +22,7 @@
 //! | [`leaving`] | targets that have reported that they are leaving |
 //! | [`rate_limit`] | request rate limits that targets state, and the use of a share of them |
 //! | [`limit_ledger`] | division of these limits among entry VMs |
+//! | [`reachability`] | whether this entry VM reaches any target |
 //! | [`quarantine`] | requests under which targets have crashed, and their quarantine |
 //! | [`memory_budget`] | memory for responses, shared so that endless ones leave room for others |
 //! | [`budget`] | retry and hedge budgets, as a ratio to first attempts |
@@ -61,6 +62,7 @@
 pub mod quarantine;
 pub mod queue;
 pub mod rate_limit;
+pub mod reachability;
 pub mod reason;
 pub mod route;
 pub mod target;
--- a/crates/core/src/target/state.rs
+++ b/crates/core/src/target/state.rs
@@ -285,6 +285,12 @@
         f64::from(self.in_flight + self.foreign_in_flight) / f64::from(granted.max(1))
     }
 
+    /// Returns whether the target may be checked although no report is due: it accepts requests as far as is
+    /// known, and it has asked for no pause and states no limit.
+    pub fn may_be_checked(&self) -> bool {
+        self.lifecycle == TargetLifecycle::Live && self.held_until.is_none() && !self.is_limited()
+    }
+
     /// Returns whether a probe is due: the target is usable and states no limit, which probes would use up,
     /// and both its last report and its last probe are at least `age` old.
     pub fn needs_report(&self, age: Duration, now: Instant) -> bool {
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -117,6 +117,8 @@
     pub target_crashes: AtomicU64,
     /// Requests refused because targets have crashed under their content.
     pub requests_quarantined: AtomicU64,
+    /// Partitions between this entry VM and all targets.
+    pub isolations: AtomicU64,
     /// Caller connections closed because they were idle for too long.
     pub connections_timed_out: AtomicU64,
     /// Requests in flight when their caller's connection ended.
@@ -128,7 +130,7 @@
 }
 
 impl ProcessCounters {
-    fn named(&self) -> [(&'static str, &AtomicU64); 29] {
+    fn named(&self) -> [(&'static str, &AtomicU64); 30] {
         [
             ("lookups", &self.lookups),
             ("probe_calls", &self.probe_calls),
@@ -155,6 +157,7 @@
             ("targets_reported_leaving", &self.targets_reported_leaving),
             ("target_crashes", &self.target_crashes),
             ("requests_quarantined", &self.requests_quarantined),
+            ("isolations", &self.isolations),
             ("connections_timed_out", &self.connections_timed_out),
             ("requests_cancelled", &self.requests_cancelled),
             ("requests_discarded", &self.requests_discarded),
@@ -174,6 +177,8 @@
     pub entry_vms: AtomicU64,
     /// Whether this entry VM is a reader of the platform's store (0 or 1).
     pub is_reader: AtomicU64,
+    /// Whether this entry VM reaches no target (0 or 1).
+    pub is_isolated: AtomicU64,
     /// Time since the last response from the store or from one of its readers, in milliseconds.
     pub store_age_ms: AtomicU64,
     /// Memory of the responses that are being received or delivered, in bytes.
@@ -181,11 +186,12 @@
 }
 
 impl LocalViewGauges {
-    fn named(&self) -> [(&'static str, &AtomicU64); 6] {
+    fn named(&self) -> [(&'static str, &AtomicU64); 7] {
         [
             ("configuration_version", &self.configuration_version),
             ("targets", &self.targets),
             ("entry_vms", &self.entry_vms),
+            ("is_isolated", &self.is_isolated),
             ("is_reader", &self.is_reader),
             ("store_age_ms", &self.store_age_ms),
             ("response_memory_bytes", &self.response_memory_bytes),
--- a/crates/node/src/traffic/pool.rs
+++ b/crates/node/src/traffic/pool.rs
@@ -108,6 +108,11 @@
         idle.retain(|_, connections| !connections.is_empty());
     }
 
+    /// Closes all idle connections.
+    pub fn close_all(&self) {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner).clear();
+    }
+
     fn take_idle(&self, address: SocketAddr, max_idle: Duration) -> Option<PooledConnection> {
         let now = boot_clock::now();
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -110,6 +110,7 @@
     };
     let max_idle = if outbound.is_idempotent { Duration::MAX } else { NON_IDEMPOTENT_MAX_IDLE };
     loop {
+        state.links.record_send();
         let Ok(mut connection) = state.pool.take_fresh(slot.address(), max_idle).await else {
             return failed_attempt(AttemptFailure::Connect, "no connection", slot);
         };
@@ -183,6 +184,7 @@
     connection: PooledConnection,
     slot: AttemptSlot,
 ) -> AttemptResult {
+    state.links.record_response();
     let report = platform_headers::read_report(response.headers());
     let is_leaving = platform_headers::is_misdirected(&response);
     let keep_alive = keep_alive_time(response.headers()).unwrap_or(DEFAULT_KEEP_ALIVE);
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -27,6 +27,7 @@
 //! | [`request_handler`] | handling of one request, from its route to its response |
 //! | [`attempt`] | one attempt at one target |
 //! | [`limit_claims`] | exchange of shares of targets' rate limits between entry VMs |
+//! | [`target_checks`] | detection of a partition from all targets |
 //! | [`load_probe`] | probes for targets' load reports |
 //! | [`decision_log`] | log lines about decisions on requests |
 //! | [`http_api`] | lookups, readiness checks, metrics and replication to followers |
@@ -54,5 +55,6 @@
 pub mod startup;
 pub mod store_sync;
 pub mod sync_progress;
+pub mod target_checks;
 
 pub use startup::{RunningRelay, run_until_signal};
--- a/crates/relay/src/load_probe.rs
+++ b/crates/relay/src/load_probe.rs
@@ -79,6 +79,7 @@
         .body(full_body(Bytes::new()))
         .ok()?;
     let response = connection.sender()?.send_request(request).await.ok()?;
+    state.links.record_response();
     let report = read_report(response.headers());
     let is_target_leaving = is_leaving(response.headers());
     let pause = read_pause(&response);
--- a/crates/relay/src/shared_state.rs
+++ b/crates/relay/src/shared_state.rs
@@ -4,6 +4,7 @@
 use crate::decision_log::DecisionLog;
 use crate::replication::StoreReplica;
 use crate::response_cache::ResponseCache;
+use crate::target_checks::TargetLinks;
 use arc_swap::{ArcSwap, ArcSwapOption};
 use sniperelay_config::RelaySettings;
 use sniperelay_core::dispatch::DispatchSettings;
@@ -73,6 +74,8 @@
     pub metrics: MetricSet,
     /// Connections to targets.
     pub pool: TargetPool,
+    /// Links between this entry VM and all targets.
+    pub links: TargetLinks,
     /// Memory of the responses that are being received or delivered.
     pub response_memory: Arc<MemoryBudget>,
     /// Local copy of the store's contents, which followers read.
@@ -129,6 +132,7 @@
             lifecycle,
             metrics: MetricSet::new()?,
             pool: TargetPool::default(),
+            links: TargetLinks::default(),
             response_memory: MemoryBudget::new(settings.limits.response_memory_bytes),
             replica: StoreReplica::default(),
             response_cache: ResponseCache::default(),
@@ -163,6 +167,7 @@
         set(&gauges.targets, self.targets().len() as u64);
         set(&gauges.entry_vms, self.entry_vms.load().len() as u64);
         set(&gauges.response_memory_bytes, self.response_memory.used() as u64);
+        set(&gauges.is_isolated, u64::from(self.links.is_isolated()));
         set(&gauges.is_reader, u64::from(self.replica.is_reader()));
         set(&gauges.store_age_ms, self.replica.contact_age().map_or(u64::MAX, |age| age.as_millis() as u64));
     }
--- a/crates/relay/src/startup.rs
+++ b/crates/relay/src/startup.rs
@@ -12,6 +12,7 @@
 use crate::shared_state::{RelayState, UPKEEP_INTERVAL};
 use crate::shutdown::GracefulShutdown;
 use crate::store_sync::{watch_config, watch_entry_vms, watch_targets};
+use crate::target_checks::check_target_links;
 use anyhow::{Context, Result};
 use sniperelay_config::RelaySettings;
 use sniperelay_config::relay::RelayEntrySettings;
@@ -133,6 +134,7 @@
     tokio::spawn(maintain_source(state.clone()));
     tokio::spawn(check_neighbours(state.clone()));
     tokio::spawn(probe_targets(state.clone()));
+    tokio::spawn(check_target_links(state.clone()));
     tokio::spawn(claim_limit_shares(state.clone()));
     tokio::spawn(run_upkeep(state.clone()));
     tokio::spawn(close_idle_connections(state.clone()));
--- /dev/null
+++ b/crates/relay/src/target_checks.rs
@@ -0,0 +1,144 @@
+//! Detection of a partition between this entry VM and all targets, and of its end.
+//!
+//! While no target has responded for a while, a few targets are checked at their health endpoints over new
+//! connections; see [`sniperelay_core::reachability`]. Targets that are limited, paused or leaving are not checked.
+
+use crate::shared_state::RelayState;
+use bytes::Bytes;
+use futures_util::future::join_all;
+use http::{Request, header};
+use rand::seq::IndexedRandom;
+use sniperelay_core::reachability::{ReachabilityChange, TargetReachability};
+use sniperelay_node::traffic::body::full_body;
+use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+use tokio::sync::watch;
+
+/// Interval between two looks at whether a round of checks is due.
+const CHECK_TICK: Duration = Duration::from_millis(50);
+/// Number of targets that a round checks.
+const TARGETS_PER_ROUND: usize = 3;
+/// Timeout of a check. Health endpoints respond immediately.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(150);
+
+/// A target to check.
+#[derive(Debug, Clone)]
+struct CheckedTarget {
+    address: SocketAddr,
+    health_path: String,
+}
+
+/// The links between this entry VM and all targets, as observed by all tasks.
+#[derive(Debug)]
+pub struct TargetLinks {
+    reachability: Mutex<TargetReachability>,
+    is_isolated: watch::Sender<bool>,
+}
+
+impl Default for TargetLinks {
+    fn default() -> Self {
+        Self { reachability: Mutex::default(), is_isolated: watch::Sender::new(false) }
+    }
+}
+
+impl TargetLinks {
+    /// Records that something is being sent to a target.
+    pub fn record_send(&self) {
+        self.lock().record_send(Instant::now());
+    }
+
+    /// Records a response of a target.
+    pub fn record_response(&self) {
+        self.lock().record_response();
+    }
+
+    /// Returns whether this entry VM reaches no target.
+    pub fn is_isolated(&self) -> bool {
+        *self.is_isolated.borrow()
+    }
+
+    /// Returns whether no target has responded for a while.
+    pub fn is_suspect(&self) -> bool {
+        self.lock().is_suspect(Instant::now())
+    }
+
+    /// Returns a receiver that is notified when a partition begins or ends.
+    pub fn subscribe(&self) -> watch::Receiver<bool> {
+        self.is_isolated.subscribe()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, TargetReachability> {
+        self.reachability.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Checks the links to the targets whenever there is a suspicion, until the process ends.
+pub async fn check_target_links(state: Arc<RelayState>) {
+    loop {
+        tokio::time::sleep(CHECK_TICK).await;
+        if !state.links.lock().take_due_round(Instant::now()) {
+            continue;
+        }
+        let targets = choose_targets(&state);
+        if targets.is_empty() {
+            continue;
+        }
+        let responses = join_all(targets.iter().map(|target| check_target(&state, target))).await;
+        let is_successful = responses.contains(&true);
+        let change = state.links.lock().record_round(is_successful, Instant::now());
+        apply_change(&state, change, targets.len());
+    }
+}
+
+fn apply_change(state: &RelayState, change: ReachabilityChange, checked: usize) {
+    match change {
+        ReachabilityChange::Unchanged => return,
+        ReachabilityChange::Isolated => {
+            state.metrics.process().isolations.fetch_add(1, Ordering::Relaxed);
+            log::warn!(checked; "no target responds, to requests or to checks: this entry VM is isolated");
+            // The open connections may hang after the partition.
+            state.pool.close_all();
+        }
+        ReachabilityChange::Connected => log::warn!("targets respond again"),
+    }
+    state.links.is_isolated.send_replace(change == ReachabilityChange::Isolated);
+}
+
+/// Returns a few usable targets of all services, at random.
+fn choose_targets(state: &RelayState) -> Vec<CheckedTarget> {
+    let services = state.services.load();
+    let candidates: Vec<CheckedTarget> = services
+        .values()
+        .flat_map(|entry| {
+            let addresses: Vec<SocketAddr> = entry.dispatcher_handle.read(|dispatcher| {
+                let targets = dispatcher.targets().iter().map(|(_, target)| target);
+                targets.filter(|target| target.may_be_checked()).map(|target| target.address).collect()
+            });
+            let health_path = entry.document.measuring.path.clone();
+            addresses
+                .into_iter()
+                .map(move |address| CheckedTarget { address, health_path: health_path.clone() })
+        })
+        .collect();
+    candidates.choose_multiple(&mut rand::rng(), TARGETS_PER_ROUND).cloned().collect()
+}
+
+async fn check_target(state: &RelayState, target: &CheckedTarget) -> bool {
+    state.metrics.process().probe_calls.fetch_add(1, Ordering::Relaxed);
+    tokio::time::timeout(CHECK_TIMEOUT, request_health(state, target))
+        .await
+        .is_ok_and(|response| response.is_some())
+}
+
+/// Returns `Some` if the target responds at all.
+async fn request_health(state: &RelayState, target: &CheckedTarget) -> Option<()> {
+    let mut connection = state.pool.take_fresh(target.address, Duration::ZERO).await.ok()?;
+    let request = Request::get(target.health_path.as_str())
+        .header(header::HOST, target.address.to_string())
+        .body(full_body(Bytes::new()))
+        .ok()?;
+    connection.sender()?.send_request(request).await.ok()?;
+    Some(())
+}
