--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod crashing_target;
 pub mod limited_target;
+pub mod partition;
 
 use serde_json::{Value, json};
 use sniperelay_config::parse_relay_settings;
--- /dev/null
+++ b/crates/relay/tests/common/partition.rs
@@ -0,0 +1,128 @@
+//! A fleet whose entry VMs can be partitioned from all targets, each for itself.
+//!
+//! Each entry VM has a store of its own, in which the targets are registered at the addresses of proxies that only this
+//! entry VM uses. The registrations of the entry VMs are copied between the stores.
+
+use super::{
+    Caller, ScriptedAction, ScriptedTarget, config, registration, request, start_named_relay, status,
+};
+use sniperelay_relay::RunningRelay;
+use sniperelay_standin::platform::PlatformStandin;
+use sniperelay_standin::soak::proxy::{ProxyMode, SoakProxy};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// First character of the ids of requests that are not idempotent.
+pub const CLAIM: char = 'c';
+const MIRROR_INTERVAL: Duration = Duration::from_millis(20);
+
+pub struct PartitionedVm {
+    store: Arc<PlatformStandin>,
+    pub relay: RunningRelay,
+    links: Vec<Arc<SoakProxy>>,
+}
+
+pub struct PartitionedFleet {
+    pub vms: Vec<PartitionedVm>,
+    pub targets: Vec<Arc<ScriptedTarget>>,
+}
+
+/// A request of a steady stream: its id and the status of the response, or `None` without a response.
+pub type Outcome = (String, Option<u16>);
+
+impl PartitionedFleet {
+    /// Starts targets with this script each, and entry VMs that know each other.
+    pub async fn start(vm_count: usize, target_count: usize, script: &[ScriptedAction]) -> Self {
+        let mut targets = Vec::new();
+        for _ in 0..target_count {
+            targets.push(ScriptedTarget::start(script.to_vec()).await);
+        }
+        let mut vms = Vec::new();
+        for index in 0..vm_count {
+            vms.push(start_vm(index, &targets).await);
+        }
+        let stores: Vec<Arc<PlatformStandin>> = vms.iter().map(|vm| vm.store.clone()).collect();
+        tokio::spawn(mirror_registrations(stores));
+        let fleet = Self { vms, targets };
+        while !fleet
+            .vms
+            .iter()
+            .all(|vm| vm.relay.state().is_ready() && vm.relay.state().entry_vms.load().len() == vm_count)
+        {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        fleet
+    }
+
+    /// Changes the links between an entry VM and all targets.
+    pub fn set_links(&self, vm: usize, mode: ProxyMode) {
+        self.vms[vm].links.iter().for_each(|link| link.set_mode(mode));
+    }
+
+    /// Returns how many requests with this id have reached targets.
+    pub fn arrivals(&self, id: &str) -> usize {
+        let header = format!("x-request-id: {id}\r\n");
+        let received = self.targets.iter().flat_map(|target| target.received());
+        received.filter(|request| request.to_lowercase().contains(&header)).count()
+    }
+
+    /// Sends requests to one entry VM at a steady rate, each on a connection of its own. Every third one is not
+    /// idempotent.
+    pub async fn send_steadily(&self, vm: usize, per_second: u32, time: Duration) -> Vec<Outcome> {
+        let address = self.vms[vm].relay.state().own_record().caller_address;
+        let pause = Duration::from_secs(1) / per_second;
+        let mut tasks = Vec::new();
+        for index in 0..time.as_millis() / pause.as_millis() {
+            tasks.push(tokio::spawn(async move {
+                let (kind, method, path, body) = if index % 3 == 0 {
+                    (CLAIM, "POST", "/claim/1", "x")
+                } else {
+                    ('r', "GET", "/read/1", "")
+                };
+                let id = format!("{kind}{:08x}", rand::random::<u32>());
+                let mut caller = Caller::open(address).await;
+                caller.send(&request(method, path, &id, body)).await;
+                let response = tokio::time::timeout(Duration::from_secs(3), caller.receive()).await;
+                (id, response.ok().flatten().map(|response| status(&response)))
+            }));
+            tokio::time::sleep(pause).await;
+        }
+        let mut outcomes = Vec::new();
+        for task in tasks {
+            outcomes.push(task.await.unwrap());
+        }
+        outcomes
+    }
+}
+
+async fn start_vm(index: usize, targets: &[Arc<ScriptedTarget>]) -> PartitionedVm {
+    let store = PlatformStandin::start().await.unwrap();
+    let mut links = Vec::new();
+    for (number, target) in targets.iter().enumerate() {
+        let link = SoakProxy::start(target.address).await.unwrap();
+        store.put(&format!("servers/i{number}"), registration(link.address(), "ready").to_string());
+        links.push(link);
+    }
+    store.put("config/main", config("00000001").to_string());
+    let relay = start_named_relay(&format!("vm{index}"), store.address());
+    PartitionedVm { store, relay, links }
+}
+
+/// Copies the registration of each entry VM from its own store to all others.
+async fn mirror_registrations(stores: Vec<Arc<PlatformStandin>>) {
+    loop {
+        for (index, own) in stores.iter().enumerate() {
+            let key = format!("sniperelay-entry-vms/vm{index}");
+            let value = own.get(&key).map(|object| object.value);
+            for other in stores.iter().filter(|other| !Arc::ptr_eq(other, own)) {
+                let copy = other.get(&key).map(|object| object.value);
+                match &value {
+                    Some(value) if copy.as_ref() != Some(value) => drop(other.put(&key, value.clone())),
+                    None if copy.is_some() => other.delete(&key),
+                    _ => {}
+                }
+            }
+        }
+        tokio::time::sleep(MIRROR_INTERVAL).await;
+    }
+}
--- a/crates/standin/src/soak/proxy.rs
+++ b/crates/standin/src/soak/proxy.rs
@@ -18,6 +18,8 @@
     Delay(Duration),
     /// Closes all open connections, and new ones immediately.
     Reset,
+    /// Closes new connections immediately; open ones live on.
+    RefuseNew,
     /// Keeps connections open and holds all bytes back.
     Stall,
     /// Forwards requests and holds responses back.
@@ -63,7 +65,7 @@
 /// Forwards one connection in both directions until one side closes it or the mode becomes
 /// [`ProxyMode::Reset`].
 async fn forward_connection(client: TcpStream, server: SocketAddr, mut mode: watch::Receiver<ProxyMode>) {
-    if *mode.borrow() == ProxyMode::Reset {
+    if matches!(*mode.borrow(), ProxyMode::Reset | ProxyMode::RefuseNew) {
         return;
     }
     let Ok(upstream) = TcpStream::connect(server).await else { return };
