Entry VMs that reach no target forward requests to one that does

Cause: an entry VM had no way around its own links. Leaving the lookup responses cannot mend that, since callers keep them. Class: a failure of the own links that is taken for failures of all others.

An isolated entry VM forwards a request to another one: a home of its host as computed without itself and without those that have said that they are isolated as well, so that the entry VMs of a partition use the same few, and different hosts different ones. The other one handles it like one of its own, with the remaining deadline and attempts, the caller's address, and a configuration that is at least as new; it never forwards it again. One that does not take a request (isolated, stopping, busy, older configuration) says so, and the next is asked, four at most. A request that is not idempotent is written to one connection at most; if that is lost, the response is 502. Requests that wait when the partition is noticed are forwarded too, unless they may have run. A request for which single connections are refused is forwarded as well, with a pause of 300 ms after the other entry VM could not connect either. The connection of a request ends with its caller; a planned stop finishes forwarded requests. An entry VM whose links are in doubt reports no crashes of targets.

The stand-in proxy refused connections by accepting and closing them; RefuseNew now closes its listener, as the tests' burst needs it.

--- a/crates/core/src/reason.rs
+++ b/crates/core/src/reason.rs
@@ -84,6 +84,8 @@
         QueueFull => "queue-full",
         /// No target of the service is usable.
         NoTarget => "no-target",
+        /// This entry VM reaches no target, and no other entry VM has taken the request.
+        Isolated => "isolated",
         /// A target refused the request, and no retry was allowed.
         TargetRefused => "target-refused",
         /// No connection to a target could be made.
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -117,6 +117,10 @@
     pub target_crashes: AtomicU64,
     /// Requests refused because targets have crashed under their content.
     pub requests_quarantined: AtomicU64,
+    /// Requests forwarded to another entry VM, counted for each one that was asked.
+    pub requests_forwarded: AtomicU64,
+    /// Requests of other entry VMs that were taken.
+    pub forwarded_requests_taken: AtomicU64,
     /// Partitions between this entry VM and all targets.
     pub isolations: AtomicU64,
     /// Caller connections closed because they were idle for too long.
@@ -130,7 +134,7 @@
 }
 
 impl ProcessCounters {
-    fn named(&self) -> [(&'static str, &AtomicU64); 30] {
+    fn named(&self) -> [(&'static str, &AtomicU64); 32] {
         [
             ("lookups", &self.lookups),
             ("probe_calls", &self.probe_calls),
@@ -157,6 +161,8 @@
             ("targets_reported_leaving", &self.targets_reported_leaving),
             ("target_crashes", &self.target_crashes),
             ("requests_quarantined", &self.requests_quarantined),
+            ("requests_forwarded", &self.requests_forwarded),
+            ("forwarded_requests_taken", &self.forwarded_requests_taken),
             ("isolations", &self.isolations),
             ("connections_timed_out", &self.connections_timed_out),
             ("requests_cancelled", &self.requests_cancelled),
--- a/crates/node/src/traffic/headers.rs
+++ b/crates/node/src/traffic/headers.rs
@@ -28,6 +28,15 @@
 pub const RETRIED: HeaderName = HeaderName::from_static("sniperelay-retried");
 /// Marks a request that was forwarded by another entry VM.
 pub const FORWARDED_BY_PEER: HeaderName = HeaderName::from_static("sniperelay-forwarded");
+/// Number of attempts that are left to a forwarded request.
+pub const ATTEMPTS_LEFT: HeaderName = HeaderName::from_static("sniperelay-attempts-left");
+/// Version of the configuration by which a forwarded request was admitted. An entry VM with an older one does not
+/// take the request.
+pub const MIN_VERSION: HeaderName = HeaderName::from_static("sniperelay-min-version");
+/// Address of the caller of a forwarded request.
+pub const CALLER: HeaderName = HeaderName::from_static("sniperelay-caller");
+/// Present on the response to a forwarded request that was not taken and has not been sent to a target.
+pub const NOT_ACCEPTED: HeaderName = HeaderName::from_static("sniperelay-not-accepted");
 /// Outcome of the request, in refusals by sniperelay.
 pub const OUTCOME: HeaderName = HeaderName::from_static("sniperelay-outcome");
 /// Reason of the refusal, in refusals by sniperelay.
--- a/crates/node/src/traffic/response.rs
+++ b/crates/node/src/traffic/response.rs
@@ -98,6 +98,7 @@
         | Reason::TargetRefused
         | Reason::ConnectFailed
         | Reason::TargetLimit
+        | Reason::Isolated
         | Reason::Quarantined
         | Reason::Stopping
         | Reason::ConnectionLimit => StatusCode::SERVICE_UNAVAILABLE,
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -274,7 +274,7 @@
 
 /// Receives a complete body. Returns the cause of the failure, for log lines, if the body breaks off or
 /// does not fit into its share of the memory for responses.
-async fn collect_body(
+pub(crate) async fn collect_body(
     mut incoming: Incoming,
     memory: &mut MemoryShare,
 ) -> std::result::Result<Bytes, &'static str> {
--- a/crates/relay/src/caller_connection.rs
+++ b/crates/relay/src/caller_connection.rs
@@ -9,9 +9,9 @@
 use crate::caller_response::{CallerResponse, ConnectionReuse};
 use crate::connection_end::{ConnectionEnd, MAX_LATE_BYTES, report_cancelled, report_late_bytes};
 use crate::request_body::BodyReader;
-use crate::request_handler::handle_request;
+use crate::request_handler::{RequestOrigin, handle_request};
 use crate::request_head::{RequestError, RequestHead, parse_head};
-use crate::shared_state::RelayState;
+use crate::shared_state::{ConnectionGuard, RelayState};
 use bytes::{Bytes, BytesMut};
 use http::{HeaderValue, Method};
 use sniperelay_core::route::CallerLimits;
@@ -89,8 +89,7 @@
         log::warn!("connection limit reached; closed a new caller connection");
         return;
     }
-    state.connections.fetch_add(1, Ordering::Relaxed);
-    let guard = ConnectionGuard(state.clone());
+    let guard = ConnectionGuard::open(state);
     tokio::spawn(serve_connection(state.clone(), stream, caller, drain.clone(), guard));
 }
 
@@ -112,15 +111,6 @@
     connection.finish(end).await;
 }
 
-/// Guard that counts an open connection until it is dropped.
-struct ConnectionGuard(Arc<RelayState>);
-
-impl Drop for ConnectionGuard {
-    fn drop(&mut self) {
-        self.0.connections.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
 /// A request in flight. Dropping it cancels the request.
 struct RunningRequest {
     id: Option<HeaderValue>,
@@ -341,7 +331,8 @@
         let method = head.method.clone();
         let is_idempotent = self.is_idempotent(&head);
         let wants_close = head.wants_close;
-        let task = tokio::spawn(handle_request(self.state.clone(), self.caller, head, body));
+        let task =
+            tokio::spawn(handle_request(self.state.clone(), self.caller, head, body, RequestOrigin::Caller));
         self.running.push_back(RunningRequest { id, method, is_idempotent, wants_close, task });
     }
 
--- a/crates/relay/src/crash_quarantine.rs
+++ b/crates/relay/src/crash_quarantine.rs
@@ -164,6 +164,10 @@
     if !target.has_ended(&state).await {
         return;
     }
+    // Without a response of any target, the links of this entry VM are the likelier cause.
+    if state.links.is_suspect() {
+        return;
+    }
     let observed = ObservedCrash { content, caller, crash, crashed_at };
     let crashes = state.quarantine.lock().record_crash(observed, boot_clock::now());
     state.quarantine.has_changed.notify_one();
--- /dev/null
+++ b/crates/relay/src/forwarding.rs
@@ -0,0 +1,205 @@
+//! Requests that are handled by another entry VM, because this one reaches no target.
+//!
+//! A request is forwarded once: an entry VM that receives a forwarded request never forwards it. Other entry VMs
+//! are chosen like the homes of the request's host, without those that are known to reach no target, so that few
+//! of them send to the same targets and different hosts use different ones. One that refuses to take the request
+//! has not sent it on; the next one is then asked.
+//!
+//! Invariant: a request that is not idempotent is written to a connection of one entry VM at most. If that
+//! connection is lost, it is not known whether the request has run.
+
+use crate::attempt::{OutboundRequest, collect_body};
+use crate::caller_response::CallerResponse;
+use crate::shared_state::RelayState;
+use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header};
+use hyper::body::Incoming;
+use sniperelay_hosted::headers::set_attempt_headers;
+use sniperelay_hosted::registration::EntryVmRecord;
+use sniperelay_node::boot_clock;
+use sniperelay_node::traffic::body::{RequestBody, full_body};
+use sniperelay_node::traffic::headers::{
+    ATTEMPTS_LEFT, CALLER, FORWARDED_BY_PEER, MIN_VERSION, NOT_ACCEPTED, strip_hop_by_hop,
+};
+use sniperelay_node::traffic::pool::PooledConnection;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+/// Maximum number of entry VMs that are asked to take one request.
+const MAX_PEERS_ASKED: usize = 4;
+/// Timeout for a connection to another entry VM.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
+/// Maximum idle time of a connection to another entry VM, well below the time after which its end is closed.
+const MAX_IDLE_TIME: Duration = Duration::from_secs(1);
+/// Time for which an entry VM that did not take a request is not asked again.
+const EXCLUSION_TIME: Duration = Duration::from_secs(1);
+/// Time for which nothing is forwarded for lack of single connections after another entry VM could not connect
+/// either.
+const FALLBACK_PAUSE: Duration = Duration::from_millis(300);
+
+/// Result of forwarding a request.
+#[derive(Debug)]
+pub enum ForwardOutcome {
+    /// The entry VM with this name has responded.
+    Responded(String, Box<CallerResponse>),
+    /// No other entry VM has taken the request, which has not been sent to a target.
+    NotAccepted,
+    /// The connection was lost after the request was sent.
+    Unknown,
+}
+
+/// What this entry VM knows about the others as takers of its requests.
+#[derive(Debug, Default)]
+pub struct ForwardingPeers {
+    excluded_until: Mutex<HashMap<String, Instant>>,
+    fallback_paused_until: Mutex<Option<Instant>>,
+}
+
+impl ForwardingPeers {
+    /// Returns whether a request may be forwarded although only single connections have failed here.
+    pub fn may_fall_back(&self) -> bool {
+        let paused_until = *self.lock_pause();
+        paused_until.is_none_or(|until| until <= Instant::now())
+    }
+
+    /// Records that another entry VM could not connect to a target either.
+    pub fn pause_fallback(&self) {
+        *self.lock_pause() = Some(Instant::now() + FALLBACK_PAUSE);
+    }
+
+    fn is_excluded(&self, name: &str, now: Instant) -> bool {
+        self.lock_excluded().get(name).is_some_and(|until| *until > now)
+    }
+
+    fn exclude(&self, name: &str, now: Instant) {
+        let mut excluded = self.lock_excluded();
+        excluded.retain(|_, until| *until > now);
+        excluded.insert(name.to_owned(), now + EXCLUSION_TIME);
+    }
+
+    fn lock_excluded(&self) -> MutexGuard<'_, HashMap<String, Instant>> {
+        self.excluded_until.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn lock_pause(&self) -> MutexGuard<'_, Option<Instant>> {
+        self.fallback_paused_until.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// A request to be forwarded.
+#[derive(Debug)]
+pub struct ForwardedRequest<'a> {
+    /// The request.
+    pub outbound: &'a OutboundRequest,
+    /// Its host.
+    pub host: &'a str,
+    /// Number of attempts that are left to the request.
+    pub attempts_left: u32,
+    /// Version of the configuration by which it was admitted. An entry VM with an older one does not take it.
+    pub version: u64,
+}
+
+/// Result of asking one entry VM.
+enum PeerAnswer {
+    Responded(Box<CallerResponse>),
+    NotAccepted,
+    Lost,
+}
+
+/// Forwards a request to another entry VM.
+pub async fn forward_request(state: &RelayState, request: &ForwardedRequest<'_>) -> ForwardOutcome {
+    for _ in 0..MAX_PEERS_ASKED {
+        let now = Instant::now();
+        let is_candidate =
+            |record: &EntryVmRecord| !state.peers_for_forwarding.is_excluded(&record.name, now);
+        let Some(peer) = state.choose_peer(request.host, is_candidate) else {
+            return ForwardOutcome::NotAccepted;
+        };
+        state.metrics.process().requests_forwarded.fetch_add(1, Ordering::Relaxed);
+        match ask_peer(state, request, peer.peer_address).await {
+            PeerAnswer::Responded(response) => return ForwardOutcome::Responded(peer.name, response),
+            PeerAnswer::NotAccepted => state.peers_for_forwarding.exclude(&peer.name, now),
+            PeerAnswer::Lost => {
+                state.peers_for_forwarding.exclude(&peer.name, now);
+                if !request.outbound.is_idempotent {
+                    return ForwardOutcome::Unknown;
+                }
+            }
+        }
+    }
+    ForwardOutcome::NotAccepted
+}
+
+async fn ask_peer(state: &RelayState, request: &ForwardedRequest<'_>, address: SocketAddr) -> PeerAnswer {
+    loop {
+        let connection = state.pool.take_fresh(address, MAX_IDLE_TIME);
+        let Ok(Ok(mut connection)) = tokio::time::timeout(CONNECT_TIMEOUT, connection).await else {
+            return PeerAnswer::NotAccepted;
+        };
+        let Some(encoded) = encode_request(state, request) else { return PeerAnswer::NotAccepted };
+        let Some(sender) = connection.sender() else { continue };
+        match sender.try_send_request(encoded).await {
+            Ok(response) => return receive_response(state, request, response, connection).await,
+            Err(mut error) => match error.take_message() {
+                // Nothing was written: the connection had been closed.
+                Some(_) if connection.is_reused => continue,
+                Some(_) => return PeerAnswer::NotAccepted,
+                None => return PeerAnswer::Lost,
+            },
+        }
+    }
+}
+
+fn encode_request(state: &RelayState, request: &ForwardedRequest<'_>) -> Option<Request<RequestBody>> {
+    let outbound = request.outbound;
+    let remaining = outbound.deadline.saturating_sub(boot_clock::now());
+    let builder = Request::builder().method(outbound.method.clone()).uri(&outbound.path_and_query);
+    let mut encoded = builder.body(full_body(outbound.body.clone())).ok()?;
+    let headers = encoded.headers_mut();
+    *headers = outbound.headers.clone();
+    // No instance is expected: the other entry VM chooses the target.
+    set_attempt_headers(headers, remaining, "");
+    headers.insert(FORWARDED_BY_PEER, HeaderValue::from_str(&state.settings.entry.name).ok()?);
+    headers.insert(ATTEMPTS_LEFT, HeaderValue::from(request.attempts_left));
+    headers.insert(MIN_VERSION, HeaderValue::from(request.version));
+    headers.insert(CALLER, HeaderValue::from_str(&outbound.caller.to_string()).ok()?);
+    Some(encoded)
+}
+
+async fn receive_response(
+    state: &RelayState,
+    request: &ForwardedRequest<'_>,
+    response: Response<Incoming>,
+    connection: PooledConnection,
+) -> PeerAnswer {
+    let is_accepted = !response.headers().contains_key(NOT_ACCEPTED);
+    let (mut parts, incoming) = response.into_parts();
+    let mut memory = state.response_memory.open_share();
+    let Ok(body) = collect_body(incoming, &mut memory).await else {
+        return if is_accepted { PeerAnswer::Lost } else { PeerAnswer::NotAccepted };
+    };
+    connection.return_to_pool_for(MAX_IDLE_TIME);
+    if !is_accepted {
+        return PeerAnswer::NotAccepted;
+    }
+    let declared_length = take_declared_length(&request.outbound.method, &mut parts.headers);
+    strip_hop_by_hop(&mut parts.headers);
+    PeerAnswer::Responded(Box::new(CallerResponse {
+        status: parts.status,
+        headers: parts.headers,
+        body,
+        declared_length,
+        memory: Some(memory),
+    }))
+}
+
+fn take_declared_length(method: &Method, headers: &mut HeaderMap) -> Option<HeaderValue> {
+    headers.remove(header::CONTENT_LENGTH).filter(|_| method == Method::HEAD)
+}
+
+/// Returns whether a response of another entry VM shows that it could not connect to a target either.
+pub fn has_failed_to_connect(response: &CallerResponse) -> bool {
+    response.status == StatusCode::SERVICE_UNAVAILABLE
+}
--- a/crates/relay/src/http_api.rs
+++ b/crates/relay/src/http_api.rs
@@ -2,6 +2,7 @@
 //! followers.
 
 use crate::content_coding::ContentCoding;
+use crate::forwarded_requests::handle_forwarded;
 use crate::limit_claims::{CLAIM_PATH, handle_claims};
 use crate::replication::{SNAPSHOT_PREFIX, hold_liveness_check};
 use crate::response_cache::{EncodedBody, ReplicaRead};
@@ -16,9 +17,11 @@
 use sniperelay_hosted::lookup::{
     CONTENT_TYPE, LOOKUP_PATH, READY_PATH, encode_lookup_response, parse_lookup_query,
 };
+use sniperelay_node::traffic::headers::FORWARDED_BY_PEER;
 use sniperelay_platform::api::ObjectList;
 use sniperelay_platform::content_coding::DEFLATE_CODING;
 use std::convert::Infallible;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -35,13 +38,13 @@
 /// Pause after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
-type ApiResponse = Response<Full<Bytes>>;
+pub(crate) type ApiResponse = Response<Full<Bytes>>;
 
 /// Serves the API on one listener. All paths are available on all listeners.
 pub async fn serve_http_api(state: Arc<RelayState>, listener: TcpListener) {
     loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
+        let (stream, peer) = match listener.accept().await {
+            Ok(accepted) => accepted,
             Err(error) => {
                 log::warn!("cannot accept an API connection: {error}");
                 tokio::time::sleep(ACCEPT_PAUSE).await;
@@ -52,7 +55,7 @@
         tokio::spawn(async move {
             let service = service_fn(move |request: Request<Incoming>| {
                 let state = state.clone();
-                async move { Ok::<_, Infallible>(handle_api_request(&state, request).await) }
+                async move { Ok::<_, Infallible>(handle_api_request(&state, peer, request).await) }
             });
             let mut builder = http1::Builder::new();
             builder.timer(TokioTimer::new()).header_read_timeout(HEADER_TIMEOUT).max_buf_size(MAX_HEAD_BYTES);
@@ -63,7 +66,14 @@
     }
 }
 
-async fn handle_api_request(state: &RelayState, request: Request<Incoming>) -> ApiResponse {
+async fn handle_api_request(
+    state: &Arc<RelayState>,
+    peer: SocketAddr,
+    request: Request<Incoming>,
+) -> ApiResponse {
+    if request.headers().contains_key(FORWARDED_BY_PEER) {
+        return handle_forwarded(state, peer, request).await;
+    }
     if request.uri().path() == CLAIM_PATH && request.method() == Method::POST {
         return handle_limit_claims(state, request.into_body()).await;
     }
@@ -202,7 +212,7 @@
     }
 }
 
-fn text_response(status: StatusCode, text: &str) -> ApiResponse {
+pub(crate) fn text_response(status: StatusCode, text: &str) -> ApiResponse {
     let mut response = Response::new(Full::new(Bytes::copy_from_slice(text.as_bytes())));
     *response.status_mut() = status;
     response
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -28,6 +28,8 @@
 //! | [`attempt`] | one attempt at one target |
 //! | [`limit_claims`] | exchange of shares of targets' rate limits between entry VMs |
 //! | [`target_checks`] | detection of a partition from all targets |
+//! | [`forwarding`] | requests that another entry VM handles, while this one reaches no target |
+//! | [`forwarded_requests`] | requests that another entry VM has forwarded |
 //! | [`load_probe`] | probes for targets' load reports |
 //! | [`decision_log`] | log lines about decisions on requests |
 //! | [`http_api`] | lookups, readiness checks, metrics and replication to followers |
@@ -41,6 +43,8 @@
 pub mod crash_reports;
 pub mod decision_log;
 pub mod failure_detector;
+pub mod forwarded_requests;
+pub mod forwarding;
 pub mod http_api;
 pub mod limit_claims;
 pub mod load_probe;
--- a/crates/relay/src/load_probe.rs
+++ b/crates/relay/src/load_probe.rs
@@ -34,6 +34,9 @@
 pub async fn probe_targets(state: Arc<RelayState>) {
     loop {
         tokio::time::sleep(PROBE_TICK).await;
+        if state.links.is_isolated() {
+            continue;
+        }
         for entry in state.services.load().values() {
             let targets_to_probe = entry
                 .dispatcher_handle
--- a/crates/relay/src/request_handler.rs
+++ b/crates/relay/src/request_handler.rs
@@ -10,6 +10,7 @@
     SuspectedTarget, admit_request, check_for_crash, later_quarantine, record_completion,
 };
 use crate::decision_log::{AttemptRecord, DecisionKind};
+use crate::forwarding::{ForwardOutcome, ForwardedRequest, forward_request, has_failed_to_connect};
 use crate::request_head::RequestHead;
 use crate::shared_state::RelayState;
 use bytes::Bytes;
@@ -44,14 +45,27 @@
 /// entry VM.
 const SHUTDOWN_RETRY_AFTER: Duration = Duration::from_millis(1);
 
+/// Where a request comes from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RequestOrigin {
+    /// A caller sent it to this entry VM.
+    Caller,
+    /// Another entry VM has forwarded it.
+    Peer {
+        /// Number of attempts that are left to it.
+        attempts_left: u32,
+    },
+}
+
 /// Handles one request and returns its response.
 pub async fn handle_request(
     state: Arc<RelayState>,
     caller: IpAddr,
     head: RequestHead,
     body: Bytes,
+    origin: RequestOrigin,
 ) -> CallerResponse {
-    match try_handle_request(&state, caller, head, body).await {
+    match try_handle_request(&state, caller, head, body, origin).await {
         Ok(response) => response,
         Err(refusal) => CallerResponse::from_refusal(&refusal),
     }
@@ -62,6 +76,7 @@
     caller: IpAddr,
     head: RequestHead,
     body: Bytes,
+    origin: RequestOrigin,
 ) -> Result<CallerResponse> {
     let arrived_at = Instant::now();
     if state.lifecycle.phase() >= LifecyclePhase::Refusing {
@@ -108,10 +123,15 @@
     let mut handler = RequestHandler::new(state.clone(), entry, outbound, times, destination.rank, spec);
     handler.is_trial = admission == Admission::Trial;
     handler.is_single_attempt |= handler.is_trial || admission == Admission::SingleAttempt;
-    let mut result = handler.submit_and_wait(destination.rank, times.on_time_deadline).await;
-    if result.as_ref().is_err_and(|refusal| handler.can_be_resubmitted(refusal)) {
-        result = handler.submit_and_wait(destination.late_rank, times.final_deadline).await;
-    }
+    handler.limit_attempts(origin);
+    let ranks = RequestRanks { on_time: destination.rank, late: destination.late_rank };
+    let result = match origin {
+        RequestOrigin::Caller => {
+            let forwarding = ForwardingPlan { host: &head.host, version: routes.config.version };
+            handler.run_or_forward(ranks, forwarding).await
+        }
+        RequestOrigin::Peer { .. } => handler.run_here(ranks).await,
+    };
     handler.log_result(&spec.name, routes.config.version, &result);
     result
 }
@@ -153,6 +173,24 @@
     final_deadline: Instant,
 }
 
+/// Ranks under which a request is submitted.
+#[derive(Debug, Clone, Copy)]
+struct RequestRanks {
+    /// Rank while the latency target can be met.
+    on_time: RankId,
+    /// Rank after that.
+    late: RankId,
+}
+
+/// What is needed to forward a request.
+#[derive(Debug, Clone, Copy)]
+struct ForwardingPlan<'a> {
+    /// Host of the request.
+    host: &'a str,
+    /// Version of the configuration by which it was admitted.
+    version: u64,
+}
+
 /// State of a request that passes through the dispatcher of its service.
 struct RequestHandler {
     state: Arc<RelayState>,
@@ -163,6 +201,12 @@
     rank: RankId,
     /// Whether the route allows only one attempt.
     is_single_attempt: bool,
+    /// Number of attempts that the route allows, or that are left to a forwarded request.
+    max_attempts: u32,
+    /// Whether the request stays here although this entry VM reaches no target, because no other one takes it.
+    is_bound_here: bool,
+    /// Name of the entry VM that has responded to the forwarded request, for log lines.
+    forwarded_to: Option<String>,
     /// Whether the request is the trial of a quarantined content.
     is_trial: bool,
     attempts: FuturesUnordered<AttemptFuture>,
@@ -191,6 +235,9 @@
             times,
             rank,
             is_single_attempt: spec.max_attempts < 2,
+            max_attempts: spec.max_attempts,
+            is_bound_here: false,
+            forwarded_to: None,
             is_trial: false,
             attempts: FuturesUnordered::new(),
             abort_handles: Vec::new(),
@@ -201,6 +248,121 @@
         }
     }
 
+    fn limit_attempts(&mut self, origin: RequestOrigin) {
+        if let RequestOrigin::Peer { attempts_left } = origin {
+            self.max_attempts = self.max_attempts.min(attempts_left);
+            self.is_single_attempt |= attempts_left < 2;
+        }
+    }
+
+    /// Handles the request here, first with its latency target as the deadline.
+    async fn run_here(&mut self, ranks: RequestRanks) -> Result<CallerResponse> {
+        let result = self.submit_and_wait(ranks.on_time, self.times.on_time_deadline).await;
+        if result.as_ref().is_err_and(|refusal| self.can_be_resubmitted(refusal)) {
+            return self.submit_and_wait(ranks.late, self.times.final_deadline).await;
+        }
+        result
+    }
+
+    /// Handles the request here, or forwards it to another entry VM if this one reaches no target.
+    async fn run_or_forward(
+        &mut self,
+        ranks: RequestRanks,
+        plan: ForwardingPlan<'_>,
+    ) -> Result<CallerResponse> {
+        if self.state.links.is_isolated() {
+            if let Some(result) = self.forward(plan).await {
+                return result;
+            }
+            self.is_bound_here = true;
+        }
+        let result = self.run_here(ranks).await;
+        let Err(refusal) = result else { return result };
+        if !self.needs_other_entry_vm(&refusal) {
+            return result;
+        }
+        if let Some(forwarded) = self.forward(plan).await {
+            return forwarded;
+        }
+        if refusal.reason == RefusalReason::Isolated && Instant::now() < self.times.final_deadline {
+            self.is_bound_here = true;
+            return self.run_here(ranks).await;
+        }
+        result
+    }
+
+    /// Returns whether another entry VM may be able to serve a request that was refused here.
+    fn needs_other_entry_vm(&self, refusal: &RelayRefusal) -> bool {
+        match refusal.reason {
+            RefusalReason::Isolated => true,
+            RefusalReason::ConnectFailed => {
+                refusal.outcome == Outcome::NotRun && self.state.peers_for_forwarding.may_fall_back()
+            }
+            _ => false,
+        }
+    }
+
+    /// Forwards the request. Returns `None` if it may not be forwarded or no other entry VM takes it.
+    async fn forward(&mut self, plan: ForwardingPlan<'_>) -> Option<Result<CallerResponse>> {
+        let has_not_run = self.execution.outcome() == Outcome::NotRun;
+        let attempts_made = if has_not_run { 0 } else { self.attempt_records.len() as u32 };
+        let attempts_left = self.max_attempts.max(1).saturating_sub(attempts_made);
+        if attempts_left == 0 || !(has_not_run || self.outbound.is_idempotent) {
+            return None;
+        }
+        let outbound = self.outbound.clone();
+        let request = ForwardedRequest {
+            outbound: &outbound,
+            host: plan.host,
+            attempts_left: if self.is_single_attempt { 1 } else { attempts_left },
+            version: plan.version,
+        };
+        let deadline = self.times.final_deadline.into();
+        let forwarded = tokio::time::timeout_at(deadline, forward_request(&self.state, &request)).await;
+        match forwarded {
+            Err(_) => Some(Err(RelayRefusal::unknown(RefusalReason::TargetTimeout))),
+            Ok(ForwardOutcome::NotAccepted) => None,
+            Ok(ForwardOutcome::Unknown) => Some(Err(RelayRefusal::unknown(RefusalReason::ConnectionLost))),
+            Ok(ForwardOutcome::Responded(name, response)) => {
+                self.forwarded_to = Some(name);
+                Some(self.accept_forwarded(*response, has_not_run))
+            }
+        }
+    }
+
+    /// Returns the response of another entry VM. It cannot know of attempts that were made here.
+    fn accept_forwarded(&self, response: CallerResponse, has_not_run: bool) -> Result<CallerResponse> {
+        if !self.state.links.is_isolated() && has_failed_to_connect(&response) {
+            self.state.peers_for_forwarding.pause_fallback();
+        }
+        if !has_not_run && indicates_not_run(response.status) {
+            return Err(RelayRefusal::unknown(RefusalReason::ConnectionLost));
+        }
+        Ok(response)
+    }
+
+    /// Ends the attempts in flight, whose connections hang.
+    fn cancel_attempts(&mut self) {
+        for _ in 0..self.attempts.len() {
+            self.execution.record_cancellation();
+        }
+        self.attempts.clear();
+        self.abort_handles.clear();
+    }
+
+    /// Returns the refusal of a request that waits here when this entry VM has lost its targets, or `None` if
+    /// it has to wait for its attempts because it may be running.
+    fn isolation_refusal(&mut self) -> Option<RelayRefusal> {
+        if self.execution.outcome() == Outcome::NotRun {
+            return Some(RelayRefusal::not_run(RefusalReason::Isolated, DEFAULT_RETRY_AFTER));
+        }
+        if !self.outbound.is_idempotent {
+            return None;
+        }
+        self.cancel_attempts();
+        Some(RelayRefusal::unknown(RefusalReason::Isolated))
+    }
+
     /// Returns whether a request that was refused because of its deadline can be submitted again with a
     /// later one: no attempt was started, and the timeout has not expired.
     fn can_be_resubmitted(&self, refusal: &RelayRefusal) -> bool {
@@ -219,11 +381,19 @@
             dispatcher_handle.submit(rank, deadline, self.outbound.is_idempotent, self.is_single_attempt);
         let timeout = tokio::time::sleep_until(self.times.final_deadline.into());
         tokio::pin!(timeout);
+        let mut links = self.state.links.subscribe();
+        let isolation = async { drop(links.wait_for(|is_isolated| *is_isolated).await) };
+        tokio::pin!(isolation);
+        let mut is_isolation_awaited = !self.is_bound_here;
         loop {
             let step = tokio::select! {
                 biased;
                 Some(result) = self.attempts.next() => self.handle_attempt_result(result),
                 signal = request_guard.next_signal() => self.handle_signal(signal),
+                () = &mut isolation, if is_isolation_awaited => {
+                    is_isolation_awaited = false;
+                    self.isolation_refusal().map(Err)
+                }
                 () = &mut timeout => Some(Err(self.timeout_refusal())),
             };
             if let Some(result) = step {
@@ -298,7 +468,9 @@
         };
         let cause = result.as_ref().map_or_else(|refusal| refusal.reason.as_str(), |_| "answered");
         let service_stats = if result.is_err() { self.service_stats_text() } else { String::new() };
-        self.log_decision(kind, &format!("{cause}, route {route} of version {version:08x}{service_stats}"));
+        let through = self.forwarded_to.as_ref().map_or_else(String::new, |name| format!(" through {name}"));
+        let text = format!("{cause}{through}, route {route} of version {version:08x}{service_stats}");
+        self.log_decision(kind, &text);
     }
 
     /// Returns the load of the service as text, for log lines about requests without a response.
--- a/crates/relay/src/shared_state.rs
+++ b/crates/relay/src/shared_state.rs
@@ -2,10 +2,12 @@
 
 use crate::crash_quarantine::CrashQuarantine;
 use crate::decision_log::DecisionLog;
+use crate::forwarding::ForwardingPeers;
 use crate::replication::StoreReplica;
 use crate::response_cache::ResponseCache;
 use crate::target_checks::TargetLinks;
 use arc_swap::{ArcSwap, ArcSwapOption};
+use rand::seq::IndexedRandom;
 use sniperelay_config::RelaySettings;
 use sniperelay_core::dispatch::DispatchSettings;
 use sniperelay_core::document::ServiceDocument;
@@ -88,6 +90,10 @@
     pub quarantine: CrashQuarantine,
     /// Number of open caller connections.
     pub connections: AtomicUsize,
+    /// Other entry VMs as takers of requests that this one cannot serve.
+    pub peers_for_forwarding: ForwardingPeers,
+    /// Number of requests in flight that other entry VMs have forwarded.
+    pub forwarded_in_flight: AtomicUsize,
     /// Whether entry VMs that started at the same time have had time to register, and the list of
     /// entry VMs has been read.
     pub is_membership_settled: AtomicBool,
@@ -139,6 +145,8 @@
             decisions: DecisionLog::default(),
             quarantine: CrashQuarantine::new(settings.limits.first_quarantine),
             connections: AtomicUsize::new(0),
+            peers_for_forwarding: ForwardingPeers::default(),
+            forwarded_in_flight: AtomicUsize::new(0),
             is_membership_settled: AtomicBool::new(false),
             has_targets: AtomicBool::new(false),
             targets: Mutex::default(),
@@ -406,6 +414,29 @@
         listed_homes.filter_map(|home| addresses.get(&home.incarnation).copied()).collect()
     }
 
+    /// Chooses another entry VM that handles requests for a host: one of those that would be its homes among the
+    /// responsive ones that meet a condition.
+    pub fn choose_peer(
+        &self,
+        host: &str,
+        is_candidate: impl Fn(&EntryVmRecord) -> bool,
+    ) -> Option<EntryVmRecord> {
+        let vms = self.entry_vms.load();
+        let unresponsive = self.lock_unresponsive_vms();
+        let is_usable = |record: &&EntryVmRecord| {
+            record.name != self.settings.entry.name
+                && !unresponsive.contains(&record.name)
+                && is_candidate(record)
+        };
+        let candidates: Vec<SizedCandidate> =
+            vms.values().filter(is_usable).map(|record| (record.home_candidate(), record.capacity)).collect();
+        drop(unresponsive);
+        let slots = self.slots_behind(host, &self.targets());
+        let homes = choose_homes_by_capacity(host, &candidates, slots, self.settings.routing.homes_per_host);
+        let chosen = homes.choose(&mut rand::rng())?.incarnation;
+        vms.values().find(|record| record.home_candidate().incarnation == chosen).cloned()
+    }
+
     /// Returns the id under which this entry VM is a candidate for homes. It stays the same when it restarts.
     pub fn own_home_id(&self) -> IncarnationId {
         self.own_record().home_candidate().incarnation
@@ -531,3 +562,21 @@
 pub fn is_live(record: &TargetRecord) -> bool {
     record.lifecycle == TargetLifecycle::Live
 }
+
+/// Guard that counts an open connection of a caller, or a request of another entry VM, until it is dropped. The
+/// process does not end before all of them have ended, or its time to stop is over.
+pub struct ConnectionGuard(Arc<RelayState>);
+
+impl ConnectionGuard {
+    /// Counts a connection as open.
+    pub fn open(state: &Arc<RelayState>) -> Self {
+        state.connections.fetch_add(1, Ordering::Relaxed);
+        Self(state.clone())
+    }
+}
+
+impl Drop for ConnectionGuard {
+    fn drop(&mut self) {
+        self.0.connections.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- a/crates/relay/tests/common/partition.rs
+++ b/crates/relay/tests/common/partition.rs
@@ -9,7 +9,8 @@
 use sniperelay_relay::RunningRelay;
 use sniperelay_standin::platform::PlatformStandin;
 use sniperelay_standin::soak::proxy::{ProxyMode, SoakProxy};
-use std::sync::Arc;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 /// First character of the ids of requests that are not idempotent.
@@ -25,8 +26,12 @@
 pub struct PartitionedFleet {
     pub vms: Vec<PartitionedVm>,
     pub targets: Vec<Arc<ScriptedTarget>>,
+    peer_overrides: PeerOverrides,
 }
 
+/// Entry VMs that reach another one, the second number, at another address than the registered one.
+type PeerOverrides = Arc<Mutex<Vec<(usize, usize, SocketAddr)>>>;
+
 /// A request of a steady stream: its id and the status of the response, or `None` without a response.
 pub type Outcome = (String, Option<u16>);
 
@@ -42,8 +47,9 @@
             vms.push(start_vm(index, &targets).await);
         }
         let stores: Vec<Arc<PlatformStandin>> = vms.iter().map(|vm| vm.store.clone()).collect();
-        tokio::spawn(mirror_registrations(stores));
-        let fleet = Self { vms, targets };
+        let peer_overrides = PeerOverrides::default();
+        tokio::spawn(mirror_registrations(stores, peer_overrides.clone()));
+        let fleet = Self { vms, targets, peer_overrides };
         while !fleet
             .vms
             .iter()
@@ -59,6 +65,45 @@
         self.vms[vm].links.iter().for_each(|link| link.set_mode(mode));
     }
 
+    /// Registers one target in the place of all others at one entry VM, and waits until it is in use.
+    pub async fn replace_targets(&self, vm: usize, target: &ScriptedTarget) {
+        let PartitionedVm { store, relay, .. } = &self.vms[vm];
+        store.put("servers/only", registration(target.address, "ready").to_string());
+        (0..self.targets.len()).for_each(|number| store.delete(&format!("servers/i{number}")));
+        let is_in_use = || {
+            relay.state().services.load()["s"].dispatcher_handle.read(|dispatcher| {
+                let mut targets = dispatcher.targets().iter();
+                targets.all(|(_, state)| state.address == target.address)
+            })
+        };
+        while !is_in_use() {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    }
+
+    /// Writes a configuration to the store of one entry VM and waits until it is active.
+    pub async fn put_config(&self, vm: usize, config: &serde_json::Value) {
+        let PartitionedVm { store, relay, .. } = &self.vms[vm];
+        store.put("config/main", config.to_string());
+        let version = u64::from_str_radix(config["Version"].as_str().unwrap(), 16).unwrap();
+        while relay.state().routes.load().as_ref().is_none_or(|routes| routes.config.version < version) {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    }
+
+    /// Puts a proxy between an entry VM and another one, and waits until the first one uses it.
+    pub async fn put_link_between_entry_vms(&self, from: usize, to: usize) -> Arc<SoakProxy> {
+        let to_name = format!("vm{to}");
+        let record = self.vms[to].relay.state().own_record();
+        let link = SoakProxy::start(record.peer_address).await.unwrap();
+        self.peer_overrides.lock().unwrap().push((from, to, link.address()));
+        let state = self.vms[from].relay.state();
+        while state.entry_vms.load()[&to_name].peer_address != link.address() {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        link
+    }
+
     /// Returns how many requests with this id have reached targets.
     pub fn arrivals(&self, id: &str) -> usize {
         let header = format!("x-request-id: {id}\r\n");
@@ -109,15 +154,25 @@
 }
 
 /// Copies the registration of each entry VM from its own store to all others.
-async fn mirror_registrations(stores: Vec<Arc<PlatformStandin>>) {
+async fn mirror_registrations(stores: Vec<Arc<PlatformStandin>>, overrides: PeerOverrides) {
     loop {
         for (index, own) in stores.iter().enumerate() {
             let key = format!("sniperelay-entry-vms/vm{index}");
             let value = own.get(&key).map(|object| object.value);
-            for other in stores.iter().filter(|other| !Arc::ptr_eq(other, own)) {
+            for (other_index, other) in stores.iter().enumerate().filter(|(other, _)| *other != index) {
+                let found = overrides
+                    .lock()
+                    .unwrap()
+                    .iter()
+                    .find(|(from, to, _)| (*from, *to) == (other_index, index))
+                    .copied();
+                let value = value.clone().map(|value| match found {
+                    Some((_, _, address)) => replace_peer_address(&value, address),
+                    None => value,
+                });
                 let copy = other.get(&key).map(|object| object.value);
-                match &value {
-                    Some(value) if copy.as_ref() != Some(value) => drop(other.put(&key, value.clone())),
+                match value {
+                    Some(value) if copy.as_ref() != Some(&value) => drop(other.put(&key, value)),
                     None if copy.is_some() => other.delete(&key),
                     _ => {}
                 }
@@ -126,3 +181,9 @@
         tokio::time::sleep(MIRROR_INTERVAL).await;
     }
 }
+
+fn replace_peer_address(record: &str, address: SocketAddr) -> String {
+    let mut record: serde_json::Value = serde_json::from_str(record).unwrap();
+    record["peers"] = address.to_string().into();
+    record.to_string()
+}
--- a/crates/standin/src/soak/proxy.rs
+++ b/crates/standin/src/soak/proxy.rs
@@ -9,6 +9,10 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
+/// Any port of this address. Connections do not originate from it, so none of them takes the port while the proxy
+/// refuses connections.
+const ANY_ADDRESS: &str = "127.0.0.2:0";
+
 /// How the proxy handles connections and their bytes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ProxyMode {
@@ -18,7 +22,7 @@
     Delay(Duration),
     /// Closes all open connections, and new ones immediately.
     Reset,
-    /// Closes new connections immediately; open ones live on.
+    /// Refuses new connections; open ones live on.
     RefuseNew,
     /// Keeps connections open and holds all bytes back.
     Stall,
@@ -40,14 +44,10 @@
     ///
     /// Returns an error if no port can be bound.
     pub async fn start(server: SocketAddr) -> Result<Arc<Self>> {
-        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let listener = TcpListener::bind(ANY_ADDRESS).await?;
         let (mode, mode_receiver) = watch::channel(ProxyMode::PassThrough);
         let proxy = Arc::new(Self { address: listener.local_addr()?, mode });
-        tokio::spawn(async move {
-            while let Ok((client, _)) = listener.accept().await {
-                tokio::spawn(forward_connection(client, server, mode_receiver.clone()));
-            }
-        });
+        tokio::spawn(accept_connections(listener, proxy.address, server, mode_receiver));
         Ok(proxy)
     }
 
@@ -62,10 +62,45 @@
     }
 }
 
+/// Accepts connections until the process ends. Without a listener, the system refuses new connections.
+async fn accept_connections(
+    mut listener: TcpListener,
+    address: SocketAddr,
+    server: SocketAddr,
+    mode: watch::Receiver<ProxyMode>,
+) {
+    let mut changes = mode.clone();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => Some(accepted),
+            changed = changes.changed() => match changed {
+                Ok(()) => None,
+                Err(_) => return,
+            },
+        };
+        match accepted {
+            Some(Ok((client, _))) => {
+                tokio::spawn(forward_connection(client, server, mode.clone()));
+                continue;
+            }
+            Some(Err(error)) => return log::error!("proxy {address} cannot accept: {error}"),
+            None if *changes.borrow_and_update() != ProxyMode::RefuseNew => continue,
+            None => drop(listener),
+        }
+        if changes.wait_for(|mode| *mode != ProxyMode::RefuseNew).await.is_err() {
+            return;
+        }
+        listener = match TcpListener::bind(address).await {
+            Ok(listener) => listener,
+            Err(error) => return log::error!("proxy {address} cannot come back: {error}"),
+        };
+    }
+}
+
 /// Forwards one connection in both directions until one side closes it or the mode becomes
 /// [`ProxyMode::Reset`].
 async fn forward_connection(client: TcpStream, server: SocketAddr, mut mode: watch::Receiver<ProxyMode>) {
-    if matches!(*mode.borrow(), ProxyMode::Reset | ProxyMode::RefuseNew) {
+    if *mode.borrow() == ProxyMode::Reset {
         return;
     }
     let Ok(upstream) = TcpStream::connect(server).await else { return };
