relay: only the listener for entry VMs takes forwarded requests and claims

Found in review: all listeners of the API took them, also those that callers and operators reach, where a forged header would pass by the limits of the caller port, and a forged claim would take a share of a target's limit from the fleet. Now only the peer listener does. The tests of partitions and limits pass.

--- a/crates/relay/src/http_api.rs
+++ b/crates/relay/src/http_api.rs
@@ -40,8 +40,17 @@
 
 pub(crate) type ApiResponse = Response<Full<Bytes>>;
 
-/// Serves the API on one listener. All paths are available on all listeners.
-pub async fn serve_http_api(state: Arc<RelayState>, listener: TcpListener) {
+/// Who uses a listener of the API.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ApiAudience {
+    /// Anybody. All paths are available on all listeners.
+    Public,
+    /// Other entry VMs, which may also forward requests and claim shares of limits.
+    EntryVms,
+}
+
+/// Serves the API on one listener.
+pub async fn serve_http_api(state: Arc<RelayState>, listener: TcpListener, audience: ApiAudience) {
     loop {
         let (stream, peer) = match listener.accept().await {
             Ok(accepted) => accepted,
@@ -55,7 +64,7 @@
         tokio::spawn(async move {
             let service = service_fn(move |request: Request<Incoming>| {
                 let state = state.clone();
-                async move { Ok::<_, Infallible>(handle_api_request(&state, peer, request).await) }
+                async move { Ok::<_, Infallible>(handle_api_request(&state, audience, peer, request).await) }
             });
             let mut builder = http1::Builder::new();
             builder.timer(TokioTimer::new()).header_read_timeout(HEADER_TIMEOUT).max_buf_size(MAX_HEAD_BYTES);
@@ -68,14 +77,17 @@
 
 async fn handle_api_request(
     state: &Arc<RelayState>,
+    audience: ApiAudience,
     peer: SocketAddr,
     request: Request<Incoming>,
 ) -> ApiResponse {
-    if request.headers().contains_key(FORWARDED_BY_PEER) {
-        return handle_forwarded(state, peer, request).await;
-    }
-    if request.uri().path() == CLAIM_PATH && request.method() == Method::POST {
-        return handle_limit_claims(state, request.into_body()).await;
+    if audience == ApiAudience::EntryVms {
+        if request.headers().contains_key(FORWARDED_BY_PEER) {
+            return handle_forwarded(state, peer, request).await;
+        }
+        if request.uri().path() == CLAIM_PATH && request.method() == Method::POST {
+            return handle_limit_claims(state, request.into_body()).await;
+        }
     }
     let query = request.uri().query().unwrap_or("");
     match request.uri().path() {
--- a/crates/relay/src/startup.rs
+++ b/crates/relay/src/startup.rs
@@ -5,7 +5,7 @@
 use crate::caller_connection::serve_callers;
 use crate::crash_reports::exchange_crash_reports;
 use crate::failure_detector::check_neighbours;
-use crate::http_api::serve_http_api;
+use crate::http_api::{ApiAudience, serve_http_api};
 use crate::limit_claims::claim_limit_shares;
 use crate::load_probe::probe_targets;
 use crate::replication::maintain_source;
@@ -102,7 +102,7 @@
 /// Listening sockets of the process.
 struct RelayListeners {
     callers: TcpListener,
-    api: Vec<TcpListener>,
+    api: Vec<(TcpListener, ApiAudience)>,
 }
 
 impl RelayListeners {
@@ -110,13 +110,14 @@
     fn bind(entry: &mut RelayEntrySettings) -> Result<Self> {
         let callers = bind_listener(&mut entry.caller_address, "caller-address")?;
         let api = [
-            (&mut entry.ready_address, "ready-address"),
-            (&mut entry.lookup_address, "lookup-address"),
-            (&mut entry.peer_address, "peer-address"),
-            (&mut entry.control_address, "control-address"),
-            (&mut entry.metrics_address, "metrics-address"),
+            (&mut entry.ready_address, "ready-address", ApiAudience::Public),
+            (&mut entry.lookup_address, "lookup-address", ApiAudience::Public),
+            (&mut entry.peer_address, "peer-address", ApiAudience::EntryVms),
+            (&mut entry.control_address, "control-address", ApiAudience::Public),
+            (&mut entry.metrics_address, "metrics-address", ApiAudience::Public),
         ];
-        let api = api.into_iter().map(|(address, key)| bind_listener(address, key)).collect::<Result<_>>()?;
+        let bind = |(address, key, audience)| Ok((bind_listener(address, key)?, audience));
+        let api = api.into_iter().map(bind).collect::<Result<_>>()?;
         Ok(Self { callers, api })
     }
 }
@@ -124,8 +125,8 @@
 fn start_tasks(state: &Arc<RelayState>, listeners: RelayListeners) -> watch::Sender<bool> {
     let (drain_sender, drain_receiver) = watch::channel(false);
     tokio::spawn(serve_callers(state.clone(), listeners.callers, drain_receiver));
-    for listener in listeners.api {
-        tokio::spawn(serve_http_api(state.clone(), listener));
+    for (listener, audience) in listeners.api {
+        tokio::spawn(serve_http_api(state.clone(), listener, audience));
     }
     tokio::spawn(watch_config(state.clone()));
     tokio::spawn(watch_targets(state.clone()));
