Forwarding: a request that may have run at a lost entry VM is not called not run

Callers could have got 503 for a read that had run: if the connection to the entry VM that had taken it was lost and no further one took it, the loss was forgotten. The loss is now recorded in the execution record, so the outcome is unknown (502). Claims were not concerned: they end with the first loss. Results of forwarded requests are counted like others.

The test harness of partitions had a fault: with more than three entry VMs, some followed readers and used the targets' addresses of other entry VMs. Each one now reads its own store.

--- a/crates/core/src/execution.rs
+++ b/crates/core/src/execution.rs
@@ -39,6 +39,11 @@
         self.end_attempt(false);
     }
 
+    /// Records that another entry VM has taken the request and was lost, so that it may have run there.
+    pub fn record_lost_forward(&mut self) {
+        self.may_have_run = true;
+    }
+
     /// Returns whether an attempt is in flight.
     pub fn has_attempt_in_flight(&self) -> bool {
         self.in_flight > 0
--- a/crates/relay/src/forwarding.rs
+++ b/crates/relay/src/forwarding.rs
@@ -13,12 +13,13 @@
 use crate::shared_state::RelayState;
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
+use sniperelay_core::reason::RefusalReason;
 use sniperelay_hosted::headers::set_attempt_headers;
 use sniperelay_hosted::registration::EntryVmRecord;
 use sniperelay_node::boot_clock;
 use sniperelay_node::traffic::body::{RequestBody, full_body};
 use sniperelay_node::traffic::headers::{
-    ATTEMPTS_LEFT, CALLER, FORWARDED_BY_PEER, MIN_VERSION, NOT_ACCEPTED, strip_hop_by_hop,
+    ATTEMPTS_LEFT, CALLER, FORWARDED_BY_PEER, MIN_VERSION, NOT_ACCEPTED, REASON, strip_hop_by_hop,
 };
 use sniperelay_node::traffic::pool::PooledConnection;
 use std::collections::HashMap;
@@ -40,14 +41,12 @@
 const FALLBACK_PAUSE: Duration = Duration::from_millis(300);
 
 /// Result of forwarding a request.
-#[derive(Debug)]
-pub enum ForwardOutcome {
-    /// The entry VM with this name has responded.
-    Responded(String, Box<CallerResponse>),
-    /// No other entry VM has taken the request, which has not been sent to a target.
-    NotAccepted,
-    /// The connection was lost after the request was sent.
-    Unknown,
+#[derive(Debug, Default)]
+pub struct ForwardResult {
+    /// Name and response of the entry VM that has responded; `None` if none has taken the request and responded.
+    pub response: Option<(String, CallerResponse)>,
+    /// Whether the connection to an entry VM that had taken the request was lost, so that it may have run there.
+    pub may_have_run: bool,
 }
 
 /// What this entry VM knows about the others as takers of its requests.
@@ -108,28 +107,33 @@
     Lost,
 }
 
-/// Forwards a request to another entry VM.
-pub async fn forward_request(state: &RelayState, request: &ForwardedRequest<'_>) -> ForwardOutcome {
+/// Forwards a request to another entry VM. If that one is lost, an idempotent request is forwarded to the next one.
+pub async fn forward_request(state: &RelayState, request: &ForwardedRequest<'_>) -> ForwardResult {
+    let mut result = ForwardResult::default();
     for _ in 0..MAX_PEERS_ASKED {
         let now = Instant::now();
         let is_candidate =
             |record: &EntryVmRecord| !state.peers_for_forwarding.is_excluded(&record.name, now);
         let Some(peer) = state.choose_peer(request.host, is_candidate) else {
-            return ForwardOutcome::NotAccepted;
+            break;
         };
         state.metrics.process().requests_forwarded.fetch_add(1, Ordering::Relaxed);
         match ask_peer(state, request, peer.peer_address).await {
-            PeerAnswer::Responded(response) => return ForwardOutcome::Responded(peer.name, response),
+            PeerAnswer::Responded(response) => {
+                result.response = Some((peer.name, *response));
+                break;
+            }
             PeerAnswer::NotAccepted => state.peers_for_forwarding.exclude(&peer.name, now),
             PeerAnswer::Lost => {
+                result.may_have_run = true;
                 state.peers_for_forwarding.exclude(&peer.name, now);
                 if !request.outbound.is_idempotent {
-                    return ForwardOutcome::Unknown;
+                    break;
                 }
             }
         }
     }
-    ForwardOutcome::NotAccepted
+    result
 }
 
 async fn ask_peer(state: &RelayState, request: &ForwardedRequest<'_>, address: SocketAddr) -> PeerAnswer {
@@ -175,6 +179,8 @@
     connection: PooledConnection,
 ) -> PeerAnswer {
     let is_accepted = !response.headers().contains_key(NOT_ACCEPTED);
+    // The other entry VM has lost its targets while it handled the request, which may have run.
+    let is_lost = is_refused_as_isolated(response.headers());
     let (mut parts, incoming) = response.into_parts();
     let mut memory = state.response_memory.open_share();
     let Ok(body) = collect_body(incoming, &mut memory).await else {
@@ -184,6 +190,9 @@
     if !is_accepted {
         return PeerAnswer::NotAccepted;
     }
+    if is_lost {
+        return PeerAnswer::Lost;
+    }
     let declared_length = take_declared_length(&request.outbound.method, &mut parts.headers);
     strip_hop_by_hop(&mut parts.headers);
     PeerAnswer::Responded(Box::new(CallerResponse {
@@ -195,6 +204,10 @@
     }))
 }
 
+fn is_refused_as_isolated(headers: &HeaderMap) -> bool {
+    headers.get(REASON).is_some_and(|reason| reason == RefusalReason::Isolated.as_str())
+}
+
 fn take_declared_length(method: &Method, headers: &mut HeaderMap) -> Option<HeaderValue> {
     headers.remove(header::CONTENT_LENGTH).filter(|_| method == Method::HEAD)
 }
--- a/crates/relay/src/request_handler.rs
+++ b/crates/relay/src/request_handler.rs
@@ -10,7 +10,7 @@
     SuspectedTarget, admit_request, check_for_crash, later_quarantine, record_completion,
 };
 use crate::decision_log::{AttemptRecord, DecisionKind};
-use crate::forwarding::{ForwardOutcome, ForwardedRequest, forward_request, has_failed_to_connect};
+use crate::forwarding::{ForwardedRequest, forward_request, has_failed_to_connect};
 use crate::request_head::RequestHead;
 use crate::shared_state::RelayState;
 use bytes::Bytes;
@@ -319,23 +319,31 @@
         };
         let deadline = self.times.final_deadline.into();
         let forwarded = tokio::time::timeout_at(deadline, forward_request(&self.state, &request)).await;
-        match forwarded {
-            Err(_) => Some(Err(RelayRefusal::unknown(RefusalReason::TargetTimeout))),
-            Ok(ForwardOutcome::NotAccepted) => None,
-            Ok(ForwardOutcome::Unknown) => Some(Err(RelayRefusal::unknown(RefusalReason::ConnectionLost))),
-            Ok(ForwardOutcome::Responded(name, response)) => {
+        let Ok(forwarded) = forwarded else {
+            return Some(Err(RelayRefusal::unknown(RefusalReason::TargetTimeout)));
+        };
+        if forwarded.may_have_run {
+            self.execution.record_lost_forward();
+        }
+        let result = match forwarded.response {
+            Some((name, response)) => {
                 self.forwarded_to = Some(name);
-                Some(self.accept_forwarded(*response, has_not_run))
+                self.accept_forwarded(response)
             }
-        }
+            None if forwarded.may_have_run => Err(RelayRefusal::unknown(RefusalReason::ConnectionLost)),
+            None => return None,
+        };
+        self.count_result(self.rank, &result);
+        Some(result)
     }
 
-    /// Returns the response of another entry VM. It cannot know of attempts that were made here.
-    fn accept_forwarded(&self, response: CallerResponse, has_not_run: bool) -> Result<CallerResponse> {
+    /// Returns the response of another entry VM. It cannot know of attempts that were made elsewhere.
+    fn accept_forwarded(&self, response: CallerResponse) -> Result<CallerResponse> {
         if !self.state.links.is_isolated() && has_failed_to_connect(&response) {
             self.state.peers_for_forwarding.pause_fallback();
         }
-        if !has_not_run && indicates_not_run(response.status) {
+        let may_have_run = self.execution.outcome() != Outcome::NotRun;
+        if may_have_run && indicates_not_run(response.status) {
             return Err(RelayRefusal::unknown(RefusalReason::ConnectionLost));
         }
         Ok(response)
@@ -409,19 +417,23 @@
         request_guard: RequestGuard,
         result: Result<CallerResponse>,
     ) -> Result<CallerResponse> {
+        self.count_result(rank, &result);
+        drop(request_guard);
+        match (result, self.fallback_response.take()) {
+            (Err(_), Some(response)) => Ok(make_response(*response)),
+            (result, _) => result,
+        }
+    }
+
+    fn count_result(&self, rank: RankId, result: &Result<CallerResponse>) {
         let counters = self.entry.rank_counters(rank);
-        match &result {
+        match result {
             Ok(_) => counters.count_response(
                 self.times.arrived_at.elapsed(),
                 Instant::now() <= self.times.on_time_deadline,
             ),
             Err(refusal) => counters.count_refusal(refusal.reason),
         }
-        drop(request_guard);
-        match (result, self.fallback_response.take()) {
-            (Err(_), Some(response)) => Ok(make_response(*response)),
-            (result, _) => result,
-        }
     }
 
     fn record_attempt_start(&mut self, slot: &AttemptSlot, retry: Option<RetryReason>) {
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -21,6 +21,8 @@
 pub enum ScriptedAction {
     /// Writes this text, with `{id}` replaced by the id of the request.
     Respond(String),
+    /// Writes this text like [`Self::Respond`] after a delay.
+    RespondAfter(std::time::Duration, String),
     /// Writes this text like [`Self::Respond`] and closes the connection.
     RespondAndClose(String),
     /// Waits for [`ScriptedTarget::release`], then responds.
@@ -123,6 +125,12 @@
                         return;
                     }
                 }
+                ScriptedAction::RespondAfter(delay, text) => {
+                    tokio::time::sleep(delay).await;
+                    if stream.write_all(text.replace("{id}", &id).as_bytes()).await.is_err() {
+                        return;
+                    }
+                }
                 ScriptedAction::RespondAndClose(text) => {
                     let written = stream.write_all(text.replace("{id}", &id).as_bytes()).await;
                     drop(written);
--- a/crates/relay/tests/common/partition.rs
+++ b/crates/relay/tests/common/partition.rs
@@ -160,16 +160,8 @@
             let key = format!("sniperelay-entry-vms/vm{index}");
             let value = own.get(&key).map(|object| object.value);
             for (other_index, other) in stores.iter().enumerate().filter(|(other, _)| *other != index) {
-                let found = overrides
-                    .lock()
-                    .unwrap()
-                    .iter()
-                    .find(|(from, to, _)| (*from, *to) == (other_index, index))
-                    .copied();
-                let value = value.clone().map(|value| match found {
-                    Some((_, _, address)) => replace_peer_address(&value, address),
-                    None => value,
-                });
+                let address = find_override(&overrides, other_index, index);
+                let value = value.as_ref().map(|value| adapt_record(value, address));
                 let copy = other.get(&key).map(|object| object.value);
                 match value {
                     Some(value) if copy.as_ref() != Some(&value) => drop(other.put(&key, value)),
@@ -182,8 +174,19 @@
     }
 }
 
-fn replace_peer_address(record: &str, address: SocketAddr) -> String {
+fn find_override(overrides: &PeerOverrides, from: usize, to: usize) -> Option<SocketAddr> {
+    let overrides = overrides.lock().unwrap();
+    let found = overrides.iter().find(|(other_from, other_to, _)| (*other_from, *other_to) == (from, to));
+    found.map(|(_, _, address)| *address)
+}
+
+/// Returns the registration of an entry VM as another one sees it. Its capacity is lower than the other's own: the
+/// entry VMs with the highest capacity read the store themselves, so that each one reads its own store.
+fn adapt_record(record: &str, peer_address: Option<SocketAddr>) -> String {
     let mut record: serde_json::Value = serde_json::from_str(record).unwrap();
-    record["peers"] = address.to_string().into();
+    record["capacity"] = (record["capacity"].as_u64().unwrap() - 1).into();
+    if let Some(address) = peer_address {
+        record["peers"] = address.to_string().into();
+    }
     record.to_string()
 }
