Reachability: an entry VM without a target to check does not stay isolated

An isolated entry VM whose targets all leave, pause or state limits checked nothing, so it stayed isolated for ever, and callers were served only through others. Found in review. Without a target that may be checked, only requests can show whether targets respond: the partition counts as over. The new test failed before (still isolated after 3 s) and passes.

--- a/crates/relay/src/target_checks.rs
+++ b/crates/relay/src/target_checks.rs
@@ -82,11 +82,9 @@
             continue;
         }
         let targets = choose_targets(&state);
-        if targets.is_empty() {
-            continue;
-        }
         let responses = join_all(targets.iter().map(|target| check_target(&state, target))).await;
-        let is_successful = responses.contains(&true);
+        // Without a target that may be checked, only requests can show whether targets respond.
+        let is_successful = targets.is_empty() || responses.contains(&true);
         let change = state.links.lock().record_round(is_successful, Instant::now());
         apply_change(&state, change, targets.len());
     }
--- a/crates/relay/tests/common/partition.rs
+++ b/crates/relay/tests/common/partition.rs
@@ -81,6 +81,14 @@
         }
     }
 
+    /// Registers all targets with this state at one entry VM.
+    pub fn set_target_state(&self, vm: usize, state: &str) {
+        let PartitionedVm { store, links, .. } = &self.vms[vm];
+        for (number, link) in links.iter().enumerate() {
+            store.put(&format!("servers/i{number}"), registration(link.address(), state).to_string());
+        }
+    }
+
     /// Writes a configuration to the store of one entry VM and waits until it is active.
     pub async fn put_config(&self, vm: usize, config: &serde_json::Value) {
         let PartitionedVm { store, relay, .. } = &self.vms[vm];
--- a/crates/relay/tests/partition.rs
+++ b/crates/relay/tests/partition.rs
@@ -260,3 +260,21 @@
     let failures = failed(&outcomes);
     assert!(failures.len() <= tolerated(&outcomes), "{} of {} failed", failures.len(), outcomes.len());
 }
+
+/// Guards against an entry VM that stays isolated for ever because there is no target that it may check.
+#[tokio::test]
+async fn partition_ends_without_a_target_that_may_be_checked() {
+    let fleet = start_fleet(1).await;
+    isolate(&fleet, 0).await;
+    fleet.set_target_state(0, "draining");
+    let returned = async {
+        while fleet.vms[0].relay.state().links.is_isolated() {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    tokio::time::timeout(seconds(3), returned).await.expect("still isolated");
+    fleet.set_links(0, ProxyMode::PassThrough);
+    fleet.set_target_state(0, "ready");
+    tokio::time::sleep(seconds(1)).await;
+    assert_eq!(failed(&fleet.send_steadily(0, 40, seconds(1)).await), Vec::<&Outcome>::new());
+}
