Isolated entry VMs report it, and are no homes meanwhile

Callers of a partitioned entry VM were served through another one, but lookup responses went on naming it, and with both homes partitioned the requests went to entry VMs that have neither the cell nor load reports of the service. An isolated entry VM now writes an object of its own to the store and deletes it at the end; all watch these objects, and choose homes, cells and owners of limits without the isolated ones (or with all, if all are isolated). Forwarding does not depend on it. The report of a failed entry VM is deleted with its registration.

Weighed: a field of the registration saves a watch, but the registration gives way to a later one of the same name, and a report that is written twice would look like one. Cost: a watch more for each of the three readers, and two writes per partition.

--- a/crates/relay/src/failure_detector.rs
+++ b/crates/relay/src/failure_detector.rs
@@ -12,6 +12,7 @@
 use http_body_util::Empty;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
+use sniperelay_hosted::isolation::ISOLATION_PREFIX;
 use sniperelay_hosted::lookup::READY_PATH;
 use sniperelay_hosted::registration::{ENTRY_VM_PREFIX, EntryVmRecord, decode_entry_vm};
 use sniperelay_platform::api::PlatformApi;
@@ -103,6 +104,23 @@
         Ok(_) => log::warn!(entry_vm = neighbour.name.as_str(); "registration of a silent neighbour deleted"),
         Err(error) => log::info!("cannot delete the registration of an unresponsive neighbour: {error}"),
     }
+    remove_isolation_report(state, neighbour).await;
+}
+
+/// Deletes the report of a failed entry VM that it is isolated. It writes it again if it is still running.
+async fn remove_isolation_report(state: &RelayState, neighbour: &EntryVmRecord) {
+    if !state.isolated_vms.load().contains(&neighbour.name) {
+        return;
+    }
+    let key = format!("{ISOLATION_PREFIX}{}", neighbour.name);
+    let deleted = match state.store.get(&key).await {
+        Ok(Some(found)) => state.store.delete(&key, found.version).await.map(drop),
+        Ok(None) => return,
+        Err(error) => Err(error),
+    };
+    if let Err(error) = deleted {
+        log::info!("cannot delete the report that an unresponsive neighbour is isolated: {error}");
+    }
 }
 
 /// Returns whether the neighbour responds at all. The status is ignored: an entry VM that is not ready
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -30,6 +30,7 @@
 //! | [`target_checks`] | detection of a partition from all targets |
 //! | [`forwarding`] | requests that another entry VM handles, while this one reaches no target |
 //! | [`forwarded_requests`] | requests that another entry VM has forwarded |
+//! | [`isolation_reports`] | exchange of reports about isolated entry VMs |
 //! | [`load_probe`] | probes for targets' load reports |
 //! | [`decision_log`] | log lines about decisions on requests |
 //! | [`http_api`] | lookups, readiness checks, metrics and replication to followers |
@@ -46,6 +47,7 @@
 pub mod forwarded_requests;
 pub mod forwarding;
 pub mod http_api;
+pub mod isolation_reports;
 pub mod limit_claims;
 pub mod load_probe;
 pub mod own_registration;
--- a/crates/relay/src/shared_state.rs
+++ b/crates/relay/src/shared_state.rs
@@ -29,7 +29,7 @@
 use sniperelay_node::lifecycle::{LifecyclePhase, LifecycleView};
 use sniperelay_node::metrics::MetricSet;
 use sniperelay_node::traffic::pool::TargetPool;
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -70,6 +70,8 @@
     pub entry_vms: ArcSwap<EntryVmMap>,
     /// Names of neighbours that do not respond to liveness checks.
     pub unresponsive_vms: Mutex<HashSet<String>>,
+    /// Names of entry VMs that have reported that they reach no target.
+    pub isolated_vms: ArcSwap<BTreeSet<String>>,
     /// Phase of the process.
     pub lifecycle: LifecycleView,
     /// Metrics of this process.
@@ -135,6 +137,7 @@
             services: ArcSwap::default(),
             entry_vms: ArcSwap::default(),
             unresponsive_vms: Mutex::default(),
+            isolated_vms: ArcSwap::default(),
             lifecycle,
             metrics: MetricSet::new()?,
             pool: TargetPool::default(),
@@ -263,6 +266,16 @@
         self.assign_targets();
     }
 
+    /// Replaces the names of entry VMs that have reported that they reach no target.
+    pub fn set_isolated_vms(&self, names: &BTreeSet<String>) {
+        if **self.isolated_vms.load() != *names {
+            let text: Vec<&str> = names.iter().map(String::as_str).collect();
+            log::info!(count = names.len(); "isolated entry VMs: {}", text.join(" "));
+            self.isolated_vms.store(Arc::new(names.clone()));
+            self.assign_targets();
+        }
+    }
+
     /// Assigns to each service the targets that this entry VM serves. Must be called after every
     /// change of targets, entry VMs or routes.
     pub fn assign_targets(&self) {
@@ -428,8 +441,7 @@
                 && !unresponsive.contains(&record.name)
                 && is_candidate(record)
         };
-        let candidates: Vec<SizedCandidate> =
-            vms.values().filter(is_usable).map(|record| (record.home_candidate(), record.capacity)).collect();
+        let candidates = self.without_isolated(vms.values().filter(is_usable));
         drop(unresponsive);
         let slots = self.slots_behind(host, &self.targets());
         let homes = choose_homes_by_capacity(host, &candidates, slots, self.settings.routing.homes_per_host);
@@ -485,12 +497,20 @@
         let is_usable = |record: &&EntryVmRecord| {
             !unresponsive.contains(&record.name) && (is_serving || record.name != self.settings.entry.name)
         };
-        let sized = |record: &EntryVmRecord| (record.home_candidate(), record.capacity);
-        let candidates: Vec<SizedCandidate> = vms.values().filter(is_usable).map(sized).collect();
+        let candidates = self.without_isolated(vms.values().filter(is_usable));
         let slots = self.slots_behind(host, targets);
         choose_homes_by_capacity(host, &candidates, slots, self.settings.routing.homes_per_host)
     }
 
+    /// Returns the entry VMs that have not reported that they are isolated, or all if each one has.
+    fn without_isolated<'a>(&self, records: impl Iterator<Item = &'a EntryVmRecord>) -> Vec<SizedCandidate> {
+        let isolated = self.isolated_vms.load();
+        let (connected, isolated): (Vec<&EntryVmRecord>, Vec<&EntryVmRecord>) =
+            records.partition(|record| !isolated.contains(&record.name));
+        let chosen = if connected.is_empty() { isolated } else { connected };
+        chosen.into_iter().map(|record| (record.home_candidate(), record.capacity)).collect()
+    }
+
     /// Returns the number of slots of all targets that the host's routes can lead to.
     fn slots_behind(&self, host: &str, targets: &TargetMap) -> u32 {
         let Some(routes) = self.routes.load_full() else { return 0 };
--- a/crates/relay/src/startup.rs
+++ b/crates/relay/src/startup.rs
@@ -6,6 +6,7 @@
 use crate::crash_reports::exchange_crash_reports;
 use crate::failure_detector::check_neighbours;
 use crate::http_api::{ApiAudience, serve_http_api};
+use crate::isolation_reports::exchange_isolation_reports;
 use crate::limit_claims::claim_limit_shares;
 use crate::load_probe::probe_targets;
 use crate::replication::maintain_source;
@@ -132,6 +133,7 @@
     tokio::spawn(watch_targets(state.clone()));
     tokio::spawn(watch_entry_vms(state.clone()));
     tokio::spawn(exchange_crash_reports(state.clone()));
+    tokio::spawn(exchange_isolation_reports(state.clone()));
     tokio::spawn(maintain_source(state.clone()));
     tokio::spawn(check_neighbours(state.clone()));
     tokio::spawn(probe_targets(state.clone()));
--- a/crates/relay/tests/common/partition.rs
+++ b/crates/relay/tests/common/partition.rs
@@ -176,12 +176,21 @@
                     None if copy.is_some() => other.delete(&key),
                     _ => {}
                 }
+                mirror_object(own, other, &format!("sniperelay-isolated/vm{index}"));
             }
         }
         tokio::time::sleep(MIRROR_INTERVAL).await;
     }
 }
 
+fn mirror_object(own: &PlatformStandin, other: &PlatformStandin, key: &str) {
+    match (own.get(key), other.get(key)) {
+        (Some(object), None) => drop(other.put(key, object.value)),
+        (None, Some(_)) => other.delete(key),
+        _ => {}
+    }
+}
+
 fn find_override(overrides: &PeerOverrides, from: usize, to: usize) -> Option<SocketAddr> {
     let overrides = overrides.lock().unwrap();
     let found = overrides.iter().find(|(other_from, other_to, _)| (*other_from, *other_to) == (from, to));
--- a/crates/relay/tests/partition.rs
+++ b/crates/relay/tests/partition.rs
@@ -278,3 +278,43 @@
     tokio::time::sleep(seconds(1)).await;
     assert_eq!(failed(&fleet.send_steadily(0, 40, seconds(1)).await), Vec::<&Outcome>::new());
 }
+
+/// Guards against lookup responses that send callers to an entry VM that reaches no target, and against ones that never
+/// name it again.
+#[tokio::test]
+async fn isolated_entry_vm_is_no_home_until_it_reaches_targets_again() {
+    let fleet = start_fleet(3).await;
+    let homes = |vm: usize| fleet.vms[vm].relay.state().homes_for("h.example");
+    let address = |vm: usize| fleet.vms[vm].relay.state().own_record().caller_address;
+    // Each entry VM takes itself for a home in this harness, where its own capacity is the highest.
+    let others_name = |named: usize| {
+        (0..3).filter(|vm| *vm != named).filter(|vm| homes(*vm).contains(&address(named))).count()
+    };
+    let before: Vec<usize> = (0..3).map(others_name).collect();
+    let vm = (0..3).find(|vm| before[*vm] > 0).expect("a home");
+    isolate(&fleet, vm).await;
+    wait_until(|| others_name(vm) == 0).await;
+    wait_until(|| !homes(vm).contains(&address(vm))).await;
+    fleet.set_links(vm, ProxyMode::PassThrough);
+    wait_until(|| others_name(vm) == before[vm]).await;
+    wait_until(|| homes(vm).contains(&address(vm))).await;
+}
+
+/// If all entry VMs are isolated, the targets are down: homes stay as they are.
+#[tokio::test]
+async fn homes_remain_while_all_entry_vms_are_isolated() {
+    let fleet = start_fleet(2).await;
+    isolate(&fleet, 0).await;
+    isolate(&fleet, 1).await;
+    wait_until(|| (0..2).all(|vm| fleet.vms[vm].relay.state().isolated_vms.load().len() == 2)).await;
+    assert_eq!(fleet.vms[0].relay.state().homes_for("h.example").len(), 2);
+}
+
+async fn wait_until(condition: impl Fn() -> bool) {
+    let reached = async {
+        while !condition() {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    tokio::time::timeout(seconds(5), reached).await.expect("the condition has not come true within 5 s");
+}
