Reachability: idle entry VMs check one target every two seconds

A partitioned entry VM without traffic learned of the partition from its first requests, which hung for half a second; with many idle entry VMs each one's first claim failed. An entry VM that has heard from no target for 2 s now checks one at random, over an open connection if there is one; without a response the rounds of checks follow. So a partition is known within the 3 s that the users' pages allow.

--- a/crates/core/src/reachability.rs
+++ b/crates/core/src/reachability.rs
@@ -8,7 +8,8 @@
 //! Invariants:
 //!
 //! - a response of any target, to a request or to a check, ends every suspicion;
-//! - without anything sent there is no suspicion, so an idle entry VM is never isolated;
+//! - without anything sent there is no suspicion; an idle entry VM checks one target now and then, so that it
+//!   knows of a partition before its next request;
 //! - the number of checks per second is bounded, whatever the number of targets.
 
 use std::time::{Duration, Instant};
@@ -20,6 +21,9 @@
 pub const ISOLATION_TIME: Duration = Duration::from_millis(450);
 /// Interval between two rounds of checks while there is a suspicion or a partition.
 pub const CHECK_INTERVAL: Duration = Duration::from_millis(200);
+/// Interval at which an entry VM without any response checks one target. With [`ISOLATION_TIME`] and a round of
+/// checks, a partition is known within the 3 s that the platform's pages allow for it.
+pub const IDLE_CHECK_INTERVAL: Duration = Duration::from_secs(2);
 /// Number of failed rounds in a row from which an entry VM is isolated.
 const ISOLATION_ROUNDS: u32 = 2;
 /// Number of successful rounds in a row that end a partition.
@@ -46,6 +50,8 @@
 pub struct TargetReachability {
     /// Time at which something was sent to a target for the first time since the last response of any target.
     waiting_since: Option<Instant>,
+    last_response_at: Option<Instant>,
+    last_idle_check_at: Option<Instant>,
     is_isolated: bool,
     last_round_at: Option<Instant>,
     failed_rounds: u32,
@@ -61,7 +67,8 @@
     }
 
     /// Records a response of a target to a request or a probe.
-    pub fn record_response(&mut self) {
+    pub fn record_response(&mut self, now: Instant) {
+        self.last_response_at = Some(now);
         if !self.is_isolated {
             self.waiting_since = None;
             self.failed_rounds = 0;
@@ -79,6 +86,20 @@
         self.is_isolated || self.waits_for(SUSPICION_TIME, now)
     }
 
+    /// Returns whether this entry VM is to check one target because it has been idle, and schedules the next such
+    /// check.
+    pub fn take_due_idle_check(&mut self, now: Instant) -> bool {
+        let is_recent = |at: Option<Instant>| {
+            at.is_some_and(|at| now.saturating_duration_since(at) < IDLE_CHECK_INTERVAL)
+        };
+        let is_idle = self.waiting_since.is_none() && !self.is_isolated;
+        let is_due = is_idle && !is_recent(self.last_response_at) && !is_recent(self.last_idle_check_at);
+        if is_due {
+            self.last_idle_check_at = Some(now);
+        }
+        is_due
+    }
+
     /// Returns whether a round of checks is due, and schedules the next one.
     pub fn take_due_round(&mut self, now: Instant) -> bool {
         let is_recent = |at: Instant| now.saturating_duration_since(at) < CHECK_INTERVAL;
@@ -103,7 +124,7 @@
             return ReachabilityChange::Connected;
         }
         if is_successful {
-            self.record_response();
+            self.record_response(now);
             return ReachabilityChange::Unchanged;
         }
         self.failed_rounds += 1;
--- a/crates/relay/src/target_checks.rs
+++ b/crates/relay/src/target_checks.rs
@@ -7,9 +7,12 @@
 use bytes::Bytes;
 use futures_util::future::join_all;
 use http::{Request, header};
+use http_body_util::{BodyExt, Limited};
 use rand::seq::IndexedRandom;
 use sniperelay_core::reachability::{ReachabilityChange, TargetReachability};
 use sniperelay_node::traffic::body::full_body;
+use sniperelay_node::traffic::connection_reuse::keep_alive_time;
+use sniperelay_node::traffic::pool::MAX_IDLE_TIME;
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -23,6 +26,9 @@
 /// Timeout of a check. Health endpoints respond immediately.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(150);
 
+/// Maximum size of the body of a health response, in bytes.
+const MAX_RESPONSE_BYTES: usize = 4096;
+
 /// A target to check.
 #[derive(Debug, Clone)]
 struct CheckedTarget {
@@ -51,7 +57,7 @@
 
     /// Records a response of a target.
     pub fn record_response(&self) {
-        self.lock().record_response();
+        self.lock().record_response(Instant::now());
     }
 
     /// Returns whether this entry VM reaches no target.
@@ -78,11 +84,15 @@
 pub async fn check_target_links(state: Arc<RelayState>) {
     loop {
         tokio::time::sleep(CHECK_TICK).await;
+        if state.links.lock().take_due_idle_check(Instant::now()) {
+            tokio::spawn(check_when_idle(state.clone()));
+        }
         if !state.links.lock().take_due_round(Instant::now()) {
             continue;
         }
         let targets = choose_targets(&state);
-        let responses = join_all(targets.iter().map(|target| check_target(&state, target))).await;
+        let responses =
+            join_all(targets.iter().map(|target| check_target(&state, target, Duration::ZERO))).await;
         // Without a target that may be checked, only requests can show whether targets respond.
         let is_successful = targets.is_empty() || responses.contains(&true);
         let change = state.links.lock().record_round(is_successful, Instant::now());
@@ -123,20 +133,34 @@
     candidates.choose_multiple(&mut rand::rng(), TARGETS_PER_ROUND).cloned().collect()
 }
 
-async fn check_target(state: &RelayState, target: &CheckedTarget) -> bool {
+/// Checks one target, over an open connection if there is one. Without a response, rounds of checks follow.
+async fn check_when_idle(state: Arc<RelayState>) {
+    let Some(target) = choose_targets(&state).into_iter().next() else { return };
+    state.links.record_send();
+    if check_target(&state, &target, MAX_IDLE_TIME).await {
+        state.links.record_response();
+    }
+}
+
+async fn check_target(state: &RelayState, target: &CheckedTarget, max_idle: Duration) -> bool {
     state.metrics.process().probe_calls.fetch_add(1, Ordering::Relaxed);
-    tokio::time::timeout(CHECK_TIMEOUT, request_health(state, target))
-        .await
-        .is_ok_and(|response| response.is_some())
+    let response = tokio::time::timeout(CHECK_TIMEOUT, request_health(state, target, max_idle)).await;
+    response.is_ok_and(|response| response.is_some())
 }
 
-/// Returns `Some` if the target responds at all.
-async fn request_health(state: &RelayState, target: &CheckedTarget) -> Option<()> {
-    let mut connection = state.pool.take_fresh(target.address, Duration::ZERO).await.ok()?;
+/// Returns `Some` if the target responds at all, over a connection that has been idle for less than `max_idle` or
+/// a new one.
+async fn request_health(state: &RelayState, target: &CheckedTarget, max_idle: Duration) -> Option<()> {
+    let mut connection = state.pool.take_fresh(target.address, max_idle).await.ok()?;
     let request = Request::get(target.health_path.as_str())
         .header(header::HOST, target.address.to_string())
         .body(full_body(Bytes::new()))
         .ok()?;
-    connection.sender()?.send_request(request).await.ok()?;
+    let response = connection.sender()?.send_request(request).await.ok()?;
+    let keep_alive = keep_alive_time(response.headers()).unwrap_or(Duration::ZERO);
+    let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES).collect().await;
+    if body.is_ok() {
+        connection.return_to_pool_for(keep_alive);
+    }
     Some(())
 }
