A claim that waits for a connection is forwarded when the partition is noticed

A claim whose connection to a target was still being opened ended at its deadline with 504, although nothing of it had been written. Attempts now say whether they have written the request; one that has not is cancelled and the claim forwarded. The new test (an address that neither accepts nor refuses, a deadline below the timeout of connections) failed before with 504 and passes.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -23,7 +23,7 @@
 use sniperelay_node::traffic::pool::PooledConnection;
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 /// Time for which an idle connection is kept open if the target does not state a keep-alive time:
@@ -99,11 +99,12 @@
     NotSent,
 }
 
-/// Runs an attempt. The request is written to a connection at most once.
+/// Runs an attempt. The request is written to a connection at most once; `is_written` is set before that.
 pub async fn run_attempt(
     state: Arc<RelayState>,
     outbound: Arc<OutboundRequest>,
     slot: AttemptSlot,
+    is_written: Arc<AtomicBool>,
 ) -> AttemptResult {
     let Some(instance) = slot.instance() else {
         return failed_attempt(AttemptFailure::Connect, "target is gone", slot);
@@ -131,6 +132,7 @@
             return failed_attempt(AttemptFailure::Connect, "request cannot be written", slot);
         };
         count_limited_send(&state, &slot);
+        is_written.store(true, Ordering::Relaxed);
         match sender.try_send_request(request).await {
             Ok(response) => {
                 return receive_response(&state, &outbound, response, connection, slot).await;
--- a/crates/relay/src/request_handler.rs
+++ b/crates/relay/src/request_handler.rs
@@ -30,7 +30,7 @@
 use sniperelay_node::lifecycle::LifecyclePhase;
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 type Result<T> = std::result::Result<T, RelayRefusal>;
@@ -211,6 +211,8 @@
     is_trial: bool,
     attempts: FuturesUnordered<AttemptFuture>,
     abort_handles: Vec<(TargetKey, AbortHandle)>,
+    /// Whether the last attempt has written the request to a connection.
+    is_last_written: Arc<AtomicBool>,
     /// Attempts made so far, for log lines.
     attempt_records: Vec<AttemptRecord>,
     execution: ExecutionRecord,
@@ -241,6 +243,7 @@
             is_trial: false,
             attempts: FuturesUnordered::new(),
             abort_handles: Vec::new(),
+            is_last_written: Arc::default(),
             attempt_records: Vec::new(),
             execution: ExecutionRecord::default(),
             last_failure_reason: None,
@@ -358,9 +361,19 @@
         self.abort_handles.clear();
     }
 
+    /// Ends the only attempt in flight if it still waits for a connection.
+    fn cancel_unwritten_attempt(&mut self) {
+        if self.attempts.len() == 1 && !self.is_last_written.load(Ordering::Relaxed) {
+            self.attempts.clear();
+            self.abort_handles.clear();
+            self.execution.record_unsent();
+        }
+    }
+
     /// Returns the refusal of a request that waits here when this entry VM has lost its targets, or `None` if
     /// it has to wait for its attempts because it may be running.
     fn isolation_refusal(&mut self) -> Option<RelayRefusal> {
+        self.cancel_unwritten_attempt();
         if self.execution.outcome() == Outcome::NotRun {
             return Some(RelayRefusal::not_run(RefusalReason::Isolated, DEFAULT_RETRY_AFTER));
         }
@@ -549,7 +562,9 @@
 
     fn start_attempt(&mut self, slot: AttemptSlot) {
         let target = slot.target();
-        let attempt = run_attempt(self.state.clone(), self.outbound.clone(), slot);
+        self.is_last_written = Arc::default();
+        let is_written = self.is_last_written.clone();
+        let attempt = run_attempt(self.state.clone(), self.outbound.clone(), slot, is_written);
         let (handle, registration) = AbortHandle::new_pair();
         self.abort_handles.push((target, handle));
         self.attempts.push(Abortable::new(attempt, registration).boxed());
--- a/crates/relay/tests/common/partition.rs
+++ b/crates/relay/tests/common/partition.rs
@@ -12,6 +12,7 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
 /// First character of the ids of requests that are not idempotent.
 pub const CLAIM: char = 'c';
@@ -67,13 +68,18 @@
 
     /// Registers one target in the place of all others at one entry VM, and waits until it is in use.
     pub async fn replace_targets(&self, vm: usize, target: &ScriptedTarget) {
+        self.replace_target_address(vm, target.address).await;
+    }
+
+    /// Same as [`Self::replace_targets`], with any address.
+    pub async fn replace_target_address(&self, vm: usize, address: SocketAddr) {
         let PartitionedVm { store, relay, .. } = &self.vms[vm];
-        store.put("servers/only", registration(target.address, "ready").to_string());
+        store.put("servers/only", registration(address, "ready").to_string());
         (0..self.targets.len()).for_each(|number| store.delete(&format!("servers/i{number}")));
         let is_in_use = || {
             relay.state().services.load()["s"].dispatcher_handle.read(|dispatcher| {
                 let mut targets = dispatcher.targets().iter();
-                targets.all(|(_, state)| state.address == target.address)
+                targets.all(|(_, state)| state.address == address)
             })
         };
         while !is_in_use() {
@@ -207,3 +213,27 @@
     }
     record.to_string()
 }
+
+/// An address at which connections are neither accepted nor refused, as behind a partition.
+pub struct UnreachableTarget {
+    pub address: SocketAddr,
+    _listener: TcpListener,
+    _waiting: Vec<TcpStream>,
+}
+
+impl UnreachableTarget {
+    /// Opens connections that nobody accepts until the system lets further ones wait.
+    pub async fn start() -> Self {
+        let socket = TcpSocket::new_v4().unwrap();
+        socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+        let listener = socket.listen(1).unwrap();
+        let address = listener.local_addr().unwrap();
+        let mut waiting = Vec::new();
+        while let Ok(stream) =
+            tokio::time::timeout(Duration::from_millis(100), TcpStream::connect(address)).await
+        {
+            waiting.push(stream.unwrap());
+        }
+        Self { address, _listener: listener, _waiting: waiting }
+    }
+}
--- a/crates/relay/tests/partition.rs
+++ b/crates/relay/tests/partition.rs
@@ -3,7 +3,7 @@
 
 mod common;
 
-use common::partition::{CLAIM, Outcome, PartitionedFleet};
+use common::partition::{CLAIM, Outcome, PartitionedFleet, UnreachableTarget};
 use common::{
     Caller, ScriptedAction, ScriptedTarget, body, config, header, request, sealed_response, status,
 };
@@ -318,3 +318,17 @@
     };
     tokio::time::timeout(seconds(5), reached).await.expect("the condition has not come true within 5 s");
 }
+
+/// Guards against a claim that ends at its deadline although it was never written to a connection: the connection to its
+/// target was still being opened when the partition was noticed.
+#[tokio::test]
+async fn claim_that_waits_for_a_connection_is_forwarded() {
+    let fleet = start_fleet(2).await;
+    let unreachable = UnreachableTarget::start().await;
+    fleet.replace_target_address(0, unreachable.address).await;
+    // The timeout of a connection is 1 s, which is later than this deadline.
+    let claim =
+        request("POST", "/claim/1", "waiting", "x").replace("X-Deadline-Ms: 1500", "X-Deadline-Ms: 980");
+    let response = send_one(&fleet, 0, &claim).await;
+    assert_eq!((status(&response), fleet.arrivals("waiting")), (200, 1));
+}
