relay: placement and forwarding in files of their own

The choice of homes, cells, owners and other entry VMs moves to shared_state/placement.rs, the forwarding of a request to request_handler/forward.rs. No change of behaviour; the tests of core, relay and the adapter pass.

--- a/crates/core/src/reachability.rs
+++ b/crates/core/src/reachability.rs
@@ -17,7 +17,8 @@
 /// Time without any response after a request was sent from which targets are checked: twice the usual latency
 /// of the slowest service on the platform's pages (87 ms), with a margin.
 pub const SUSPICION_TIME: Duration = Duration::from_millis(200);
-/// Time without any response from which an entry VM may be isolated.
+/// Time without any response from which an entry VM may be isolated: the suspicion and two rounds of
+/// checks.
 pub const ISOLATION_TIME: Duration = Duration::from_millis(450);
 /// Interval between two rounds of checks while there is a suspicion or a partition.
 pub const CHECK_INTERVAL: Duration = Duration::from_millis(200);
--- a/crates/relay/src/forwarding.rs
+++ b/crates/relay/src/forwarding.rs
@@ -11,7 +11,7 @@
 use crate::attempt::{OutboundRequest, collect_body};
 use crate::caller_response::CallerResponse;
 use crate::shared_state::RelayState;
-use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header};
+use http::{HeaderMap, HeaderValue, Method, Request, Response, header};
 use hyper::body::Incoming;
 use sniperelay_core::reason::RefusalReason;
 use sniperelay_hosted::headers::set_attempt_headers;
@@ -211,8 +211,3 @@
 fn take_declared_length(method: &Method, headers: &mut HeaderMap) -> Option<HeaderValue> {
     headers.remove(header::CONTENT_LENGTH).filter(|_| method == Method::HEAD)
 }
-
-/// Returns whether a response of another entry VM shows that it could not connect to a target either.
-pub fn has_failed_to_connect(response: &CallerResponse) -> bool {
-    response.status == StatusCode::SERVICE_UNAVAILABLE
-}
--- a/crates/relay/src/request_handler.rs
+++ b/crates/relay/src/request_handler.rs
@@ -4,13 +4,14 @@
 //! met, the request is submitted again with its timeout as the deadline and with the lowest
 //! priority. A refusal is sent to the caller immediately.
 
+mod forward;
+
 use crate::attempt::{AttemptResult, OutboundRequest, TargetResponse, run_attempt};
 use crate::caller_response::{CallerResponse, RelayRefusal};
 use crate::crash_quarantine::{
     SuspectedTarget, admit_request, check_for_crash, later_quarantine, record_completion,
 };
 use crate::decision_log::{AttemptRecord, DecisionKind};
-use crate::forwarding::{ForwardedRequest, forward_request, has_failed_to_connect};
 use crate::request_head::RequestHead;
 use crate::shared_state::RelayState;
 use bytes::Bytes;
@@ -33,6 +34,8 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
+use forward::ForwardingPlan;
+
 type Result<T> = std::result::Result<T, RelayRefusal>;
 type AttemptFuture = BoxFuture<'static, std::result::Result<AttemptResult, Aborted>>;
 
@@ -182,15 +185,6 @@
     late: RankId,
 }
 
-/// What is needed to forward a request.
-#[derive(Debug, Clone, Copy)]
-struct ForwardingPlan<'a> {
-    /// Host of the request.
-    host: &'a str,
-    /// Version of the configuration by which it was admitted.
-    version: u64,
-}
-
 /// State of a request that passes through the dispatcher of its service.
 struct RequestHandler {
     state: Arc<RelayState>,
@@ -267,123 +261,6 @@
         result
     }
 
-    /// Handles the request here, or forwards it to another entry VM if this one reaches no target.
-    async fn run_or_forward(
-        &mut self,
-        ranks: RequestRanks,
-        plan: ForwardingPlan<'_>,
-    ) -> Result<CallerResponse> {
-        if self.state.links.is_isolated() {
-            if let Some(result) = self.forward(plan).await {
-                return result;
-            }
-            self.is_bound_here = true;
-        }
-        let result = self.run_here(ranks).await;
-        let Err(refusal) = result else { return result };
-        if !self.needs_other_entry_vm(&refusal) {
-            return result;
-        }
-        if let Some(forwarded) = self.forward(plan).await {
-            return forwarded;
-        }
-        if refusal.reason == RefusalReason::Isolated && Instant::now() < self.times.final_deadline {
-            self.is_bound_here = true;
-            return self.run_here(ranks).await;
-        }
-        result
-    }
-
-    /// Returns whether another entry VM may be able to serve a request that was refused here.
-    fn needs_other_entry_vm(&self, refusal: &RelayRefusal) -> bool {
-        match refusal.reason {
-            RefusalReason::Isolated => true,
-            RefusalReason::ConnectFailed => {
-                refusal.outcome == Outcome::NotRun && self.state.peers_for_forwarding.may_fall_back()
-            }
-            _ => false,
-        }
-    }
-
-    /// Forwards the request. Returns `None` if it may not be forwarded or no other entry VM takes it.
-    async fn forward(&mut self, plan: ForwardingPlan<'_>) -> Option<Result<CallerResponse>> {
-        let has_not_run = self.execution.outcome() == Outcome::NotRun;
-        let attempts_made = if has_not_run { 0 } else { self.attempt_records.len() as u32 };
-        let attempts_left = self.max_attempts.max(1).saturating_sub(attempts_made);
-        if attempts_left == 0 || !(has_not_run || self.outbound.is_idempotent) {
-            return None;
-        }
-        let outbound = self.outbound.clone();
-        let request = ForwardedRequest {
-            outbound: &outbound,
-            host: plan.host,
-            attempts_left: if self.is_single_attempt { 1 } else { attempts_left },
-            version: plan.version,
-        };
-        let deadline = self.times.final_deadline.into();
-        let forwarded = tokio::time::timeout_at(deadline, forward_request(&self.state, &request)).await;
-        let Ok(forwarded) = forwarded else {
-            return Some(Err(RelayRefusal::unknown(RefusalReason::TargetTimeout)));
-        };
-        if forwarded.may_have_run {
-            self.execution.record_lost_forward();
-        }
-        let result = match forwarded.response {
-            Some((name, response)) => {
-                self.forwarded_to = Some(name);
-                self.accept_forwarded(response)
-            }
-            None if forwarded.may_have_run => Err(RelayRefusal::unknown(RefusalReason::ConnectionLost)),
-            None => return None,
-        };
-        self.count_result(self.rank, &result);
-        Some(result)
-    }
-
-    /// Returns the response of another entry VM. It cannot know of attempts that were made elsewhere.
-    fn accept_forwarded(&self, response: CallerResponse) -> Result<CallerResponse> {
-        if !self.state.links.is_isolated() && has_failed_to_connect(&response) {
-            self.state.peers_for_forwarding.pause_fallback();
-        }
-        let may_have_run = self.execution.outcome() != Outcome::NotRun;
-        if may_have_run && indicates_not_run(response.status) {
-            return Err(RelayRefusal::unknown(RefusalReason::ConnectionLost));
-        }
-        Ok(response)
-    }
-
-    /// Ends the attempts in flight, whose connections hang.
-    fn cancel_attempts(&mut self) {
-        for _ in 0..self.attempts.len() {
-            self.execution.record_cancellation();
-        }
-        self.attempts.clear();
-        self.abort_handles.clear();
-    }
-
-    /// Ends the only attempt in flight if it still waits for a connection.
-    fn cancel_unwritten_attempt(&mut self) {
-        if self.attempts.len() == 1 && !self.is_last_written.load(Ordering::Relaxed) {
-            self.attempts.clear();
-            self.abort_handles.clear();
-            self.execution.record_unsent();
-        }
-    }
-
-    /// Returns the refusal of a request that waits here when this entry VM has lost its targets, or `None` if
-    /// it has to wait for its attempts because it may be running.
-    fn isolation_refusal(&mut self) -> Option<RelayRefusal> {
-        self.cancel_unwritten_attempt();
-        if self.execution.outcome() == Outcome::NotRun {
-            return Some(RelayRefusal::not_run(RefusalReason::Isolated, DEFAULT_RETRY_AFTER));
-        }
-        if !self.outbound.is_idempotent {
-            return None;
-        }
-        self.cancel_attempts();
-        Some(RelayRefusal::unknown(RefusalReason::Isolated))
-    }
-
     /// Returns whether a request that was refused because of its deadline can be submitted again with a
     /// later one: no attempt was started, and the timeout has not expired.
     fn can_be_resubmitted(&self, refusal: &RelayRefusal) -> bool {
--- a/crates/relay/src/shared_state.rs
+++ b/crates/relay/src/shared_state.rs
@@ -1,5 +1,7 @@
 //! State shared by all tasks: routes, services, entry VMs and the phase of the process.
 
+mod placement;
+
 use crate::crash_quarantine::CrashQuarantine;
 use crate::decision_log::DecisionLog;
 use crate::forwarding::ForwardingPeers;
@@ -7,13 +9,10 @@
 use crate::response_cache::ResponseCache;
 use crate::target_checks::TargetLinks;
 use arc_swap::{ArcSwap, ArcSwapOption};
-use rand::seq::IndexedRandom;
+use placement::OwnCell;
 use sniperelay_config::RelaySettings;
 use sniperelay_core::dispatch::DispatchSettings;
 use sniperelay_core::document::ServiceDocument;
-use sniperelay_core::home::{
-    HOMES_PER_CELL, HomeCandidate, LimitOwners, SizedCandidate, cell_targets, choose_homes_by_capacity,
-};
 use sniperelay_core::ids::{IncarnationId, InstanceName, ServiceName};
 use sniperelay_core::leaving::LeavingReports;
 use sniperelay_core::limit_ledger::LimitLedger;
@@ -411,168 +410,12 @@
         }
     }
 
-    /// Returns the addresses of the entry VMs that serve callers of a host, its homes.
-    ///
-    /// A host has few homes, so that each home sees most of a target's reports and there are few
-    /// queues. The number of homes grows with the number of slots behind the host. Callers are spread
-    /// over all homes in all failure domains, so that each cell of homes gets its share of them. At most
-    /// `MAX_LOOKUP_ADDRESSES` addresses are returned.
-    pub fn homes_for(&self, host: &str) -> Vec<SocketAddr> {
-        let addresses: HashMap<IncarnationId, SocketAddr> = {
-            let vms = self.entry_vms.load();
-            vms.values().map(|record| (record.home_candidate().incarnation, record.caller_address)).collect()
-        };
-        let homes = self.choose_host_homes(host, &self.targets());
-        let listed_homes = homes.iter().take(MAX_LOOKUP_ADDRESSES);
-        listed_homes.filter_map(|home| addresses.get(&home.incarnation).copied()).collect()
-    }
-
-    /// Chooses another entry VM that handles requests for a host: one of those that would be its homes among the
-    /// responsive ones that meet a condition.
-    pub fn choose_peer(
-        &self,
-        host: &str,
-        is_candidate: impl Fn(&EntryVmRecord) -> bool,
-    ) -> Option<EntryVmRecord> {
-        let vms = self.entry_vms.load();
-        let unresponsive = self.lock_unresponsive_vms();
-        let is_usable = |record: &&EntryVmRecord| {
-            record.name != self.settings.entry.name
-                && !unresponsive.contains(&record.name)
-                && is_candidate(record)
-        };
-        let candidates = self.without_isolated(vms.values().filter(is_usable));
-        drop(unresponsive);
-        let slots = self.slots_behind(host, &self.targets());
-        let homes = choose_homes_by_capacity(host, &candidates, slots, self.settings.routing.homes_per_host);
-        let chosen = homes.choose(&mut rand::rng())?.incarnation;
-        vms.values().find(|record| record.home_candidate().incarnation == chosen).cloned()
-    }
-
-    /// Returns the id under which this entry VM is a candidate for homes. It stays the same when it restarts.
-    pub fn own_home_id(&self) -> IncarnationId {
-        self.own_record().home_candidate().incarnation
-    }
-
-    /// Returns the owners of the rate limits of a service's targets.
-    pub fn limit_owners(&self, service: &ServiceName) -> LimitOwners {
-        let Some(routes) = self.routes.load_full() else { return LimitOwners::default() };
-        // One host decides, so that all entry VMs choose the same owners.
-        let hosts = routes.table.hosts().filter(|host| routes.table.services_of(host).contains(service));
-        let Some(host) = hosts.min() else { return LimitOwners::default() };
-        let targets = self.targets();
-        let live = targets.values().filter(|target| target.service == *service && is_live(target));
-        let live_targets: Vec<(SocketAddr, String)> =
-            live.map(|target| (target.address, target.domain.clone())).collect();
-        LimitOwners::choose(&self.choose_host_homes(host, &targets), &live_targets)
-    }
-
     /// Locks and returns the shares of the limits that this entry VM owns.
     pub fn lock_limit_ledger(&self) -> MutexGuard<'_, LimitLedger> {
         self.limit_ledger.lock().unwrap_or_else(PoisonError::into_inner)
     }
-
-    /// Returns the address at which the entry VM with this candidate id serves entry VMs, if it is registered.
-    pub fn peer_address(&self, home: IncarnationId) -> Option<SocketAddr> {
-        let vms = self.entry_vms.load();
-        let found = vms.values().find(|record| record.home_candidate().incarnation == home);
-        found.map(|record| record.peer_address)
-    }
-
-    /// Returns the number of homes of a host whose trials of quarantined requests come before those of this entry
-    /// VM.
-    pub fn trial_position(&self, host: &str) -> u32 {
-        let own = self.own_home_id();
-        let homes = self.choose_host_homes(host, &self.targets());
-        let position = homes.iter().position(|home| home.incarnation == own);
-        // Other entry VMs get hardly any requests for the host; their names spread their trials.
-        let other_position = homes.len() as u64 + own % OTHER_TRIAL_POSITIONS;
-        position.unwrap_or(other_position as usize) as u32
-    }
-
-    fn choose_host_homes(&self, host: &str, targets: &TargetMap) -> Vec<HomeCandidate> {
-        let vms = self.entry_vms.load();
-        let unresponsive = self.lock_unresponsive_vms();
-        let is_serving = self.lifecycle.phase() == LifecyclePhase::Serving;
-        let is_usable = |record: &&EntryVmRecord| {
-            !unresponsive.contains(&record.name) && (is_serving || record.name != self.settings.entry.name)
-        };
-        let candidates = self.without_isolated(vms.values().filter(is_usable));
-        let slots = self.slots_behind(host, targets);
-        choose_homes_by_capacity(host, &candidates, slots, self.settings.routing.homes_per_host)
-    }
-
-    /// Returns the entry VMs that have not reported that they are isolated, or all if each one has.
-    fn without_isolated<'a>(&self, records: impl Iterator<Item = &'a EntryVmRecord>) -> Vec<SizedCandidate> {
-        let isolated = self.isolated_vms.load();
-        let (connected, isolated): (Vec<&EntryVmRecord>, Vec<&EntryVmRecord>) =
-            records.partition(|record| !isolated.contains(&record.name));
-        let chosen = if connected.is_empty() { isolated } else { connected };
-        chosen.into_iter().map(|record| (record.home_candidate(), record.capacity)).collect()
-    }
-
-    /// Returns the number of slots of all targets that the host's routes can lead to.
-    fn slots_behind(&self, host: &str, targets: &TargetMap) -> u32 {
-        let Some(routes) = self.routes.load_full() else { return 0 };
-        let services = routes.table.services_of(host);
-        targets.values().filter(|target| services.contains(&target.service)).map(|target| target.slots).sum()
-    }
-
-    /// Returns the targets that this entry VM serves, by service. If this entry VM serves all targets of
-    /// a service, there is no entry for the service.
-    fn own_cells(&self, targets: &TargetMap) -> HashMap<ServiceName, OwnCell> {
-        let Some(routes) = self.routes.load_full() else { return HashMap::new() };
-        let own = self.own_home_id();
-        let mut cells: HashMap<ServiceName, OwnCell> = HashMap::new();
-        let mut counts: HashMap<ServiceName, (usize, usize)> = HashMap::new();
-        for host in routes.table.hosts() {
-            let homes = self.choose_host_homes(host, targets);
-            for service in routes.table.services_of(host) {
-                let count = counts.entry(service.clone()).or_default();
-                *count = (count.0 + 1, count.1 + homes.len());
-                let live = targets.values().filter(|target| target.service == *service && is_live(target));
-                let live_targets: Vec<(SocketAddr, String)> =
-                    live.map(|target| (target.address, target.domain.clone())).collect();
-                if let Some(cell) = cell_targets(own, &homes, &live_targets) {
-                    cells.entry(service.clone()).or_default().targets.extend(cell);
-                }
-            }
-        }
-        for (service, cell) in &mut cells {
-            (cell.host_count, cell.home_count) = counts[service];
-        }
-        cells
-    }
-
-    /// Returns the age from which a target's last report is outdated, so that the target is probed. Each
-    /// target is in one cell of each host, and the homes of all these cells together must stay within
-    /// the rate of probes per target that the platform allows.
-    fn max_report_age(&self, host_count: usize) -> Duration {
-        let prober_count = (host_count * HOMES_PER_CELL) as f64;
-        let min_age = prober_count / (PROBE_RATE_SHARE * self.bounds.probes_per_second);
-        MIN_REPORT_AGE.max(Duration::from_secs_f64(min_age))
-    }
-}
-
-/// Targets of one service that an entry VM serves.
-#[derive(Debug, Default)]
-struct OwnCell {
-    targets: HashSet<SocketAddr>,
-    /// Number of hosts with routes to the service. Each host has its own cells.
-    host_count: usize,
-    /// Total number of homes of these hosts.
-    home_count: usize,
 }
 
-/// Share of the platform's limit on the rate of load probes that is used.
-const PROBE_RATE_SHARE: f64 = 0.8;
-/// Minimum age from which a report is outdated. Targets change their speed a few times per second.
-const MIN_REPORT_AGE: Duration = Duration::from_millis(150);
-
-/// Number of trial positions over which entry VMs that are no homes of a host are spread.
-const OTHER_TRIAL_POSITIONS: u64 = 64;
-/// Maximum number of entry VM addresses in one lookup response.
-const MAX_LOOKUP_ADDRESSES: usize = 64;
 /// Share of the platform's budget for further attempts that all entry VMs together may accumulate.
 const ATTEMPT_BUDGET_SHARE: f64 = 0.6;
 /// Interval between two runs of the dispatchers' periodic work.
