--- a/crates/core/src/dispatch/limits.rs
+++ b/crates/core/src/dispatch/limits.rs
@@ -18,7 +18,7 @@
     pub address: SocketAddr,
     /// Identifies the process behind the address.
     pub instance: InstanceName,
-    /// What this entry VM knows about the limit.
+    /// Latest observation of the limit by this entry VM.
     pub observation: LimitObservation,
     /// Rate of requests for the service, in requests per second.
     pub weight: f64,
@@ -79,7 +79,7 @@
         .collect()
     }
 
-    /// Applies the owner's response to a claim: what it knows about the limit, and the share if it still
+    /// Applies the owner's response to a claim: its observation of the limit, and the share if it still
     /// applies.
     pub fn apply_limit_share(
         &mut self,
@@ -97,7 +97,7 @@
         change
     }
 
-    /// Takes over what another entry VM knows about the limit of a target, as the owner of the limit, and
+    /// Takes over the observation of another entry VM, as the owner of the limit of a target, and
     /// returns the later one of both observations. For as long as there are claims, the owner checks whether
     /// the limit still applies.
     pub fn merge_claimed_limit(
--- a/crates/core/src/limit_ledger.rs
+++ b/crates/core/src/limit_ledger.rs
@@ -24,7 +24,7 @@
     pub claimant: IncarnationId,
     /// Rate of its requests for the target's service, in requests per second.
     pub weight: f64,
-    /// What it knows about the limit.
+    /// Its observation of the limit.
     pub observation: LimitObservation,
 }
 
--- a/crates/core/src/reachability.rs
+++ b/crates/core/src/reachability.rs
@@ -9,7 +9,7 @@
 //!
 //! - a response of any target, to a request or to a check, ends every suspicion;
 //! - without anything sent there is no suspicion; an idle entry VM checks one target now and then, so that it
-//!   knows of a partition before its next request;
+//!   detects a partition before its next request;
 //! - the number of checks per second is bounded, whatever the number of targets.
 
 use std::time::{Duration, Instant};
--- a/crates/core/src/target/limits.rs
+++ b/crates/core/src/target/limits.rs
@@ -51,7 +51,7 @@
         change
     }
 
-    /// Takes over what another entry VM knows about the limit of a target, if it is later.
+    /// Takes over the observation of another entry VM about the limit of a target, if it is later.
     pub fn merge_limit(
         &mut self,
         key: TargetKey,
--- a/crates/relay/src/forwarding.rs
+++ b/crates/relay/src/forwarding.rs
@@ -49,7 +49,7 @@
     pub may_have_run: bool,
 }
 
-/// What this entry VM knows about the others as takers of its requests.
+/// State of the other entry VMs as recipients of forwarded requests.
 #[derive(Debug, Default)]
 pub struct ForwardingPeers {
     excluded_until: Mutex<HashMap<String, Instant>>,
--- a/crates/relay/src/shared_state.rs
+++ b/crates/relay/src/shared_state.rs
@@ -91,7 +91,7 @@
     pub quarantine: CrashQuarantine,
     /// Number of open caller connections.
     pub connections: AtomicUsize,
-    /// Other entry VMs as takers of requests that this one cannot serve.
+    /// Other entry VMs as recipients of requests that this one cannot serve.
     pub peers_for_forwarding: ForwardingPeers,
     /// Number of requests in flight that other entry VMs have forwarded.
     pub forwarded_in_flight: AtomicUsize,
