Limits: an owner grants only what other owners cannot have granted

The scraped counters showed two entry VMs of which each took itself for the owner. Class: acting on a view that is known to be incomplete. An owner whose list has not been settled grants nothing now, and one without contact with the store for 2 s half of the limit: a change of the fleet just before an outage may have reached some entry VMs only, and two owners with outdated lists grant no more than the limit together, three one and a half times.

The cost is capacity of limited targets during outages.

--- a/crates/core/src/limit_ledger.rs
+++ b/crates/core/src/limit_ledger.rs
@@ -4,6 +4,9 @@
 //! the target's service. Shares are proportional to the weights, so that a limit is used up however unevenly
 //! callers are spread, and a share of less than one request in some seconds still accumulates.
 //!
+//! Entry VMs that differ in their view of the fleet may choose different owners. An owner whose view may be
+//! outdated therefore grants a part of the limit only: see [`MembershipView`].
+//!
 //! Invariant: the valid shares of a target never add up to more than its limit. A claim gets at most what the
 //! other valid shares leave, and the holders of larger shares give way when they renew them.
 
@@ -17,6 +20,29 @@
 /// Minimum weight of a claim, in requests per second.
 const MIN_WEIGHT: f64 = 0.1;
 
+/// How reliable the owner's view of the fleet is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum MembershipView {
+    /// The entry VMs that started together have not been read yet: each one may take itself for the only owner.
+    Unsettled,
+    /// There has been no contact with the store for a while: some changes may have reached some entry VMs only.
+    Outdated,
+    /// Up to date.
+    Current,
+}
+
+impl MembershipView {
+    /// Returns the part of a limit that may be granted. Two owners with outdated views grant no more than all of it
+    /// together.
+    fn grantable_part(self) -> f64 {
+        match self {
+            Self::Unsettled => 0.0,
+            Self::Outdated => 0.5,
+            Self::Current => 1.0,
+        }
+    }
+}
+
 /// Claim of an entry VM for a share of a target's limit.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct LimitClaim {
@@ -54,6 +80,7 @@
         &mut self,
         instance: &InstanceName,
         claim: &LimitClaim,
+        view: MembershipView,
         now: Instant,
     ) -> (LimitObservation, Option<LimitShare>) {
         self.remove_expired(now);
@@ -65,7 +92,7 @@
         entry.claimed_at = now;
         entry.observation = entry.observation.latest(claim.observation);
         let Some(limit) = entry.observation.per_second else { return (entry.observation, None) };
-        let share = entry.divide(limit, claim, now);
+        let share = entry.divide(limit * view.grantable_part(), claim, now);
         (entry.observation, Some(share))
     }
 
--- a/crates/core/tests/rate_limit.rs
+++ b/crates/core/tests/rate_limit.rs
@@ -5,7 +5,7 @@
 use sniperelay_core::document::{ProbePolicy, RankPolicy, RetryPolicy, RouteMatch, ServiceDocument};
 use sniperelay_core::home::{HomeCandidate, LimitOwners};
 use sniperelay_core::ids::TargetKey;
-use sniperelay_core::limit_ledger::{LimitClaim, LimitLedger};
+use sniperelay_core::limit_ledger::{LimitClaim, LimitLedger, MembershipView};
 use sniperelay_core::pick::PickPolicy;
 use sniperelay_core::rate_limit::{
     CLAIM_INTERVAL, LimitChange, LimitObservation, LimitShare, SHARE_LIFETIME, TargetLimit,
@@ -159,8 +159,12 @@
     for round in 0..5 {
         for (claimant, weight) in [(1, 90.0), (2, 9.0), (3, 1.0)] {
             let now = start + CLAIM_INTERVAL * round + millis(claimant);
-            let (_, share) =
-                ledger.grant(&"i".to_owned(), &claim(claimant, weight, stated(10.0, start)), now);
+            let (_, share) = ledger.grant(
+                &"i".to_owned(),
+                &claim(claimant, weight, stated(10.0, start)),
+                MembershipView::Current,
+                now,
+            );
             shares.insert(claimant, share.unwrap().per_second);
         }
     }
@@ -174,11 +178,15 @@
     let start = Instant::now();
     let mut ledger = LimitLedger::default();
     let instance = "i".to_owned();
-    ledger.grant(&instance, &claim(1, 1.0, stated(10.0, start)), start + millis(1));
+    ledger.grant(&instance, &claim(1, 1.0, stated(10.0, start)), MembershipView::Current, start + millis(1));
     let ended = LimitObservation { per_second: None, observed_at: start + millis(50) };
-    ledger.grant(&instance, &claim(2, 1.0, ended), start + millis(60));
-    let (observation, share) =
-        ledger.grant(&instance, &claim(1, 1.0, stated(10.0, start)), start + millis(70));
+    ledger.grant(&instance, &claim(2, 1.0, ended), MembershipView::Current, start + millis(60));
+    let (observation, share) = ledger.grant(
+        &instance,
+        &claim(1, 1.0, stated(10.0, start)),
+        MembershipView::Current,
+        start + millis(70),
+    );
     assert_eq!((observation, share), (ended, None));
 }
 
@@ -195,7 +203,7 @@
         let mut now = start;
         for (claimant, weight, pause) in claims {
             now += millis(pause);
-            let (_, share) = ledger.grant(&"i".to_owned(), &claim(claimant, weight, stated(limit, start)), now);
+            let (_, share) = ledger.grant(&"i".to_owned(), &claim(claimant, weight, stated(limit, start)), MembershipView::Current, now);
             shares.insert(claimant, share.unwrap());
             let valid = shares.values().filter(|share| share.expires_at > now);
             let total: f64 = valid.map(|share| share.per_second).sum();
@@ -315,7 +323,8 @@
         self.dispatcher.tick(self.now, &mut self.actions);
         for due in self.dispatcher.take_due_claims(self.now) {
             let own = claim(1, due.weight, due.observation);
-            let (observation, share) = self.ledger.grant(&due.instance, &own, self.now);
+            let (observation, share) =
+                self.ledger.grant(&due.instance, &own, MembershipView::Current, self.now);
             self.dispatcher.apply_limit_share(due.target, observation, share, self.now, &mut self.actions);
         }
         self.finish_started()
@@ -416,3 +425,16 @@
     let started: usize = (0..5).map(|_| service.tick().len()).sum();
     assert_eq!(started, 1);
 }
+
+/// Guards against entry VMs that differ in their views and each grant all of a limit.
+#[test]
+fn owner_with_an_outdated_view_grants_half_and_one_without_any_nothing() {
+    let now = Instant::now();
+    let views =
+        [(MembershipView::Unsettled, 0.0), (MembershipView::Outdated, 5.0), (MembershipView::Current, 10.0)];
+    for (view, expected) in views {
+        let mut ledger = LimitLedger::default();
+        let (_, share) = ledger.grant(&"i".to_owned(), &claim(1, 1.0, stated(10.0, now)), view, now);
+        assert_eq!(share.unwrap().per_second, expected, "{view:?}");
+    }
+}
--- a/crates/relay/src/limit_claims.rs
+++ b/crates/relay/src/limit_claims.rs
@@ -306,5 +306,5 @@
     claim.observation = target.entry.dispatcher_handle.run_operation(|dispatcher, now, _| {
         dispatcher.merge_claimed_limit(target.address, target.instance, claim.observation, now)
     });
-    state.lock_limit_ledger().grant(target.instance, &claim, now)
+    state.lock_limit_ledger().grant(target.instance, &claim, state.membership_view(), now)
 }
--- a/crates/relay/src/shared_state/placement.rs
+++ b/crates/relay/src/shared_state/placement.rs
@@ -10,10 +10,12 @@
     HOMES_PER_CELL, HomeCandidate, LimitOwners, SizedCandidate, cell_targets, choose_homes_by_capacity,
 };
 use sniperelay_core::ids::{IncarnationId, ServiceName};
+use sniperelay_core::limit_ledger::MembershipView;
 use sniperelay_hosted::registration::EntryVmRecord;
 use sniperelay_node::lifecycle::LifecyclePhase;
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 /// Targets of one service that an entry VM serves.
@@ -36,6 +38,10 @@
 /// Maximum number of entry VM addresses in one lookup response.
 const MAX_LOOKUP_ADDRESSES: usize = 64;
 
+/// Age of the last contact with the store, or with a reader, from which the list of entry VMs may be outdated: several
+/// checks of the store, which come every 0.3 s.
+const MAX_VIEW_AGE: Duration = Duration::from_secs(2);
+
 impl RelayState {
     /// Returns the addresses of the entry VMs that serve callers of a host, its homes.
     ///
@@ -96,6 +102,15 @@
         LimitOwners::choose(&homes, &live_targets)
     }
 
+    /// Returns how reliable the list of entry VMs is.
+    pub fn membership_view(&self) -> MembershipView {
+        if !self.is_membership_settled.load(Ordering::Relaxed) {
+            return MembershipView::Unsettled;
+        }
+        let is_current = self.replica.contact_age().is_some_and(|age| age < MAX_VIEW_AGE);
+        if is_current { MembershipView::Current } else { MembershipView::Outdated }
+    }
+
     /// Returns the address at which the entry VM with this candidate id serves entry VMs, if it is registered.
     pub fn peer_address(&self, home: IncarnationId) -> Option<SocketAddr> {
         let vms = self.entry_vms.load();
--- a/crates/relay/tests/rate_limits.rs
+++ b/crates/relay/tests/rate_limits.rs
@@ -7,6 +7,7 @@
 use sniperelay_relay::RunningRelay;
 use sniperelay_standin::platform::PlatformStandin;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 /// Length of the time in which arrivals at a limited target are counted.
@@ -21,7 +22,7 @@
 
 /// Entry VMs, of which two are homes of the only host, and targets `i0`, `i1`, …
 struct LimitFleet {
-    _store: Arc<PlatformStandin>,
+    store: Arc<PlatformStandin>,
     relays: Vec<RunningRelay>,
     targets: Vec<Arc<LimitedTarget>>,
 }
@@ -43,7 +44,7 @@
         store.put("config/main", config("00000001").to_string());
         let relays: Vec<RunningRelay> =
             (0..vm_count).map(|index| start_named_relay(&format!("vm{index}"), store.address())).collect();
-        let fleet = Self { _store: store, relays, targets };
+        let fleet = Self { store, relays, targets };
         fleet.wait_until_ready().await;
         fleet
     }
@@ -205,3 +206,36 @@
         assert!(owners.iter().all(|owner| *owner == owners[0] && owner.is_some()), "{owners:?}");
     }
 }
+
+/// Guards against limits that are exceeded by entry VMs that have started during an outage of the store: each of them
+/// may take itself for the only one.
+#[tokio::test]
+async fn entry_vm_without_a_settled_membership_uses_no_limit() {
+    let fleet = LimitFleet::start_with_vms(1, &["20"]).await;
+    fleet.send_steadily(0, 40, Duration::from_secs(2)).await;
+    let is_settled = &fleet.relays[0].state().is_membership_settled;
+    is_settled.store(false, Ordering::Relaxed);
+    tokio::time::sleep(Duration::from_millis(1200)).await;
+    let since = Instant::now();
+    fleet.send_steadily(0, 40, Duration::from_secs(2)).await;
+    let used = fleet.targets[0].requests_between(since, Instant::now());
+    assert!(used <= 3, "{used} requests without a settled membership");
+    is_settled.store(true, Ordering::Relaxed);
+    let since = Instant::now();
+    fleet.send_steadily(0, 40, Duration::from_secs(3)).await;
+    assert!(fleet.targets[0].requests_between(since, Instant::now()) >= 30);
+}
+
+/// Guards against two owners of one limit after a change of the fleet that has reached some entry VMs only.
+#[tokio::test]
+async fn half_of_a_limit_is_used_during_an_outage_of_the_store() {
+    let fleet = LimitFleet::start(&["20"]).await;
+    let time = Duration::from_secs(2);
+    tokio::join!(fleet.send_steadily(0, 40, time), fleet.send_steadily(1, 40, time));
+    fleet.store.control.is_down.store(true, Ordering::Relaxed);
+    let time = Duration::from_secs(8);
+    let since = Instant::now() + Duration::from_millis(3500);
+    tokio::join!(fleet.send_steadily(0, 40, time), fleet.send_steadily(1, 40, time));
+    let used = fleet.targets[0].count_between(since, since + WINDOW);
+    assert!((20..=45).contains(&used), "{used} requests in 4 s with half of a limit of 20");
+}
