Metrics of the copy of each prefix: revision, age, open read

Change: a table of copies by prefix, exported as sniperelay_copy{prefix,name}. Measured: unit test copies_are_counted_by_prefix. Conclusion: a watch that stays open while others are answered is visible.

--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -277,6 +277,23 @@
         register_call_counters(&self.provider.meter(METER_NAME), calls);
     }
 
+    /// Registers a gauge. `read` returns its values, each with the values of the two labels.
+    pub fn export_gauge(
+        &self,
+        name: &'static str,
+        label_names: [&'static str; 2],
+        read: impl Fn() -> Vec<([&'static str; 2], u64)> + Send + Sync + 'static,
+    ) {
+        let meter = self.provider.meter(METER_NAME);
+        let gauge = meter.u64_observable_gauge(name).with_callback(move |observer| {
+            for (labels, value) in read() {
+                let labels = [0, 1].map(|index| KeyValue::new(label_names[index], labels[index]));
+                observer.observe(value, &labels);
+            }
+        });
+        gauge.build();
+    }
+
     /// Renders all metrics in the Prometheus text format.
     ///
     /// # Errors
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -13,6 +13,7 @@
 //! | [`store_sync`] | synchronization of configuration, targets and entry VMs with the store |
 //! | [`own_registration`] | whether this process registers itself, beside others of its name |
 //! | [`sync_progress`] | progress of reading the store: revisions, lists that are too old, outages |
+//! | [`copy_status`] | how current the copies of the store's contents are |
 //! | [`replication`] | replication of the store's contents from readers to followers |
 //! | [`response_cache`] | encoded replication responses, shared by all followers |
 //! | [`content_coding`] | compression of responses |
@@ -40,6 +41,7 @@
 pub mod caller_response;
 pub mod connection_end;
 pub mod content_coding;
+pub mod copy_status;
 pub mod crash_quarantine;
 pub mod crash_reports;
 pub mod decision_log;
--- a/crates/relay/src/replication.rs
+++ b/crates/relay/src/replication.rs
@@ -6,6 +6,7 @@
 //! reader that is cut off from the store. Readers relay objects unchanged, with the versions that
 //! the store gave them. A follower never returns to a revision before the one it has reached.
 
+use crate::copy_status::CopyTable;
 use crate::shared_state::RelayState;
 use sniperelay_core::home::{SizedCandidate, choose_homes_by_capacity};
 use sniperelay_hosted::registration::EntryVmRecord;
@@ -88,6 +89,8 @@
     /// Whether neither a reader nor the store responded to the last check.
     is_store_unavailable: AtomicBool,
     source: watch::Sender<StoreSource>,
+    /// How current the copies are.
+    copies: Arc<CopyTable>,
 }
 
 impl Default for StoreReplica {
@@ -102,6 +105,7 @@
             is_reader: AtomicBool::new(false),
             is_store_unavailable: AtomicBool::new(false),
             source: watch::Sender::new(StoreSource::Direct),
+            copies: Arc::default(),
         }
     }
 }
@@ -121,6 +125,11 @@
         &self.reader_calls
     }
 
+    /// Returns how current the copies are.
+    pub fn copies(&self) -> &Arc<CopyTable> {
+        &self.copies
+    }
+
     /// Returns whether this entry VM is a reader according to its list of entry VMs.
     pub fn is_reader(&self) -> bool {
         self.is_reader.load(Ordering::Relaxed)
--- a/crates/relay/src/shared_state.rs
+++ b/crates/relay/src/shared_state.rs
@@ -158,6 +158,9 @@
             settings,
         };
         state.metrics.export_call_counters(state.store.counters());
+        let copies = state.replica.copies().clone();
+        let read_copies = move || copies.gauges(boot_clock::now());
+        state.metrics.export_gauge("sniperelay_copy", ["prefix", "name"], read_copies);
         let own = state.own_record();
         state.entry_vms.store(Arc::new(BTreeMap::from([(own.name.clone(), own)])));
         Ok(state)
--- a/crates/relay/src/store_sync.rs
+++ b/crates/relay/src/store_sync.rs
@@ -311,6 +311,7 @@
             tokio::time::sleep(self.coalesce_pause()).await;
         }
         let source = *self.source.borrow_and_update();
+        self.state.replica.copies().begin_read(self.prefix, boot_clock::now());
         let result = match source {
             StoreSource::Direct => self.read_from_store().await,
             StoreSource::Reader(address) => {
@@ -318,6 +319,7 @@
                 self.read_from_reader(&reader).await
             }
         };
+        self.state.replica.copies().end_read(self.prefix);
         match result {
             Ok(outcome) => self.handle_outcome(outcome).await,
             Err(error) => {
@@ -432,6 +434,7 @@
             log::warn!(prefix = self.prefix, revision = list.revision; "the store has returned from an older copy");
         }
         self.state.replica.apply_snapshot(self.prefix, &list);
+        self.state.replica.copies().confirm(self.prefix, list.revision, boot_clock::now());
         let listed: BTreeMap<String, u64> =
             list.items.iter().map(|item| (item.key.clone(), item.version)).collect();
         let deleted_keys = self.known_versions.keys().filter(|key| !listed.contains_key(*key));
@@ -446,6 +449,7 @@
     fn apply_events(&mut self, list: EventList) -> Vec<StoreChange> {
         self.progress.accept_changes(list.revision);
         self.state.replica.apply_changes(self.prefix, &list);
+        self.state.replica.copies().confirm(self.prefix, list.revision, boot_clock::now());
         let mut changes = Vec::new();
         for event in list.events {
             match event.value {
--- a/crates/relay/tests/sync_progress.rs
+++ b/crates/relay/tests/sync_progress.rs
@@ -1,5 +1,6 @@
 //! Tests of the progress of reading the store, without a network.
 
+use sniperelay_relay::copy_status::CopyTable;
 use sniperelay_relay::sync_progress::{NextRead, ReadOutcome, StoreAvailability, SyncProgress};
 use std::time::Duration;
 
@@ -48,3 +49,24 @@
     availability.record_failure(at(20));
     assert!(availability.record_outcome(&ReadOutcome::<()>::OlderList { revision: 1 }, at(21)));
 }
+
+/// The ages of copies are counted by prefix: a response for one does not make another one current.
+#[test]
+fn copies_are_counted_by_prefix() {
+    let at = Duration::from_secs;
+    let copies = CopyTable::default();
+    copies.begin_read("config/", at(1));
+    copies.confirm("config/", 7, at(2));
+    copies.end_read("config/");
+    copies.begin_read("config/", at(2));
+    copies.confirm("servers/", 9, at(30));
+    let gauges = copies.gauges(at(31));
+    let expected = [
+        (["config/", "revision"], 7),
+        (["config/", "age_ms"], 29_000),
+        (["config/", "read_ms"], 29_000),
+        (["servers/", "revision"], 9),
+        (["servers/", "age_ms"], 1_000),
+    ];
+    assert_eq!(gauges, expected);
+}
