--- /dev/null
+++ b/crates/relay/tests/silent_store.rs
@@ -0,0 +1,129 @@
+//! Tests of a store that accepts calls and never answers them.
+
+mod common;
+
+use common::{config, read_message};
+use sniperelay_platform::api::{ObjectList, StoredObject};
+use sniperelay_relay::RunningRelay;
+use sniperelay_relay::shared_state::RelayState;
+use sniperelay_standin::platform::{PlatformStandin, SilentCalls};
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+
+/// Time after which a configuration must be in force on an entry VM that reaches the store: `Contact` (3 s) and
+/// `ConfigApply` (2 s) of the platform's bounds.
+const CONFIG_BOUND: Duration = Duration::from_secs(5);
+/// Timeout after which a condition that does not come true fails the test.
+const HANG_LIMIT: Duration = Duration::from_secs(30);
+
+fn version(state: &RelayState) -> u64 {
+    state.routes.load().as_ref().map_or(0, |routes| routes.config.version)
+}
+
+async fn wait_until(what: &str, limit: Duration, condition: impl Fn() -> bool) {
+    let poll = async {
+        while !condition() {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    tokio::time::timeout(limit, poll).await.unwrap_or_else(|_| panic!("not in time: {what}"));
+}
+
+/// Starts a store and entry VMs that know each other.
+async fn start_fleet(count: usize) -> (Arc<PlatformStandin>, Vec<RunningRelay>) {
+    let store = PlatformStandin::start().await.unwrap();
+    store.put("config/main", config("00000001").to_string());
+    let start = |index| common::start_named_relay(&format!("vm{index}"), store.address());
+    let relays: Vec<RunningRelay> = (0..count).map(start).collect();
+    let is_settled = |relay: &RunningRelay| {
+        let state = relay.state();
+        state.is_ready()
+            && state.entry_vms.load().len() == count
+            && state.is_membership_settled.load(Ordering::Relaxed)
+    };
+    wait_until("the fleet starts", HANG_LIMIT, || relays.iter().all(is_settled)).await;
+    (store, relays)
+}
+
+/// Starts a seed that has the configuration and no targets, and is no reader. Returns its address.
+async fn start_seed() -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let mut buffer = Vec::new();
+            let Some(request) = read_message(&mut stream, &mut buffer).await else { continue };
+            let value = config("00000001").to_string();
+            let object = StoredObject { key: "config/main".to_owned(), version: 1, value };
+            let items = match request.split_whitespace().nth(1) {
+                Some("/list/snapshot/config/") => Some(vec![object]),
+                Some("/list/snapshot/servers/") => Some(Vec::new()),
+                _ => None,
+            };
+            let (status, list) = items
+                .map_or(("503 no", ObjectList { revision: 0, items: Vec::new() }), |items| {
+                    ("200 OK", ObjectList { revision: 1, items })
+                });
+            let body = serde_json::to_string(&list).unwrap();
+            let head =
+                format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\nConnection: close\r\n\r\n", body.len());
+            drop(stream.write_all(format!("{head}{body}").as_bytes()).await);
+        }
+    });
+    address
+}
+
+/// Guards against a watch that is sent while the store is silent and is waited for long after its return
+/// (incidents inc1 and inc2 of issue 33): a restarted reader kept the configuration of its seed.
+#[tokio::test]
+async fn watch_sent_to_a_silent_store_does_not_hold_back_the_configuration() {
+    let store = PlatformStandin::start().await.unwrap();
+    store.put("config/main", config("00000001").to_string());
+    store.control.is_silent.store(true, Ordering::Relaxed);
+    let relay = common::start_seeded_relay("vm0", store.address(), &start_seed().await);
+    wait_until("the state of the seed is loaded", HANG_LIMIT, || relay.state().is_ready()).await;
+    let copies = relay.state().replica.copies();
+    let is_watching = || copies.statuses().get("config/").is_some_and(|status| status.read_since.is_some());
+    wait_until("the configuration is watched", HANG_LIMIT, is_watching).await;
+    store.control.is_silent.store(false, Ordering::Relaxed);
+    store.put("config/main", config("00000009").to_string());
+    wait_until("the new version", CONFIG_BOUND, || version(relay.state()) == 9).await;
+}
+
+/// Guards against a watch that is never answered although all other calls are, so that no failed call shows it.
+#[tokio::test]
+async fn single_watch_without_a_response_does_not_hold_back_the_configuration() {
+    let store = PlatformStandin::start().await.unwrap();
+    store.put("config/main", config("00000001").to_string());
+    store.control.set_silent_calls(Some(SilentCalls::WaitingWatches("/config")));
+    let relay = common::start_named_relay("vm0", store.address());
+    wait_until("the entry VM is ready", HANG_LIMIT, || relay.state().is_ready()).await;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    store.put("config/main", config("00000009").to_string());
+    wait_until("the new version", CONFIG_BOUND, || version(relay.state()) == 9).await;
+}
+
+/// Guards against followers of a reader whose copy of one prefix stands still while its other prefixes are current
+/// (incident inc2 of issue 33).
+#[tokio::test]
+async fn reader_whose_copy_of_one_prefix_stands_still_serves_no_followers() {
+    let (store, relays) = start_fleet(1).await;
+    let reader = relays[0].state();
+    wait_until("the reader serves followers", HANG_LIMIT, || reader.replica.can_serve_followers()).await;
+    store.control.set_silent_calls(Some(SilentCalls::All("/config")));
+    store.put("config/main", config("00000002").to_string());
+    // The watch that was sent before is answered; the next change is not received.
+    wait_until("version 2", CONFIG_BOUND, || version(reader) == 2).await;
+    store.put("config/main", config("00000009").to_string());
+    wait_until("the reader refuses followers", CONFIG_BOUND, || !reader.replica.can_serve_followers()).await;
+    let mut follower = common::Caller::open(reader.own_record().peer_address).await;
+    follower.send("GET /watch/config/?since=1&wait_ms=0 HTTP/1.1\r\nHost: a\r\n\r\n").await;
+    assert_eq!(common::status(&follower.receive().await.unwrap()), 503);
+    store.control.set_silent_calls(None);
+    wait_until("version 9", CONFIG_BOUND, || version(reader) == 9).await;
+    wait_until("the reader serves followers again", CONFIG_BOUND, || reader.replica.can_serve_followers())
+        .await;
+}
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -1,7 +1,7 @@
 //! Test stand-in for the platform's object API over HTTP and JSON.
 //!
-//! Faults that can be injected: an outage (new connections are closed without a response), delayed
-//! responses, responses lost after the write was applied, and a change log without its earlier entries,
+//! Faults that can be injected: an outage (new connections are closed without a response), silence (calls are
+//! accepted and never answered), single watches that are never answered, delayed responses, responses lost after the write was applied, and a change log without its earlier entries,
 //! so that watches are rejected.
 
 use crate::hosted::{self, HostedRequest};
@@ -74,6 +74,10 @@
 pub struct PlatformControl {
     /// Whether every new connection is closed without a response.
     pub is_down: AtomicBool,
+    /// Whether calls are accepted and never answered, also not after this is cleared.
+    pub is_silent: AtomicBool,
+    /// Calls that are accepted and never answered, while others are answered.
+    silent_calls: Mutex<Option<SilentCalls>>,
     /// Delay of each response, in milliseconds.
     pub delay_ms: AtomicU64,
     /// Number of upcoming writes that are applied but whose response is lost.
@@ -86,6 +90,37 @@
     calls_by_second: Mutex<BTreeMap<u64, u64>>,
 }
 
+/// Calls that are accepted and never answered. The paths contain a text.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum SilentCalls {
+    /// Watches that wait for changes.
+    WaitingWatches(&'static str),
+    /// All calls.
+    All(&'static str),
+}
+
+impl SilentCalls {
+    fn contains(&self, uri: &http::Uri) -> bool {
+        let waits = |query: &str| query.contains("WaitMs=") && !query.contains("WaitMs=0");
+        match self {
+            Self::WaitingWatches(part) => uri.path().contains(part) && uri.query().is_some_and(waits),
+            Self::All(part) => uri.path().contains(part),
+        }
+    }
+}
+
+impl PlatformControl {
+    /// Replaces the calls that are never answered.
+    pub fn set_silent_calls(&self, calls: Option<SilentCalls>) {
+        *self.silent_calls.lock().unwrap_or_else(PoisonError::into_inner) = calls;
+    }
+
+    fn is_unanswered(&self, uri: &http::Uri) -> bool {
+        let calls = self.silent_calls.lock().unwrap_or_else(PoisonError::into_inner);
+        self.is_silent.load(Ordering::Relaxed) || calls.as_ref().is_some_and(|calls| calls.contains(uri))
+    }
+}
+
 /// A running platform stand-in.
 #[derive(Debug)]
 pub struct PlatformStandin {
@@ -226,6 +261,9 @@
     }
 
     async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Result<Response<Full<Bytes>>> {
+        if self.control.is_unanswered(request.uri()) {
+            std::future::pending::<()>().await;
+        }
         let delay = self.control.delay_ms.load(Ordering::Relaxed);
         if delay > 0 {
             tokio::time::sleep(Duration::from_millis(delay)).await;
