A watch that is never answered no longer holds back changes

Cause: an entry VM that reads the store waits for each watch for up to 28 s + 3 s and concludes from nothing else that it may be lost; a watch that was sent while the store was silent is never answered. Responses for other prefixes, which show that the store is at a later revision, were not used. Class: the state of one call concluded from the success of others. Change: each response shows the store's revision. While a watch waits and the store is at a later revision than the copy of its prefix for 1 s, the changes are read by a cheap call that does not wait and may be served by a stale replica; what it returns is applied and the watch begins again after it. A copy that has reached the store's revision is confirmed without a call.

--- a/crates/platform/src/api.rs
+++ b/crates/platform/src/api.rs
@@ -152,4 +152,14 @@
         since: ObjectVersion,
         wait: Duration,
     ) -> impl Future<Output = Result<EventList>> + Send;
+    /// Returns the changes under a prefix that are newer than revision `since`, without waiting, from a state that
+    /// may be a few seconds old; its revision may be lower than `since`. This costs less than a full call on
+    /// platforms that support stale reads; by default it is a full call.
+    fn poll_stale(
+        &self,
+        prefix: &str,
+        since: ObjectVersion,
+    ) -> impl Future<Output = Result<EventList>> + Send {
+        self.watch(prefix, since, Duration::ZERO)
+    }
 }
--- a/crates/platform/src/transport.rs
+++ b/crates/platform/src/transport.rs
@@ -48,6 +48,8 @@
     ListStale,
     /// Watch for changes under a prefix.
     Watch,
+    /// Read the changes under a prefix from a state that may be a few seconds old, without waiting.
+    PollStale,
     /// Write an object.
     Put,
     /// Delete an object.
@@ -56,7 +58,8 @@
 
 impl CallVerb {
     /// All verbs, in declaration order.
-    pub const ALL: [Self; 6] = [Self::Get, Self::List, Self::ListStale, Self::Watch, Self::Put, Self::Delete];
+    pub const ALL: [Self; 7] =
+        [Self::Get, Self::List, Self::ListStale, Self::Watch, Self::PollStale, Self::Put, Self::Delete];
 
     /// Returns the name used in metrics.
     pub fn as_str(self) -> &'static str {
@@ -65,6 +68,7 @@
             Self::List => "list",
             Self::ListStale => "list-stale",
             Self::Watch => "watch",
+            Self::PollStale => "poll-stale",
             Self::Put => "put",
             Self::Delete => "delete",
         }
--- a/crates/relay/src/replication.rs
+++ b/crates/relay/src/replication.rs
@@ -177,9 +177,11 @@
         self.changed.send_replace(());
     }
 
-    /// Records that the store has just responded.
-    pub fn record_store_contact(&self) {
-        *self.store_contact_at.lock().unwrap_or_else(PoisonError::into_inner) = Some(boot_clock::now());
+    /// Records that the store has just responded, with this revision.
+    pub fn record_store_contact(&self, revision: u64) {
+        let now = boot_clock::now();
+        *self.store_contact_at.lock().unwrap_or_else(PoisonError::into_inner) = Some(now);
+        self.copies.observe_store(revision, now);
     }
 
     /// Records that a reader has just responded.
@@ -414,12 +416,14 @@
     }
 }
 
-/// Checks with a cheap call whether the store responds, and records the response.
+/// Checks with a cheap call whether the store responds, unless it has just responded to another call, and records
+/// the response.
 async fn check_store(state: &RelayState) -> bool {
-    let response = tokio::time::timeout(MAX_CONTACT_AGE, state.store.list_stale(LIVENESS_PREFIX)).await;
-    let has_responded = matches!(response, Ok(Ok(_)));
-    if has_responded {
-        state.replica.record_store_contact();
+    if time_since(&state.replica.store_contact_at).is_some_and(|age| age < STORE_CHECK_INTERVAL / 2) {
+        return true;
     }
-    has_responded
+    let response = tokio::time::timeout(MAX_CONTACT_AGE, state.store.list_stale(LIVENESS_PREFIX)).await;
+    let Ok(Ok(list)) = response else { return false };
+    state.replica.record_store_contact(list.revision);
+    true
 }
--- a/crates/relay/src/store_sync.rs
+++ b/crates/relay/src/store_sync.rs
@@ -45,6 +45,8 @@
 /// Maximum pause between the events of a watch and the next watch: half of the time within which a
 /// change must take effect.
 const MAX_COALESCE_PAUSE: Duration = Duration::from_secs(1);
+/// Time that a watch has to return a change, from the time at which the store is known to be at a later revision.
+const COPY_CHECK_DELAY: Duration = Duration::from_secs(1);
 /// Pause after a reader failed, unless the source changes earlier.
 const READER_FAILURE_PAUSE: Duration = Duration::from_millis(700);
 /// Time without received bytes after which a transfer from an earlier reader is abandoned.
@@ -375,21 +377,30 @@
         };
         match list {
             Ok(list) => {
-                self.state.replica.record_store_contact();
-                Ok(self.apply_list(list, false))
+                let revision = list.revision;
+                let outcome = self.apply_list(list, false);
+                self.state.replica.record_store_contact(revision);
+                Ok(outcome)
             }
             Err(error) => self.load_seed_snapshot(error).await,
         }
     }
 
     async fn watch_store(&mut self, revision: u64) -> Result<WatcherOutcome> {
-        let wait = if self.is_caught_up() { MAX_WATCH_WAIT } else { Duration::ZERO };
+        let (wait, since) = if self.is_caught_up() {
+            (MAX_WATCH_WAIT, self.state.replica.copies().revision(self.prefix).max(revision))
+        } else {
+            (Duration::ZERO, revision)
+        };
         let events = tokio::select! {
-            events = self.state.store.watch(self.prefix, revision, wait) => events?,
+            events = self.state.store.watch(self.prefix, since, wait) => events?,
+            events = find_missed_changes(&self.state, self.prefix, since) => events?,
             Ok(()) = self.source.changed() => return Ok(ReadOutcome::SourceChanged),
         };
-        self.state.replica.record_store_contact();
-        Ok(ReadOutcome::Read(self.apply_events(events)))
+        let revision = events.revision;
+        let changes = self.apply_events(events);
+        self.state.replica.record_store_contact(revision);
+        Ok(ReadOutcome::Read(changes))
     }
 
     /// Loads the objects from a seed if the store is unavailable and this process has not yet read any.
@@ -489,6 +500,39 @@
     }
 }
 
+/// Checks the copy of a prefix, while a watch of it waits, whenever the store is at a later revision. Returns the
+/// changes that the watch has not returned in time; does not return while there are none.
+async fn find_missed_changes(state: &RelayState, prefix: &'static str, mut since: u64) -> Result<EventList> {
+    let mut store_revision = state.replica.copies().subscribe_store_revision();
+    loop {
+        if store_revision.wait_for(|latest| *latest > since).await.is_err() {
+            return std::future::pending().await;
+        }
+        tokio::time::sleep(COPY_CHECK_DELAY).await;
+        match poll_changes(state, prefix, since).await {
+            Ok(list) if list.events.is_empty() => {
+                since = since.max(list.revision);
+                state.replica.copies().confirm(prefix, since, boot_clock::now());
+            }
+            Ok(list) => {
+                log::warn!(prefix, since, revision = list.revision; "the watch has not returned {} changes", list.events.len());
+                return Ok(list);
+            }
+            Err(PlatformError::WatchTooOld) => return Err(PlatformError::WatchTooOld),
+            Err(error) => log::info!(prefix; "cannot check the copy: {error}"),
+        }
+    }
+}
+
+/// Reads changes from a state of the store that may be old, or from the current one if the former does not have
+/// them.
+async fn poll_changes(state: &RelayState, prefix: &str, since: u64) -> Result<EventList> {
+    match state.store.poll_stale(prefix, since).await {
+        Err(PlatformError::WatchTooOld) => state.store.watch(prefix, since, Duration::ZERO).await,
+        result => result,
+    }
+}
+
 /// Finishes a call to an earlier reader as long as bytes of its response arrive. Returns `None` if the call is
 /// abandoned.
 ///
--- a/crates/relay/tests/replication.rs
+++ b/crates/relay/tests/replication.rs
@@ -62,7 +62,7 @@
 async fn replica_serves_followers_only_as_a_reader_with_recent_store_contact() {
     let replica = StoreReplica::default();
     assert!(!replica.can_serve_followers());
-    replica.record_store_contact();
+    replica.record_store_contact(1);
     assert!(!replica.can_serve_followers(), "this entry VM is not a reader");
 }
 
--- a/crates/relay/tests/sync_progress.rs
+++ b/crates/relay/tests/sync_progress.rs
@@ -70,3 +70,24 @@
     ];
     assert_eq!(gauges, expected);
 }
+
+/// A copy is confirmed by a later revision of the store only once it has reached that revision.
+#[test]
+fn copy_that_is_behind_the_store_is_not_confirmed() {
+    let at = Duration::from_secs;
+    let copies = CopyTable::default();
+    copies.confirm("config/", 7, at(1));
+    copies.observe_store(7, at(5));
+    assert_eq!(copies.statuses()["config/"].age(at(6)), Some(at(1)), "nothing has changed since revision 7");
+    copies.confirm("servers/", 9, at(6));
+    copies.observe_store(9, at(10));
+    copies.observe_store(7, at(11));
+    assert_eq!(
+        copies.statuses()["config/"].age(at(12)),
+        Some(at(7)),
+        "revision 9 may be a change of this prefix"
+    );
+    assert_eq!(copies.statuses()["servers/"].age(at(12)), Some(at(1)));
+    copies.confirm("config/", 9, at(12));
+    assert_eq!((copies.revision("config/"), copies.revision("other/")), (9, 0));
+}
