Reads that were sent during an outage of the store begin again when it responds

Callers could see an old configuration for the seconds by which a stale replica of the store lags behind, after an outage (CONFIG). Cause: a call that was sent while the store was silent is waited for, whatever the store answers to other calls; the check of the copy may be served by a stale replica. Change: the first response after a failed call ends all reads of the store that were sent before it, 300 ms later, so that a response that is being received is not abandoned. Conclusion: one more call for each prefix and outage on the entry VMs that read the store, none otherwise.

--- a/crates/relay/src/replication.rs
+++ b/crates/relay/src/replication.rs
@@ -13,7 +13,7 @@
 use sniperelay_node::boot_clock::{self, BootTime};
 use sniperelay_platform::api::{EventList, ObjectEvent, ObjectList, PlatformApi, StoredObject};
 use sniperelay_platform::transport::CallCounters;
-use sniperelay_platform::{CallLimiter, HttpPlatform, PlatformTransport};
+use sniperelay_platform::{CallLimiter, HttpPlatform, PlatformError, PlatformTransport};
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -81,6 +81,10 @@
     changed: watch::Sender<()>,
     /// Time of the last response from the store to this entry VM.
     store_contact_at: Mutex<Option<BootTime>>,
+    /// Whether a call to the store has failed since the last response.
+    is_store_failing: AtomicBool,
+    /// Number of times that the store has responded again after a failed call.
+    recoveries: watch::Sender<u64>,
     /// Time of the last response from a reader.
     reader_contact_at: Mutex<Option<BootTime>>,
     /// Counters of the reads from readers.
@@ -100,6 +104,8 @@
             change_count: AtomicU64::new(0),
             changed: watch::Sender::new(()),
             store_contact_at: Mutex::default(),
+            is_store_failing: AtomicBool::new(false),
+            recoveries: watch::Sender::new(0),
             reader_contact_at: Mutex::default(),
             reader_calls: Arc::default(),
             is_reader: AtomicBool::new(false),
@@ -182,6 +188,20 @@
         let now = boot_clock::now();
         *self.store_contact_at.lock().unwrap_or_else(PoisonError::into_inner) = Some(now);
         self.copies.observe_store(revision, now);
+        if self.is_store_failing.swap(false, Ordering::Relaxed) {
+            self.recoveries.send_modify(|count| *count += 1);
+        }
+    }
+
+    /// Records that a call to the store has failed or got no response in time.
+    pub fn record_store_failure(&self) {
+        self.is_store_failing.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns a receiver that is notified when the store responds again after a failed call. Calls that were sent
+    /// before may never be answered.
+    pub fn subscribe_recoveries(&self) -> watch::Receiver<u64> {
+        self.recoveries.subscribe()
     }
 
     /// Records that a reader has just responded.
@@ -423,7 +443,13 @@
         return true;
     }
     let response = tokio::time::timeout(MAX_CONTACT_AGE, state.store.list_stale(LIVENESS_PREFIX)).await;
-    let Ok(Ok(list)) = response else { return false };
-    state.replica.record_store_contact(list.revision);
-    true
+    match response {
+        Ok(Ok(list)) => {
+            state.replica.record_store_contact(list.revision);
+            return true;
+        }
+        Ok(Err(PlatformError::Throttled(_))) => {}
+        Ok(Err(_)) | Err(_) => state.replica.record_store_failure(),
+    }
+    false
 }
--- a/crates/relay/src/store_sync.rs
+++ b/crates/relay/src/store_sync.rs
@@ -47,6 +47,9 @@
 const MAX_COALESCE_PAUSE: Duration = Duration::from_secs(1);
 /// Time that a watch has to return a change, from the time at which the store is known to be at a later revision.
 const COPY_CHECK_DELAY: Duration = Duration::from_secs(1);
+/// Time after the store responds again in which a call that was sent before may still be answered, so that a large
+/// response that is being received is not requested again.
+const RECOVERY_GRACE: Duration = Duration::from_millis(300);
 /// Pause after a reader failed, unless the source changes earlier.
 const READER_FAILURE_PAUSE: Duration = Duration::from_millis(700);
 /// Time without received bytes after which a transfer from an earlier reader is abandoned.
@@ -359,6 +362,10 @@
                 Vec::new()
             }
             ReadOutcome::SourceChanged => Vec::new(),
+            ReadOutcome::StoreRecovered => {
+                log::info!(prefix = self.prefix; "the store responds again; reading again");
+                Vec::new()
+            }
         }
     }
 
@@ -367,8 +374,23 @@
         let (Ok(_) | Err(_)) = tokio::time::timeout(pause, self.source.changed()).await;
     }
 
-    /// Reads from the store: first a list that may be a few seconds old, then changes.
+    /// Reads from the store: first a list that may be a few seconds old, then changes. Gives up when the store
+    /// responds to another call after an outage, since a call that was sent during the outage may never be answered.
     async fn read_from_store(&mut self) -> Result<WatcherOutcome> {
+        let mut recoveries = self.state.replica.subscribe_recoveries();
+        let recovery = async move {
+            if recoveries.changed().await.is_err() {
+                std::future::pending::<()>().await;
+            }
+            tokio::time::sleep(RECOVERY_GRACE).await;
+        };
+        tokio::select! {
+            outcome = self.call_store() => outcome,
+            () = recovery => Ok(ReadOutcome::StoreRecovered),
+        }
+    }
+
+    async fn call_store(&mut self) -> Result<WatcherOutcome> {
         let store = &self.state.store;
         let list = match self.progress.next_read() {
             NextRead::Watch(revision) => return self.watch_store(revision).await,
@@ -495,6 +517,9 @@
         } else if self.availability.record_failure(boot_clock::now()) {
             log::warn!(prefix = self.prefix; "store lost: {error}");
         }
+        if !is_following && !matches!(error, PlatformError::Throttled(_)) {
+            self.state.replica.record_store_failure();
+        }
         let pause = if is_following { READER_FAILURE_PAUSE } else { STORE_FAILURE_PAUSE };
         self.pause(pause).await;
     }
--- a/crates/relay/src/sync_progress.rs
+++ b/crates/relay/src/sync_progress.rs
@@ -122,6 +122,8 @@
     },
     /// The read was given up because there is a new source.
     SourceChanged,
+    /// The read was given up because the store responded to another call after an outage.
+    StoreRecovered,
 }
 
 /// Whether the store is available, as far as the reads of one prefix show.
@@ -140,7 +142,7 @@
 
     /// Records a read that did not fail. Returns whether an outage ends with it.
     pub fn record_outcome<T>(&mut self, outcome: &ReadOutcome<T>, now: BootTime) -> bool {
-        let has_response = !matches!(outcome, ReadOutcome::SourceChanged);
+        let has_response = matches!(outcome, ReadOutcome::Read(_) | ReadOutcome::OlderList { .. });
         let is_regained = has_response && self.last_failure_at.take().is_some();
         if is_regained {
             self.available_since = Some(now);
--- a/crates/relay/tests/silent_store.rs
+++ b/crates/relay/tests/silent_store.rs
@@ -93,6 +93,24 @@
     wait_until("the new version", CONFIG_BOUND, || version(relay.state()) == 9).await;
 }
 
+/// Guards against a reader that waits for a watch of the time of an outage until a stale replica of the store shows
+/// its changes, which may be seconds later: the store itself has responded again.
+#[tokio::test]
+async fn stale_replica_after_an_outage_does_not_hold_back_the_configuration() {
+    let store = PlatformStandin::start().await.unwrap();
+    store.put("config/main", config("00000001").to_string());
+    store.control.is_silent.store(true, Ordering::Relaxed);
+    let relay = common::start_seeded_relay("vm0", store.address(), &start_seed().await);
+    wait_until("the state of the seed is loaded", HANG_LIMIT, || relay.state().is_ready()).await;
+    let copies = relay.state().replica.copies();
+    let is_watching = || copies.statuses().get("config/").is_some_and(|status| status.read_since.is_some());
+    wait_until("the configuration is watched", HANG_LIMIT, is_watching).await;
+    store.freeze_stale_lists();
+    store.control.is_silent.store(false, Ordering::Relaxed);
+    store.put("config/main", config("00000009").to_string());
+    wait_until("the new version", CONFIG_BOUND, || version(relay.state()) == 9).await;
+}
+
 /// Guards against a watch that is never answered although all other calls are, so that no failed call shows it.
 #[tokio::test]
 async fn single_watch_without_a_response_does_not_hold_back_the_configuration() {
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -210,7 +210,7 @@
         self.changed.send_replace(copy.revision);
     }
 
-    /// From now on, lists that may be old return the objects as they are now.
+    /// From now on, lists and watches that may be old return the objects as they are now.
     pub fn freeze_stale_lists(&self) {
         let frozen = self.list("");
         *self.frozen.lock().unwrap_or_else(PoisonError::into_inner) = Some(frozen);
@@ -227,6 +227,14 @@
         (revision, objects)
     }
 
+    /// Returns the changes under a prefix in the state that [`Self::freeze_stale_lists`] keeps; `None` without one.
+    fn changes_in_frozen(&self, prefix: &str, since: u64) -> Option<EventList> {
+        let revision = self.frozen.lock().unwrap_or_else(PoisonError::into_inner).as_ref()?.0;
+        let mut list = self.changes_since(prefix, since.min(revision))?;
+        list.events.retain(|event| event.version > since && event.version <= revision);
+        Some(EventList { revision, events: list.events })
+    }
+
     /// Returns the largest number of calls received within one second since the start.
     pub fn peak_calls_per_second(&self) -> u64 {
         let counts = self.control.calls_by_second.lock().unwrap_or_else(PoisonError::into_inner);
@@ -301,6 +309,11 @@
             HostedRequest { method: &parts.method, path, query: parts.uri.query().unwrap_or(""), body };
         if let Some(since) = hosted_request.number("Watch") {
             let wait = Duration::from_millis(hosted_request.number("WaitMs").unwrap_or(0));
+            if hosted_request.field("AllowStale") == Some("1")
+                && let Some(list) = self.changes_in_frozen(&format!("{path}/"), since)
+            {
+                return Ok(json_response(StatusCode::OK, &hosted::events_json(list.revision, &list.events)));
+            }
             return Ok(match self.wait_for_changes(&format!("{path}/"), since, wait).await {
                 None => empty_response(StatusCode::GONE),
                 Some(list) => {
