A copy that stands still is noticed by the reader that has it and by its followers

Cause: a reader served followers while any call to the store was answered, and a follower took any response to a liveness check for a proof that its copies are current. Class: the state of one copy concluded from that of others. Change: each copy has an age, since its last confirmation; a reader with a copy older than 2 s serves no followers. The response to a liveness check states the latest change of each prefix that has changed since the last check; a follower that lacks one reads it by a call that does not wait. Lines tell when a copy may be out of date and when it is current again. A reader of an earlier version states nothing, and ignores the new query parameter; its followers rely on their watches as before. Both sides are one change, as the lines would otherwise report every follower between two responses.

--- a/crates/relay/src/copy_status.rs
+++ b/crates/relay/src/copy_status.rs
@@ -1,13 +1,14 @@
 //! How current the local copies of the store's contents are, by prefix.
 //!
 //! Each prefix is read on its own, so a response for one prefix says nothing about the copy of another one. All
-//! responses of the store show its revision, though, which rises with each change under any prefix. A copy that
-//! is complete up to that revision is current; any other one has to be checked.
+//! responses of the store show its revision, though, which rises with each change under any prefix, and readers
+//! state the latest change of each prefix. A copy that is complete up to that revision is current; any other one
+//! has to be checked.
 //!
 //! Invariants:
 //!
-//! - The revision of a copy and the known revision of the store never decrease.
-//! - A copy counts as confirmed only by a response for its prefix, or by a revision of the store that it has reached.
+//! - The revision of a copy, and that of the latest change that may concern it, never decrease.
+//! - A copy counts as confirmed only by a response for its prefix, or by a latest change that it includes.
 //!
 //! Time is passed in; see [`sniperelay_node::boot_clock`].
 
@@ -17,15 +18,23 @@
 use std::time::Duration;
 use tokio::sync::watch;
 
+/// Maximum time since its confirmation at which a copy counts as current. Two thirds of the time within which a
+/// change must be in force after an outage, so that followers have time to use another source.
+pub const MAX_COPY_AGE: Duration = Duration::from_secs(2);
+
 /// State of the copy of one prefix.
 #[derive(Debug, Default, Clone, PartialEq, Eq)]
 pub struct CopyStatus {
     /// Highest revision up to which the copy is complete.
     pub revision: u64,
+    /// Highest known revision at which an object of the prefix may have changed.
+    latest_change: u64,
     /// Time at which the copy was last known to be complete; `None` before the first response.
     pub confirmed_at: Option<BootTime>,
     /// Time since which a read of this prefix has been open; `None` between two reads.
     pub read_since: Option<BootTime>,
+    /// Whether the copy has been reported as out of date.
+    is_reported: bool,
 }
 
 impl CopyStatus {
@@ -33,14 +42,39 @@
     pub fn age(&self, now: BootTime) -> Option<Duration> {
         self.confirmed_at.map(|at| now.saturating_sub(at))
     }
+
+    /// Records the latest change that may concern the copy, and confirms it if it includes that change.
+    fn observe_change(&mut self, revision: u64, now: BootTime) {
+        self.latest_change = self.latest_change.max(revision);
+        if self.revision >= self.latest_change {
+            self.confirmed_at = Some(now);
+        }
+    }
+
+    fn is_current(&self, now: BootTime) -> bool {
+        self.age(now).is_some_and(|age| age < MAX_COPY_AGE)
+    }
+}
+
+/// A copy that has become out of date, or current again.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CopyTransition {
+    /// Prefix of the copy.
+    pub prefix: &'static str,
+    /// Whether the copy is current now.
+    pub is_current: bool,
+    /// Revision up to which the copy is complete.
+    pub revision: u64,
+    /// Time since its last confirmation.
+    pub age: Duration,
 }
 
 /// The copies of all prefixes that this entry VM reads.
 #[derive(Debug, Default)]
 pub struct CopyTable {
     statuses: Mutex<BTreeMap<&'static str, CopyStatus>>,
-    /// Highest revision of the store in any response.
-    store_revision: watch::Sender<u64>,
+    /// Notified when a later change may concern a copy.
+    observed: watch::Sender<()>,
 }
 
 impl CopyTable {
@@ -48,11 +82,6 @@
         self.statuses.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Returns a receiver of the highest known revision of the store.
-    pub fn subscribe_store_revision(&self) -> watch::Receiver<u64> {
-        self.store_revision.subscribe()
-    }
-
     /// Records that a read of a prefix begins.
     pub fn begin_read(&self, prefix: &'static str, now: BootTime) {
         self.lock().entry(prefix).or_default().read_since = Some(now);
@@ -69,26 +98,32 @@
         let status = statuses.entry(prefix).or_default();
         status.revision = status.revision.max(revision);
         status.confirmed_at = Some(now);
-        drop(statuses);
-        self.raise_store_revision(revision);
     }
 
-    /// Records the revision of the store in a response for another prefix, and confirms the copies that have
-    /// reached it.
+    /// Records the revision of the store in any of its responses: up to it, the objects of every prefix may have
+    /// changed.
     pub fn observe_store(&self, revision: u64, now: BootTime) {
-        self.raise_store_revision(revision);
-        let latest = *self.store_revision.borrow();
-        let mut statuses = self.lock();
-        let complete = statuses.values_mut().filter(|status| status.revision >= latest);
-        complete.for_each(|status| status.confirmed_at = Some(now));
+        self.lock().values_mut().for_each(|status| status.observe_change(revision, now));
+        self.observed.send_replace(());
     }
 
-    fn raise_store_revision(&self, revision: u64) {
-        self.store_revision.send_if_modified(|latest| {
-            let is_higher = revision > *latest;
-            *latest = revision.max(*latest);
-            is_higher
-        });
+    /// Records the latest changes that a reader states: those after the revision stated before, by prefix. Other
+    /// prefixes have not changed since.
+    pub fn observe_reader(&self, changes: &BTreeMap<&str, u64>, now: BootTime) {
+        for (prefix, status) in self.lock().iter_mut() {
+            status.observe_change(changes.get(prefix).copied().unwrap_or(0), now);
+        }
+        self.observed.send_replace(());
+    }
+
+    /// Waits until the objects of a prefix may have changed after a revision.
+    pub async fn wait_until_behind(&self, prefix: &str, revision: u64) {
+        let mut observed = self.observed.subscribe();
+        while self.lock().get(prefix).is_none_or(|status| status.latest_change <= revision) {
+            if observed.changed().await.is_err() {
+                return std::future::pending().await;
+            }
+        }
     }
 
     /// Returns the revision up to which the copy of a prefix is complete; 0 before the first response.
@@ -96,6 +131,27 @@
         self.lock().get(prefix).map_or(0, |status| status.revision)
     }
 
+    /// Returns whether all copies have been confirmed within [`MAX_COPY_AGE`]. Copies that have not been read yet do
+    /// not count.
+    pub fn are_current(&self, now: BootTime) -> bool {
+        let statuses = self.lock();
+        statuses.values().filter(|status| status.confirmed_at.is_some()).all(|status| status.is_current(now))
+    }
+
+    /// Returns the copies that have become out of date or current again since the last call.
+    pub fn take_transitions(&self, now: BootTime) -> Vec<CopyTransition> {
+        let mut transitions = Vec::new();
+        for (prefix, status) in self.lock().iter_mut() {
+            let Some(age) = status.age(now) else { continue };
+            let is_current = status.is_current(now);
+            if is_current == status.is_reported {
+                status.is_reported = !is_current;
+                transitions.push(CopyTransition { prefix, is_current, revision: status.revision, age });
+            }
+        }
+        transitions
+    }
+
     /// Returns the gauges of all copies, each with its prefix and its name. Times are in milliseconds; one that has
     /// not begun has no gauge.
     pub fn gauges(&self, now: BootTime) -> Vec<([&'static str; 2], u64)> {
--- a/crates/relay/src/http_api.rs
+++ b/crates/relay/src/http_api.rs
@@ -18,7 +18,6 @@
     CONTENT_TYPE, LOOKUP_PATH, READY_PATH, encode_lookup_response, parse_lookup_query,
 };
 use sniperelay_node::traffic::headers::FORWARDED_BY_PEER;
-use sniperelay_platform::api::ObjectList;
 use sniperelay_platform::content_coding::DEFLATE_CODING;
 use std::convert::Infallible;
 use std::net::SocketAddr;
@@ -120,11 +119,14 @@
     query: &str,
     accepted: ContentCoding,
 ) -> ApiResponse {
+    let query_number = |name: &str| {
+        let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+        pairs.filter(|(key, _)| *key == name).find_map(|(_, value)| value.parse::<u64>().ok())
+    };
     if path == LIVENESS_PATH {
         let can_serve_followers = hold_liveness_check(state).await;
-        let empty = ObjectList { revision: 0, items: Vec::new() };
         return if can_serve_followers {
-            json_response(&empty)
+            json_response(&state.replica.latest_changes(query_number("since").unwrap_or(0)))
         } else {
             text_response(StatusCode::SERVICE_UNAVAILABLE, "not a reader")
         };
@@ -136,10 +138,6 @@
     if !state.replica.can_serve_followers() {
         return text_response(StatusCode::SERVICE_UNAVAILABLE, "not a reader");
     }
-    let query_number = |name: &str| {
-        let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-        pairs.filter(|(key, _)| *key == name).find_map(|(_, value)| value.parse::<u64>().ok())
-    };
     if let Some(prefix) = path.strip_prefix("/list/") {
         return list_response(state, prefix, accepted);
     }
--- a/crates/relay/src/replication.rs
+++ b/crates/relay/src/replication.rs
@@ -2,13 +2,14 @@
 //!
 //! A few entry VMs, the largest ones, are readers: they read the store. The others are followers:
 //! each follows one reader and reads the store itself only when no reader responds. A reader serves
-//! followers only if it has recently had a response from the store, so that no entry VM follows a
-//! reader that is cut off from the store. Readers relay objects unchanged, with the versions that
+//! followers only if it has recently had a response from the store and its copies of all prefixes are
+//! current, so that no entry VM follows a reader that is cut off from the store or stands still. Readers relay objects unchanged, with the versions that
 //! the store gave them. A follower never returns to a revision before the one it has reached.
 
-use crate::copy_status::CopyTable;
+use crate::copy_status::{CopyTable, CopyTransition};
 use crate::shared_state::RelayState;
 use sniperelay_core::home::{SizedCandidate, choose_homes_by_capacity};
+use sniperelay_core::ids::IncarnationId;
 use sniperelay_hosted::registration::EntryVmRecord;
 use sniperelay_node::boot_clock::{self, BootTime};
 use sniperelay_platform::api::{EventList, ObjectEvent, ObjectList, PlatformApi, StoredObject};
@@ -59,6 +60,15 @@
     Reader(SocketAddr),
 }
 
+impl std::fmt::Display for StoreSource {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Direct => f.write_str("the store"),
+            Self::Reader(address) => write!(f, "reader {address}"),
+        }
+    }
+}
+
 /// Local copy of the objects under one prefix.
 #[derive(Debug, Default)]
 struct PrefixReplica {
@@ -69,6 +79,8 @@
     change_log: VecDeque<ObjectEvent>,
     /// Revision up to which changes have been dropped from the change log.
     compacted_revision: u64,
+    /// Revision of the latest change that may be in the copy.
+    latest_change: u64,
 }
 
 /// Local copy of the store's contents, and the source from which it is updated.
@@ -126,6 +138,11 @@
         self.source.subscribe()
     }
 
+    /// Returns the current source.
+    pub fn source(&self) -> StoreSource {
+        *self.source.borrow()
+    }
+
     /// Returns the counters of the reads from readers.
     pub fn reader_calls(&self) -> &Arc<CallCounters> {
         &self.reader_calls
@@ -165,6 +182,7 @@
             objects,
             change_log: VecDeque::new(),
             compacted_revision: list.revision,
+            latest_change: list.revision,
         };
         self.lock_prefixes().insert(prefix.to_owned(), replica);
         self.changed.send_replace(());
@@ -215,11 +233,26 @@
         time_since(&self.store_contact_at).into_iter().chain(time_since(&self.reader_contact_at)).min()
     }
 
-    /// Returns whether this entry VM is a reader, reads the store itself and has had a response from it
-    /// within `MAX_CONTACT_AGE`.
+    /// Returns whether this entry VM is a reader, reads the store itself, has had a response from it within
+    /// `MAX_CONTACT_AGE`, and has current copies of all prefixes.
     pub fn can_serve_followers(&self) -> bool {
         let is_recent = time_since(&self.store_contact_at).is_some_and(|age| age < MAX_CONTACT_AGE);
-        is_recent && self.is_reader() && matches!(*self.source.borrow(), StoreSource::Direct)
+        let is_direct = matches!(self.source(), StoreSource::Direct);
+        is_recent && self.is_reader() && is_direct && self.copies.are_current(boot_clock::now())
+    }
+
+    /// Returns the latest change of each prefix that has changed after revision `since`, as objects without a value
+    /// whose keys are the prefixes. The revision of the list is the latest change of all prefixes.
+    pub fn latest_changes(&self, since: u64) -> ObjectList {
+        let prefixes = self.lock_prefixes();
+        let revision = prefixes.values().map(|replica| replica.latest_change).max().unwrap_or(0);
+        let changed = prefixes.iter().filter(|(_, replica)| replica.latest_change > since);
+        let items = changed.map(|(prefix, replica)| StoredObject {
+            key: prefix.clone(),
+            version: replica.latest_change,
+            value: String::new(),
+        });
+        ObjectList { revision, items: items.collect() }
     }
 
     /// Returns all objects under a prefix, or `None` if the prefix has not been read yet.
@@ -298,6 +331,7 @@
             }
             None => drop(self.objects.remove(&event.key)),
         }
+        self.latest_change = self.latest_change.max(event.version);
         self.change_log.push_back(event.clone());
         while self.change_log.len() > CHANGE_LOG_CAPACITY {
             self.compacted_revision =
@@ -342,7 +376,9 @@
 pub async fn maintain_source(state: Arc<RelayState>) {
     let mut reader_index = state.incarnation as usize;
     let mut failures = 0;
+    let mut stated = StatedChange::default();
     loop {
+        log_copy_transitions(&state);
         let mut readers = choose_readers(&state);
         let count = readers.len();
         readers.retain(|reader| reader.name != state.settings.entry.name);
@@ -356,7 +392,7 @@
             tokio::time::sleep(STORE_CHECK_INTERVAL).await;
             continue;
         }
-        if try_follow_reader(&state, &readers[reader_index % readers.len()]).await {
+        if try_follow_reader(&state, &readers[reader_index % readers.len()], &mut stated).await {
             state.replica.is_store_unavailable.store(false, Ordering::Relaxed);
             failures = 0;
             continue;
@@ -379,6 +415,21 @@
     }
 }
 
+/// Logs copies that have become out of date, or current again, since the last call.
+fn log_copy_transitions(state: &RelayState) {
+    let source = state.replica.source();
+    for CopyTransition { prefix, is_current, revision, age } in
+        state.replica.copies.take_transitions(boot_clock::now())
+    {
+        let age_ms = age.as_millis() as u64;
+        if is_current {
+            log::info!(prefix, revision, age_ms; "copy is current again, source {source}");
+        } else {
+            log::warn!(prefix, revision, age_ms; "copy may be out of date, source {source}");
+        }
+    }
+}
+
 /// Chooses the readers: the entry VMs with the highest capacity, spread over failure domains.
 /// Unresponsive entry VMs are not chosen.
 fn choose_readers(state: &RelayState) -> Vec<EntryVmRecord> {
@@ -395,22 +446,44 @@
 }
 
 /// Sends a liveness check to a reader and follows it if it responds. Returns whether it responded.
-async fn try_follow_reader(state: &RelayState, reader: &EntryVmRecord) -> bool {
+///
+/// `stated` is the latest change that the reader has stated in an earlier check; the response contains the changes
+/// after it.
+async fn try_follow_reader(state: &RelayState, reader: &EntryVmRecord, stated: &mut StatedChange) -> bool {
     let address = reader.peer_address;
-    let is_followed =
-        matches!(*state.replica.source.borrow(), StoreSource::Reader(followed) if followed == address);
+    let is_followed = matches!(state.replica.source(), StoreSource::Reader(followed) if followed == address);
+    let since = stated.revision_of(reader.incarnation);
     let check = make_entry_vm_client(address);
-    let response =
-        tokio::time::timeout(LIVENESS_CHECK_HOLD + LIVENESS_CHECK_MARGIN, check.list(LIVENESS_PREFIX)).await;
-    let has_responded = matches!(response, Ok(Ok(_)));
-    if has_responded {
-        state.replica.record_reader_contact();
-    }
-    if has_responded && !is_followed {
+    let path = format!("{LIVENESS_PREFIX}?since={since}");
+    let response = tokio::time::timeout(LIVENESS_CHECK_HOLD + LIVENESS_CHECK_MARGIN, check.list(&path)).await;
+    let Ok(Ok(list)) = response else { return false };
+    state.replica.record_reader_contact();
+    // A reader of an earlier version states nothing; its followers rely on the responses to their watches.
+    if list.revision > 0 {
+        let changes = list.items.iter().map(|item| (item.key.as_str(), item.version));
+        state.replica.copies.observe_reader(&changes.collect(), boot_clock::now());
+        *stated = StatedChange { reader: Some(reader.incarnation), revision: list.revision };
+    }
+    if !is_followed {
         log::info!(reader = reader.name.as_str(); "store followed through {}", reader.name);
         state.replica.source.send_replace(StoreSource::Reader(address));
     }
-    has_responded
+    true
+}
+
+/// Latest change that a reader has stated.
+#[derive(Debug, Default)]
+struct StatedChange {
+    /// Process of the reader.
+    reader: Option<IncarnationId>,
+    revision: u64,
+}
+
+impl StatedChange {
+    /// Returns the latest change that this reader has stated; 0 if another one was asked before.
+    fn revision_of(&self, reader: IncarnationId) -> u64 {
+        if self.reader == Some(reader) { self.revision } else { 0 }
+    }
 }
 
 /// Creates a client for reads from the reader at `address`, whose calls `counters` counts.
@@ -430,7 +503,7 @@
 }
 
 fn switch_to_direct(state: &RelayState, reason: &str) {
-    if !matches!(*state.replica.source.borrow(), StoreSource::Direct) {
+    if !matches!(state.replica.source(), StoreSource::Direct) {
         log::info!("store read directly: {reason}");
         state.replica.source.send_replace(StoreSource::Direct);
     }
--- a/crates/relay/src/store_sync.rs
+++ b/crates/relay/src/store_sync.rs
@@ -45,7 +45,7 @@
 /// Maximum pause between the events of a watch and the next watch: half of the time within which a
 /// change must take effect.
 const MAX_COALESCE_PAUSE: Duration = Duration::from_secs(1);
-/// Time that a watch has to return a change, from the time at which the store is known to be at a later revision.
+/// Time that a watch has to return a change, from the time at which its source is known to have later ones.
 const COPY_CHECK_DELAY: Duration = Duration::from_secs(1);
 /// Time after the store responds again in which a call that was sent before may still be answered, so that a large
 /// response that is being received is not requested again.
@@ -377,13 +377,7 @@
     /// Reads from the store: first a list that may be a few seconds old, then changes. Gives up when the store
     /// responds to another call after an outage, since a call that was sent during the outage may never be answered.
     async fn read_from_store(&mut self) -> Result<WatcherOutcome> {
-        let mut recoveries = self.state.replica.subscribe_recoveries();
-        let recovery = async move {
-            if recoveries.changed().await.is_err() {
-                std::future::pending::<()>().await;
-            }
-            tokio::time::sleep(RECOVERY_GRACE).await;
-        };
+        let recovery = wait_for_recovery(self.state.clone());
         tokio::select! {
             outcome = self.call_store() => outcome,
             () = recovery => Ok(ReadOutcome::StoreRecovered),
@@ -414,9 +408,10 @@
         } else {
             (Duration::ZERO, revision)
         };
+        let poll = |since| poll_store(&self.state, self.prefix, since);
         let events = tokio::select! {
             events = self.state.store.watch(self.prefix, since, wait) => events?,
-            events = find_missed_changes(&self.state, self.prefix, since) => events?,
+            events = find_missed_changes(&self.state, self.prefix, since, poll) => events?,
             Ok(()) = self.source.changed() => return Ok(ReadOutcome::SourceChanged),
         };
         let revision = events.revision;
@@ -444,9 +439,11 @@
             let list = reader.list(self.prefix).await?;
             return Ok(self.apply_list(list, true));
         };
+        let poll = |since| reader.watch(self.prefix, since, Duration::ZERO);
         let mut watch = pin!(reader.watch(self.prefix, revision, MAX_READER_WATCH_WAIT));
         let events = tokio::select! {
             events = &mut watch => Some(events),
+            events = find_missed_changes(&self.state, self.prefix, revision, poll) => Some(events),
             Ok(()) = self.source.changed() => finish_transfer(reader, watch).await,
         };
         match events {
@@ -525,16 +522,27 @@
     }
 }
 
-/// Checks the copy of a prefix, while a watch of it waits, whenever the store is at a later revision. Returns the
-/// changes that the watch has not returned in time; does not return while there are none.
-async fn find_missed_changes(state: &RelayState, prefix: &'static str, mut since: u64) -> Result<EventList> {
-    let mut store_revision = state.replica.copies().subscribe_store_revision();
+/// Waits until the store responds again after a failed call, and [`RECOVERY_GRACE`] longer.
+async fn wait_for_recovery(state: Arc<RelayState>) {
+    let mut recoveries = state.replica.subscribe_recoveries();
+    if recoveries.changed().await.is_err() {
+        return std::future::pending().await;
+    }
+    tokio::time::sleep(RECOVERY_GRACE).await;
+}
+
+/// Checks the copy of a prefix by `poll`, while a watch of it waits, whenever its source has later changes. Returns
+/// the changes that the watch has not returned in time; does not return while there are none.
+async fn find_missed_changes<P: Future<Output = Result<EventList>>>(
+    state: &RelayState,
+    prefix: &'static str,
+    mut since: u64,
+    poll: impl Fn(u64) -> P,
+) -> Result<EventList> {
     loop {
-        if store_revision.wait_for(|latest| *latest > since).await.is_err() {
-            return std::future::pending().await;
-        }
+        state.replica.copies().wait_until_behind(prefix, since).await;
         tokio::time::sleep(COPY_CHECK_DELAY).await;
-        match poll_changes(state, prefix, since).await {
+        match poll(since).await {
             Ok(list) if list.events.is_empty() => {
                 since = since.max(list.revision);
                 state.replica.copies().confirm(prefix, since, boot_clock::now());
@@ -551,7 +559,7 @@
 
 /// Reads changes from a state of the store that may be old, or from the current one if the former does not have
 /// them.
-async fn poll_changes(state: &RelayState, prefix: &str, since: u64) -> Result<EventList> {
+async fn poll_store(state: &RelayState, prefix: &str, since: u64) -> Result<EventList> {
     match state.store.poll_stale(prefix, since).await {
         Err(PlatformError::WatchTooOld) => state.store.watch(prefix, since, Duration::ZERO).await,
         result => result,
--- a/crates/relay/tests/silent_store.rs
+++ b/crates/relay/tests/silent_store.rs
@@ -3,15 +3,18 @@
 mod common;
 
 use common::{config, read_message};
+use sniperelay_hosted::registration::encode_entry_vm;
 use sniperelay_platform::api::{ObjectList, StoredObject};
 use sniperelay_relay::RunningRelay;
+use sniperelay_relay::replication::StoreSource;
 use sniperelay_relay::shared_state::RelayState;
 use sniperelay_standin::platform::{PlatformStandin, SilentCalls};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 
 /// Time after which a configuration must be in force on an entry VM that reaches the store: `Contact` (3 s) and
 /// `ConfigApply` (2 s) of the platform's bounds.
@@ -145,3 +148,52 @@
     wait_until("the reader serves followers again", CONFIG_BOUND, || reader.replica.can_serve_followers())
         .await;
 }
+
+/// Guards against a follower that keeps an old copy because its watch at a reader is never answered, while the reader
+/// responds to its liveness checks.
+#[tokio::test]
+async fn follower_whose_watch_gets_no_response_receives_the_configuration() {
+    let (store, relays) = start_fleet(4).await;
+    let reader_count = || relays.iter().filter(|relay| relay.state().replica.is_reader()).count();
+    wait_until("three readers are chosen", HANG_LIMIT, || reader_count() == 3).await;
+    let follower = relays.iter().find(|relay| !relay.state().replica.is_reader()).unwrap().state();
+    // All readers are reached through proxies that answer no watch of the configuration that waits.
+    for relay in relays.iter().filter(|relay| relay.state().replica.is_reader()) {
+        let mut record = relay.state().own_record();
+        record.peer_address = start_silent_watch_proxy(record.peer_address).await;
+        record.capacity += 1;
+        store.put(&format!("sniperelay-entry-vms/{}", record.name), encode_entry_vm(&record));
+    }
+    let source = || *follower.replica.subscribe_source().borrow();
+    let is_proxy = |address| relays.iter().all(|relay| relay.state().own_record().peer_address != address);
+    wait_until(
+        "a proxy is followed",
+        HANG_LIMIT,
+        || matches!(source(), StoreSource::Reader(address) if is_proxy(address)),
+    )
+    .await;
+    store.put("config/main", config("00000009").to_string());
+    wait_until("the new version", CONFIG_BOUND, || version(follower) == 9).await;
+}
+
+/// Starts a proxy for one request a connection that never answers watches of the configuration that wait.
+async fn start_silent_watch_proxy(to: SocketAddr) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            tokio::spawn(async move {
+                let mut buffer = Vec::new();
+                let Some(request) = read_message(&mut stream, &mut buffer).await else { return };
+                let path = request.split_whitespace().nth(1).unwrap_or_default();
+                if path.starts_with("/watch/config/") && !path.contains("wait_ms=0") {
+                    std::future::pending::<()>().await;
+                }
+                let mut upstream = TcpStream::connect(to).await.unwrap();
+                upstream.write_all(format!("{}\r\n\r\n", request.trim_end()).as_bytes()).await.unwrap();
+                drop(tokio::io::copy_bidirectional(&mut stream, &mut upstream).await);
+            });
+        }
+    });
+    address
+}
--- a/crates/relay/tests/sync_progress.rs
+++ b/crates/relay/tests/sync_progress.rs
@@ -1,7 +1,8 @@
 //! Tests of the progress of reading the store, without a network.
 
-use sniperelay_relay::copy_status::CopyTable;
+use sniperelay_relay::copy_status::{CopyTable, CopyTransition};
 use sniperelay_relay::sync_progress::{NextRead, ReadOutcome, StoreAvailability, SyncProgress};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 /// A reader that is behind another one, for example after a change of the reader during a compaction.
@@ -91,3 +92,26 @@
     copies.confirm("config/", 9, at(12));
     assert_eq!((copies.revision("config/"), copies.revision("other/")), (9, 0));
 }
+
+/// A reader states the changes since its earlier statement. Those that a follower lacks leave its copy unconfirmed.
+#[test]
+fn copy_without_a_change_that_its_reader_states_is_not_confirmed() {
+    let at = Duration::from_secs;
+    let copies = CopyTable::default();
+    copies.confirm("config/", 7, at(1));
+    copies.confirm("servers/", 7, at(1));
+    copies.observe_reader(&BTreeMap::from([("config/", 9)]), at(3));
+    copies.observe_reader(&BTreeMap::new(), at(6));
+    assert_eq!(copies.statuses()["config/"].age(at(6)), Some(at(5)));
+    assert_eq!(copies.statuses()["servers/"].age(at(6)), Some(at(0)));
+    assert!(!copies.are_current(at(6)));
+    let transitions = copies.take_transitions(at(6));
+    let expected = CopyTransition { prefix: "config/", is_current: false, revision: 7, age: at(5) };
+    assert_eq!(transitions, [expected]);
+    copies.confirm("config/", 9, at(7));
+    assert!(copies.are_current(at(7)));
+    let transitions = copies.take_transitions(at(7));
+    let expected = CopyTransition { prefix: "config/", is_current: true, revision: 9, age: at(0) };
+    assert_eq!(transitions, [expected]);
+    assert_eq!(copies.take_transitions(at(7)), [], "each change is returned once");
+}
