After an outage, only entry VMs that stay with the store read it again at once

Change: only those that are chosen as readers, or know no other entry VM, read again at once. The others check their copies twice as late, if they have not found a reader by then.

--- a/crates/relay/src/replication.rs
+++ b/crates/relay/src/replication.rs
@@ -102,6 +102,8 @@
     /// Counters of the reads from readers.
     reader_calls: Arc<CallCounters>,
     is_reader: AtomicBool,
+    /// Whether this entry VM reads the store even if another one could be followed.
+    must_read_store: AtomicBool,
     /// Whether neither a reader nor the store responded to the last check.
     is_store_unavailable: AtomicBool,
     source: watch::Sender<StoreSource>,
@@ -121,6 +123,7 @@
             reader_contact_at: Mutex::default(),
             reader_calls: Arc::default(),
             is_reader: AtomicBool::new(false),
+            must_read_store: AtomicBool::new(true),
             is_store_unavailable: AtomicBool::new(false),
             source: watch::Sender::new(StoreSource::Direct),
             copies: Arc::default(),
@@ -158,6 +161,12 @@
         self.is_reader.load(Ordering::Relaxed)
     }
 
+    /// Returns whether this entry VM reads the store even if another one could be followed: it is one of the entry VMs
+    /// that are chosen as readers, or knows no other reader.
+    pub fn must_read_store(&self) -> bool {
+        self.must_read_store.load(Ordering::Relaxed)
+    }
+
     /// Returns whether neither a reader nor the store responded to the last check.
     pub fn is_store_unavailable(&self) -> bool {
         self.is_store_unavailable.load(Ordering::Relaxed)
@@ -386,6 +395,7 @@
         let is_settled = state.is_membership_settled.load(Ordering::Relaxed);
         state.replica.is_reader.store(is_reader && is_settled, Ordering::Relaxed);
         let must_read = is_reader || readers.is_empty();
+        state.replica.must_read_store.store(must_read, Ordering::Relaxed);
         if must_read && (check_store(&state).await || readers.is_empty()) {
             failures = 0;
             switch_to_direct(&state, "this entry VM is a reader, or no other reader is known");
--- a/crates/relay/src/store_sync.rs
+++ b/crates/relay/src/store_sync.rs
@@ -522,13 +522,18 @@
     }
 }
 
-/// Waits until the store responds again after a failed call, and [`RECOVERY_GRACE`] longer.
+/// Waits until the store responds again after a failed call, and [`RECOVERY_GRACE`] longer. Does not return on an entry
+/// VM that is about to follow a reader: if the whole fleet read the store at once, most calls would exceed its rate.
 async fn wait_for_recovery(state: Arc<RelayState>) {
     let mut recoveries = state.replica.subscribe_recoveries();
-    if recoveries.changed().await.is_err() {
-        return std::future::pending().await;
+    loop {
+        if recoveries.changed().await.is_err() {
+            return std::future::pending().await;
+        }
+        if state.replica.must_read_store() {
+            return tokio::time::sleep(RECOVERY_GRACE).await;
+        }
     }
-    tokio::time::sleep(RECOVERY_GRACE).await;
 }
 
 /// Checks the copy of a prefix by `poll`, while a watch of it waits, whenever its source has later changes. Returns
@@ -541,7 +546,9 @@
 ) -> Result<EventList> {
     loop {
         state.replica.copies().wait_until_behind(prefix, since).await;
-        tokio::time::sleep(COPY_CHECK_DELAY).await;
+        let is_source_temporary =
+            matches!(state.replica.source(), StoreSource::Direct) && !state.replica.must_read_store();
+        tokio::time::sleep(if is_source_temporary { 2 * COPY_CHECK_DELAY } else { COPY_CHECK_DELAY }).await;
         match poll(since).await {
             Ok(list) if list.events.is_empty() => {
                 since = since.max(list.revision);
