--- a/crates/standin/src/hosted.rs
+++ b/crates/standin/src/hosted.rs
@@ -4,6 +4,8 @@
 
 use crate::platform::PlatformStandin;
 use http::{Method, StatusCode};
+use serde::Serialize;
+use serde_json::value::{RawValue, to_raw_value};
 use serde_json::{Value, json};
 use sniperelay_platform::api::{ObjectEvent, StoredObject};
 
@@ -46,61 +48,55 @@
 pub fn handle_request(
     standin: &PlatformStandin,
     request: &HostedRequest<'_>,
-) -> anyhow::Result<(StatusCode, Value)> {
+) -> anyhow::Result<(StatusCode, Box<RawValue>)> {
     let is_object = request.path.contains('/');
     match (request.method, is_object) {
-        (&Method::GET, true) => Ok(get_object(standin, request.path)),
-        (&Method::GET, false) => Ok(list_objects(standin, request)),
+        (&Method::GET, true) => get_object(standin, request.path),
+        (&Method::GET, false) => list_objects(standin, request),
         (&Method::POST, false) => create_object(standin, request),
         (&Method::PUT, true) => replace_object(standin, request),
         (&Method::DELETE, true) => write_object(standin, request.path, request.number("Rev"), None),
-        _ => Ok((StatusCode::BAD_REQUEST, Value::Null)),
+        _ => Ok((StatusCode::BAD_REQUEST, to_raw_value(&())?)),
     }
 }
 
 /// Returns the body of a watch response.
-pub fn events_json(revision: u64, events: &[ObjectEvent]) -> Value {
-    let written = events.iter().map(|event| {
-        let object = object_json(&event.key, event.version, event.value.as_deref());
-        json!({ "Object": object, "Deleted": event.value.is_none() })
+pub fn events_body(revision: u64, events: &[ObjectEvent]) -> impl Serialize {
+    let written = events.iter().map(|event| HostedEvent {
+        object: HostedObject::new(&event.key, event.version, event.value.as_deref()),
+        is_deleted: event.value.is_none(),
     });
-    json!({ "events": written.collect::<Vec<_>>(), "StoreRevision": revision })
+    HostedEvents { events: written.collect(), revision }
 }
 
-fn get_object(standin: &PlatformStandin, key: &str) -> (StatusCode, Value) {
-    match standin.get(key) {
-        Some(object) => (StatusCode::OK, stored_json(&object)),
-        None => (StatusCode::NOT_FOUND, Value::Null),
-    }
+fn get_object(standin: &PlatformStandin, key: &str) -> HostedResponse {
+    Ok(match standin.get(key) {
+        Some(object) => (StatusCode::OK, to_raw_value(&HostedObject::stored(&object))?),
+        None => (StatusCode::NOT_FOUND, to_raw_value(&())?),
+    })
 }
 
-fn list_objects(standin: &PlatformStandin, request: &HostedRequest<'_>) -> (StatusCode, Value) {
+fn list_objects(standin: &PlatformStandin, request: &HostedRequest<'_>) -> HostedResponse {
     let prefix = format!("{}/", request.path);
     let after = request.field("after").map(|name| format!("{prefix}{name}"));
     let may_be_old = request.field("AllowStale") == Some("1");
     let (revision, objects) = if may_be_old { standin.list_stale(&prefix) } else { standin.list(&prefix) };
     let rest = objects.iter().filter(|object| after.as_ref().is_none_or(|after| object.key > *after));
-    let page: Vec<Value> = rest.clone().take(MAX_PAGE_ITEMS).map(stored_json).collect();
-    let has_more = rest.count() > page.len();
-    (StatusCode::OK, json!({ "items": page, "HasMore": has_more, "StoreRevision": revision }))
+    let items: Vec<HostedObject> = rest.clone().take(MAX_PAGE_ITEMS).map(HostedObject::stored).collect();
+    let has_more = rest.count() > items.len();
+    Ok((StatusCode::OK, to_raw_value(&HostedPage { items, has_more, revision })?))
 }
 
-fn create_object(
-    standin: &PlatformStandin,
-    request: &HostedRequest<'_>,
-) -> anyhow::Result<(StatusCode, Value)> {
+fn create_object(standin: &PlatformStandin, request: &HostedRequest<'_>) -> HostedResponse {
     let object: Value = serde_json::from_str(request.body)?;
     let name = object["Metadata"]["Name"].as_str().unwrap_or("");
     write_object(standin, &format!("{}/{name}", request.path), Some(0), Some(object["Spec"].to_string()))
 }
 
-fn replace_object(
-    standin: &PlatformStandin,
-    request: &HostedRequest<'_>,
-) -> anyhow::Result<(StatusCode, Value)> {
+fn replace_object(standin: &PlatformStandin, request: &HostedRequest<'_>) -> HostedResponse {
     let object: Value = serde_json::from_str(request.body)?;
     if standin.get(request.path).is_none() {
-        return Ok((StatusCode::NOT_FOUND, Value::Null));
+        return Ok((StatusCode::NOT_FOUND, to_raw_value(&())?));
     }
     write_object(standin, request.path, object["Metadata"]["Rev"].as_u64(), Some(object["Spec"].to_string()))
 }
@@ -110,29 +106,67 @@
     key: &str,
     expected: Option<u64>,
     value: Option<String>,
-) -> anyhow::Result<(StatusCode, Value)> {
-    match standin.write(key, expected, value.clone())? {
-        Ok(version) => Ok((StatusCode::OK, object_json(key, version, value.as_deref()))),
-        Err(0) if expected == Some(0) || value.is_none() => Ok((StatusCode::NOT_FOUND, Value::Null)),
+) -> HostedResponse {
+    Ok(match standin.write(key, expected, value.clone())? {
+        Ok(version) => (StatusCode::OK, to_raw_value(&HostedObject::new(key, version, value.as_deref()))?),
+        Err(0) if expected == Some(0) || value.is_none() => (StatusCode::NOT_FOUND, to_raw_value(&())?),
         Err(_) => {
-            let current = standin.get(key).map_or(Value::Null, |object| stored_json(&object));
-            Ok((StatusCode::CONFLICT, current))
+            let current = standin.get(key).map(|object| HostedObject::stored(&object));
+            (StatusCode::CONFLICT, to_raw_value(&current)?)
         }
-    }
+    })
 }
 
-fn stored_json(object: &StoredObject) -> Value {
-    object_json(&object.key, object.version, Some(&object.value))
+/// Status and body of a response.
+type HostedResponse = anyhow::Result<(StatusCode, Box<RawValue>)>;
+
+#[derive(Serialize)]
+struct HostedPage {
+    items: Vec<HostedObject>,
+    #[serde(rename = "HasMore")]
+    has_more: bool,
+    #[serde(rename = "StoreRevision")]
+    revision: u64,
 }
 
-fn object_json(key: &str, version: u64, value: Option<&str>) -> Value {
-    let name = key.split_once('/').map_or(key, |(_, name)| name);
-    // A value that is not JSON is returned as a string, like data stored by another writer.
-    let spec =
-        value.map(|text| serde_json::from_str(text).unwrap_or_else(|_| Value::String(text.to_owned())));
-    json!({
-        "Metadata": { "Name": name, "Rev": version, "Created": version, "Finalizers": [], "DeletionPending": false },
-        "Spec": spec,
-        "Status": null,
-    })
+#[derive(Serialize)]
+struct HostedEvents {
+    events: Vec<HostedEvent>,
+    #[serde(rename = "StoreRevision")]
+    revision: u64,
+}
+
+#[derive(Serialize)]
+struct HostedEvent {
+    #[serde(rename = "Object")]
+    object: HostedObject,
+    #[serde(rename = "Deleted")]
+    is_deleted: bool,
+}
+
+/// An object as the platform sends it. Its value is sent as it was written, whatever it holds.
+#[derive(Serialize)]
+struct HostedObject {
+    #[serde(rename = "Metadata")]
+    metadata: Value,
+    #[serde(rename = "Spec")]
+    value: Option<Box<RawValue>>,
+    #[serde(rename = "Status")]
+    status: (),
+}
+
+impl HostedObject {
+    fn stored(object: &StoredObject) -> Self {
+        Self::new(&object.key, object.version, Some(&object.value))
+    }
+
+    fn new(key: &str, version: u64, value: Option<&str>) -> Self {
+        let name = key.split_once('/').map_or(key, |(_, name)| name);
+        // A value that is not JSON is sent as a string, like data stored by another writer.
+        let raw = |text: &str| RawValue::from_string(text.to_owned()).or_else(|_| to_raw_value(text)).ok();
+        let metadata = json!({
+            "Name": name, "Rev": version, "Created": version, "Finalizers": [], "DeletionPending": false,
+        });
+        Self { metadata, value: value.and_then(raw), status: () }
+    }
 }
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -312,12 +312,12 @@
             if hosted_request.field("AllowStale") == Some("1")
                 && let Some(list) = self.changes_in_frozen(&format!("{path}/"), since)
             {
-                return Ok(json_response(StatusCode::OK, &hosted::events_json(list.revision, &list.events)));
+                return Ok(json_response(StatusCode::OK, &hosted::events_body(list.revision, &list.events)));
             }
             return Ok(match self.wait_for_changes(&format!("{path}/"), since, wait).await {
                 None => empty_response(StatusCode::GONE),
                 Some(list) => {
-                    json_response(StatusCode::OK, &hosted::events_json(list.revision, &list.events))
+                    json_response(StatusCode::OK, &hosted::events_body(list.revision, &list.events))
                 }
             });
         }
