Entries with the largest numbers no longer overflow sums of slots

Here: the slots of targets are added up as 32-bit numbers; with two entries of 2^32 - 1 slots the sum overflows. A debug build panics, which ends the task that follows the targets for good; a release build counts with a wrapped sum and chooses too few homes. Deep nesting, numbers out of range, duplicate keys and port 65536 do no harm: such an entry names no target.

--- a/crates/core/src/target.rs
+++ b/crates/core/src/target.rs
@@ -315,7 +315,8 @@
 
     /// Returns the total number of slots that this entry VM may use at all usable targets.
     pub fn usable_slots(&self) -> u32 {
-        self.targets.values().filter(|target| target.is_usable()).map(TargetState::limit).sum()
+        let usable = self.targets.values().filter(|target| target.is_usable());
+        usable.fold(0, |total, target| total.saturating_add(target.limit()))
     }
 
     /// Returns whether this entry VM owns slots of any target.
--- a/crates/core/src/target/state.rs
+++ b/crates/core/src/target/state.rs
@@ -179,10 +179,10 @@
     /// it owns or has borrowed, without those that it has lent and those that other entry VMs use beyond
     /// their own share.
     pub fn limit(&self) -> u32 {
-        let granted = self.owned_slots + self.borrowed.len() as u32;
+        let granted = self.owned_slots.saturating_add(self.borrowed.len() as u32);
         let foreign_share = self.total_slots.saturating_sub(granted);
         let foreign_excess = self.foreign_in_flight.saturating_sub(foreign_share);
-        let used = foreign_excess + self.lent.len() as u32;
+        let used = foreign_excess.saturating_add(self.lent.len() as u32);
         granted.saturating_sub(used).min(self.ramp_limit as u32)
     }
 
@@ -281,7 +281,7 @@
     /// Returns the fraction of this entry VM's owned and borrowed slots that is used by its own
     /// requests or, as last reported, by other entry VMs.
     pub fn occupancy(&self) -> f64 {
-        let granted = self.owned_slots + self.borrowed.len() as u32;
+        let granted = self.owned_slots.saturating_add(self.borrowed.len() as u32);
         f64::from(self.in_flight + self.foreign_in_flight) / f64::from(granted.max(1))
     }
 
--- a/crates/relay/src/shared_state/placement.rs
+++ b/crates/relay/src/shared_state/placement.rs
@@ -163,7 +163,8 @@
     fn slots_behind(&self, host: &str, targets: &TargetMap) -> u32 {
         let Some(routes) = self.routes.load_full() else { return 0 };
         let services = routes.table.services_of(host);
-        targets.values().filter(|target| services.contains(&target.service)).map(|target| target.slots).sum()
+        let behind = targets.values().filter(|target| services.contains(&target.service));
+        behind.fold(0, |total, target| total.saturating_add(target.slots))
     }
 
     /// Returns the targets that this entry VM serves, by service. If this entry VM serves all targets of
