An entry with the address of an entry VM names no target

A request to such an entry came back to an entry VM, which sent it on as often as its deadline allowed, and the entry took part in choosing homes. Change: the targets that are used are the listed ones without those at an address of a registered entry VM, or at one of our ports on its machine; a line names each one that is left out. Measured: entry_with_the_address_of_an_entry_vm_names_no_target failed before ('an entry VM is used as a target') and passes. Conclusion: it could happen here.

--- a/crates/config/src/relay.rs
+++ b/crates/config/src/relay.rs
@@ -44,6 +44,21 @@
     pub lookup_ttl: Duration,
 }
 
+impl RelayEntrySettings {
+    /// Returns the ports of all addresses at which this entry VM listens.
+    pub fn listen_ports(&self) -> [u16; 6] {
+        let addresses = [
+            self.caller_address,
+            self.ready_address,
+            self.lookup_address,
+            self.peer_address,
+            self.control_address,
+            self.metrics_address,
+        ];
+        addresses.map(|address| address.port())
+    }
+}
+
 /// Connection to the platform.
 #[derive(Debug, Clone)]
 pub struct RelayPlatformSettings {
--- a/crates/relay/src/shared_state.rs
+++ b/crates/relay/src/shared_state.rs
@@ -1,6 +1,7 @@
 //! State shared by all tasks: routes, services, entry VMs and the phase of the process.
 
 mod placement;
+mod target_lists;
 
 use crate::crash_quarantine::CrashQuarantine;
 use crate::decision_log::DecisionLog;
@@ -33,6 +34,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
+use target_lists::TargetLists;
 use tokio::sync::mpsc::UnboundedSender;
 
 /// The active version of the configuration.
@@ -100,7 +102,7 @@
     pub is_membership_settled: AtomicBool,
     /// Whether the targets have been read.
     pub has_targets: AtomicBool,
-    targets: Mutex<Arc<TargetMap>>,
+    targets: Mutex<TargetLists>,
     leaving_reports: Mutex<LeavingReports>,
     /// Shares of the limits that this entry VM owns.
     limit_ledger: Mutex<LimitLedger>,
@@ -256,7 +258,7 @@
             let listed = started(&targets, instance);
             listed.is_some() && listed == started(&previous, instance)
         });
-        *self.targets.lock().unwrap_or_else(PoisonError::into_inner) = Arc::new(targets);
+        self.lock_targets().set_listed(targets, &self.entry_vms.load(), &self.settings.entry.listen_ports());
         self.has_targets.store(true, Ordering::Relaxed);
         self.assign_targets();
     }
@@ -264,7 +266,9 @@
     /// Replaces the list of entry VMs.
     pub fn set_entry_vms(&self, vms: EntryVmMap) {
         self.lock_unresponsive_vms().retain(|name| vms.contains_key(name));
-        self.entry_vms.store(Arc::new(vms));
+        let vms = Arc::new(vms);
+        self.entry_vms.store(vms.clone());
+        self.lock_targets().update_usable(&vms, &self.settings.entry.listen_ports());
         self.assign_targets();
     }
 
@@ -306,7 +310,11 @@
     }
 
     fn targets(&self) -> Arc<TargetMap> {
-        self.targets.lock().unwrap_or_else(PoisonError::into_inner).clone()
+        self.lock_targets().usable()
+    }
+
+    fn lock_targets(&self) -> MutexGuard<'_, TargetLists> {
+        self.targets.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     fn replace_services(self: &Arc<Self>, documents: &[ServiceDocument]) {
--- /dev/null
+++ b/crates/relay/src/shared_state/target_lists.rs
@@ -0,0 +1,52 @@
+//! Targets as listed by the store, and those of them that may be used.
+//!
+//! An entry with the address of an entry VM names no target: a request to it would come back, again and again until
+//! its deadline.
+
+use super::{EntryVmMap, TargetMap};
+use sniperelay_core::ids::InstanceName;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// Listed and usable targets.
+#[derive(Debug, Default)]
+pub(super) struct TargetLists {
+    listed: TargetMap,
+    usable: Arc<TargetMap>,
+    /// Listed targets that are not usable.
+    excluded: BTreeSet<InstanceName>,
+}
+
+impl TargetLists {
+    /// Returns the usable targets.
+    pub(super) fn usable(&self) -> Arc<TargetMap> {
+        self.usable.clone()
+    }
+
+    /// Replaces the listed targets.
+    pub(super) fn set_listed(&mut self, targets: TargetMap, vms: &EntryVmMap, own_ports: &[u16]) {
+        self.listed = targets;
+        self.update_usable(vms, own_ports);
+    }
+
+    /// Derives the usable targets. Must be called after every change of the entry VMs. All entry VMs listen on the
+    /// same ports, of which their registrations name a part.
+    pub(super) fn update_usable(&mut self, vms: &EntryVmMap, own_ports: &[u16]) {
+        let names_entry_vm = |address: SocketAddr| {
+            let has_own_port = own_ports.contains(&address.port());
+            vms.values().any(|vm| {
+                vm.addresses().contains(&address) || has_own_port && vm.peer_address.ip() == address.ip()
+            })
+        };
+        let mut usable = self.listed.clone();
+        usable.retain(|_, record| !names_entry_vm(record.address));
+        let is_excluded = |name: &&InstanceName| !usable.contains_key(*name);
+        let excluded: BTreeSet<InstanceName> = self.listed.keys().filter(is_excluded).cloned().collect();
+        for name in excluded.difference(&self.excluded) {
+            log::warn!(target = name.as_str(); "entry is not a valid target: its address is that of an entry VM");
+        }
+        self.excluded = excluded;
+        self.usable = Arc::new(usable);
+    }
+}
--- a/crates/relay/tests/odd_entries.rs
+++ b/crates/relay/tests/odd_entries.rs
@@ -111,6 +111,26 @@
     assert_follows(&store, &relay, &target).await;
 }
 
+/// Guards against requests that go round in circles: to a target with the address of an entry VM.
+#[tokio::test]
+async fn entry_with_the_address_of_an_entry_vm_names_no_target() {
+    let (store, _target, relay) = start().await;
+    let own = relay.state().own_record();
+    for (index, address) in [own.caller_address, own.ready_address, own.peer_address].into_iter().enumerate()
+    {
+        store.put(&format!("servers/odd{index}"), registration(address, "ready").to_string());
+    }
+    store.delete("servers/sound");
+    wait_until("the sound target is gone", || !has_target(&relay, "sound")).await;
+    assert!(
+        (0..3).all(|index| !has_target(&relay, &format!("odd{index}"))),
+        "an entry VM is used as a target"
+    );
+    let mut caller = Caller::open(own.caller_address).await;
+    caller.send(&request("GET", "/read/1", "r1", "")).await;
+    assert_eq!(status(&caller.receive().await.unwrap()), 503);
+}
+
 fn any_value() -> impl Strategy<Value = Value> {
     let leaf = prop_oneof![
         Just(Value::Null),
