An entry with port 0 or an address of no single machine names no target

Port 0, the unspecified, multicast and broadcast addresses were taken for addresses of targets; a connection to 0.0.0.0 reaches the entry VM itself.

--- a/crates/relay/tests/odd_entries.rs
+++ b/crates/relay/tests/odd_entries.rs
@@ -131,6 +131,20 @@
     assert_eq!(status(&caller.receive().await.unwrap()), 503);
 }
 
+/// Guards against connections to port 0 and to addresses that name no single machine.
+#[tokio::test]
+async fn entry_with_an_address_that_cannot_be_connected_to_names_no_target() {
+    let (store, target, relay) = start().await;
+    let addresses = ["127.0.0.1:0", "0.0.0.0:9", "224.0.0.1:9", "255.255.255.255:9", "[::]:9", "[ff02::1]:9"];
+    for (index, address) in addresses.iter().enumerate() {
+        let mut entry = with("Address", json!(address));
+        entry["State"] = json!("ready");
+        store.put(&format!("servers/odd{index}"), entry.to_string());
+    }
+    assert_follows(&store, &relay, &target).await;
+    assert!((0..addresses.len()).all(|index| !has_target(&relay, &format!("odd{index}"))));
+}
+
 fn any_value() -> impl Strategy<Value = Value> {
     let leaf = prop_oneof![
         Just(Value::Null),
