A registration that another writer has spoiled is written again

An entry VM whose registration could not be decoded stayed in the lists of those that knew it, did not write it again, and was unknown to every process started later. Change: it counts as missing, so that the entry VM that still runs registers again. Measured: registration_that_another_writer_has_spoiled_is_written_again failed before ('not in time: 7') and passes. Conclusion: it could happen here.

--- a/crates/relay/src/store_sync.rs
+++ b/crates/relay/src/store_sync.rs
@@ -628,7 +628,11 @@
             let name = object_name(&object.key);
             match decode_entry_vm(name, &object.value) {
                 Ok(record) => drop(vms.insert(name.to_owned(), record)),
-                Err(error) => log::warn!("cannot read entry VM object '{}': {error}", object.key),
+                // An entry VM that still runs finds its registration missing and writes it again.
+                Err(error) => {
+                    log::warn!("cannot read entry VM object '{}': {error}", object.key);
+                    vms.remove(name);
+                }
             }
         }
         StoreChange::Deleted(key) => drop(vms.remove(object_name(&key))),
--- a/crates/relay/tests/odd_entries.rs
+++ b/crates/relay/tests/odd_entries.rs
@@ -145,6 +145,22 @@
     assert!((0..addresses.len()).all(|index| !has_target(&relay, &format!("odd{index}"))));
 }
 
+/// Guards against an entry VM that is unknown to others because another writer has spoiled its registration.
+#[tokio::test]
+async fn registration_that_another_writer_has_spoiled_is_written_again() {
+    let (store, target, relay) = start().await;
+    let key = "sniperelay-entry-vms/vm0";
+    wait_until("the entry VM is registered", || store.get(key).is_some()).await;
+    let own = store.get(key).unwrap().value;
+    for spoiled in ["7", "{\"domain\":1}", "[[[[", "null"] {
+        store.put(key, spoiled);
+        wait_until(spoiled, || store.get(key).is_some_and(|object| object.value == own)).await;
+    }
+    store.put("sniperelay-crash-reports/odd", "{\"reports\":[{\"content\":1e999}]}");
+    store.put("sniperelay-isolated/odd", "[[");
+    assert_follows(&store, &relay, &target).await;
+}
+
 fn any_value() -> impl Strategy<Value = Value> {
     let leaf = prop_oneof![
         Just(Value::Null),
