A repeated refusal of an earlier attempt is no proof that a later one did not run

Here: all attempts of a request have the caller's ID, so the copy of the refusal of its first attempt was taken for that of a later attempt on the same connection, the third one at two targets. Callers saw 503 for a claim that ran (REFUSED), or it ran again (TWICE). Change: a kept connection remembers the requests that were refused on it (32 at most, then it is closed), and carries no further attempt of them. Conclusion: it could happen here.

--- a/crates/node/src/traffic/pool.rs
+++ b/crates/node/src/traffic/pool.rs
@@ -22,11 +22,16 @@
 pub const MAX_IDLE_TIME: Duration = Duration::from_secs(15);
 /// Maximum number of idle connections per target, unless the target has a lower limit of its own.
 pub const MAX_IDLE_PER_TARGET: usize = 8;
+/// Maximum number of refused requests that a connection remembers. It is closed instead of being returned to the pool
+/// with more.
+const MAX_REFUSED_REQUESTS: usize = 32;
 /// Size of the read buffer of a connection, and thereby maximum size of a response head, in bytes. A
 /// target that sends a longer head fails the attempt.
 pub const READ_BUFFER_BYTES: usize = 64 * 1024;
 
 type RequestSender = http1::SendRequest<RequestBody>;
+/// Hash that identifies a request over all of its attempts.
+pub type RequestHash = u64;
 
 #[derive(Debug)]
 struct IdleConnection {
@@ -35,6 +40,8 @@
     idle_since: BootTime,
     /// Maximum idle time of this connection.
     max_idle_time: Duration,
+    /// Requests that were refused on this connection.
+    refused: Vec<RequestHash>,
 }
 
 impl IdleConnection {
@@ -69,6 +76,8 @@
     is_reuse_forbidden: bool,
     /// Time for which the connection may stay idle in the pool.
     max_idle_time: Duration,
+    /// Requests that were refused on this connection.
+    refused: Vec<RequestHash>,
 }
 
 impl TargetPool {
@@ -87,10 +96,25 @@
     ///
     /// Returns an error if connecting fails or times out.
     pub async fn take_fresh(&self, address: SocketAddr, max_idle: Duration) -> io::Result<PooledConnection> {
-        if let Some(connection) = self.take_idle(address, max_idle) {
-            return Ok(connection);
+        self.take_for(address, max_idle, None).await
+    }
+
+    /// Same as [`Self::take_fresh`], for an attempt of a request. The connection has not carried an attempt of it that
+    /// was refused: the target might write that refusal once more, which could not be told from one of this attempt.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if connecting fails or times out.
+    pub async fn take_for(
+        &self,
+        address: SocketAddr,
+        max_idle: Duration,
+        request: Option<RequestHash>,
+    ) -> io::Result<PooledConnection> {
+        match self.take_idle(address, max_idle, request) {
+            Some(connection) => Ok(connection),
+            None => self.connect(address).await,
         }
-        self.connect(address).await
     }
 
     /// Replaces the limits of idle connections. They take effect when connections are returned.
@@ -113,13 +137,23 @@
         self.idle.lock().unwrap_or_else(PoisonError::into_inner).clear();
     }
 
-    fn take_idle(&self, address: SocketAddr, max_idle: Duration) -> Option<PooledConnection> {
+    fn take_idle(
+        &self,
+        address: SocketAddr,
+        max_idle: Duration,
+        request: Option<RequestHash>,
+    ) -> Option<PooledConnection> {
         let now = boot_clock::now();
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let connections = idle.get_mut(&address)?;
-        while let Some(connection) = connections.pop() {
+        let is_suitable =
+            |connection: &IdleConnection| request.is_none_or(|hash| !connection.refused.contains(&hash));
+        while let Some(index) = connections.iter().rposition(is_suitable) {
+            let connection = connections.remove(index);
             if connection.sender.is_ready() && connection.is_fresh(now, max_idle) {
-                return Some(self.wrap(address, connection.sender, connection.driver, true));
+                let mut wrapped = self.wrap(address, connection.sender, connection.driver, true);
+                wrapped.refused = connection.refused;
+                return Some(wrapped);
             }
         }
         None
@@ -159,6 +193,7 @@
             is_reused,
             is_reuse_forbidden: false,
             max_idle_time: MAX_IDLE_TIME,
+            refused: Vec::new(),
         }
     }
 }
@@ -180,6 +215,12 @@
         self.is_reuse_forbidden = true;
     }
 
+    /// Records that the target has refused a request on this connection.
+    pub fn record_refusal(&mut self, request: RequestHash) {
+        self.refused.push(request);
+        self.is_reuse_forbidden |= self.refused.len() > MAX_REFUSED_REQUESTS;
+    }
+
     /// Sets the time for which the connection may stay idle after this request.
     pub fn set_max_idle_time(&mut self, max_idle_time: Duration) {
         self.max_idle_time = max_idle_time;
@@ -202,6 +243,7 @@
             driver: self.driver.clone(),
             idle_since: boot_clock::now(),
             max_idle_time,
+            refused: std::mem::take(&mut self.refused),
         };
         let limit = self.idle_limits.load().get(&self.address).copied().unwrap_or(MAX_IDLE_PER_TARGET);
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -20,11 +20,12 @@
 use sniperelay_node::traffic::body::{RequestBody, full_body};
 use sniperelay_node::traffic::connection_reuse::{NON_IDEMPOTENT_MAX_IDLE, keep_alive_time};
 use sniperelay_node::traffic::headers::strip_hop_by_hop;
-use sniperelay_node::traffic::pool::PooledConnection;
+use sniperelay_node::traffic::pool::{PooledConnection, RequestHash};
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
+use xxhash_rust::xxh3::xxh3_64;
 
 /// Time for which an idle connection is kept open if the target does not state a keep-alive time:
 /// half of the shortest time after which targets are known to close idle connections.
@@ -54,6 +55,13 @@
     pub deadline: BootTime,
 }
 
+impl OutboundRequest {
+    /// Returns a hash of the request's id, if it has one.
+    fn request_hash(&self) -> Option<RequestHash> {
+        self.headers.get(platform_headers::REQUEST_ID).map(|id| xxh3_64(id.as_bytes()))
+    }
+}
+
 /// A complete response of a target.
 #[derive(Debug)]
 pub struct TargetResponse {
@@ -110,9 +118,10 @@
         return failed_attempt(AttemptFailure::Connect, "target is gone", slot);
     };
     let max_idle = if outbound.is_idempotent { Duration::MAX } else { NON_IDEMPOTENT_MAX_IDLE };
+    let request_hash = outbound.request_hash();
     loop {
         state.links.record_send();
-        let Ok(mut connection) = state.pool.take_fresh(slot.address(), max_idle).await else {
+        let Ok(mut connection) = state.pool.take_for(slot.address(), max_idle, request_hash).await else {
             return failed_attempt(AttemptFailure::Connect, "no connection", slot);
         };
         let Some(sender) = connection.sender() else { continue };
@@ -183,7 +192,7 @@
     state: &RelayState,
     outbound: &OutboundRequest,
     response: Response<Incoming>,
-    connection: PooledConnection,
+    mut connection: PooledConnection,
     slot: AttemptSlot,
 ) -> AttemptResult {
     state.links.record_response();
@@ -210,6 +219,9 @@
             return failed_attempt(failure, cause, slot);
         }
     };
+    if is_not_executed {
+        outbound.request_hash().into_iter().for_each(|hash| connection.record_refusal(hash));
+    }
     connection.return_to_pool_for(keep_alive);
     if is_not_executed {
         return AttemptResult::Failed {
--- a/crates/relay/tests/late_responses.rs
+++ b/crates/relay/tests/late_responses.rs
@@ -3,7 +3,15 @@
 
 mod common;
 
-use common::{ScriptedAction, TestEnv, body, request, sealed_response, status};
+use common::{
+    ScriptedAction, TestEnv, body, config, header, read_message, registration, request, sealed_response,
+    status,
+};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
 
 fn refusal(id: &str) -> String {
     format!("HTTP/1.1 503 Busy\r\n{id}X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
@@ -70,3 +78,74 @@
         assert!(status(&next) != 200 || body(&next) == "next", "{extra:?}: {next}");
     }
 }
+
+/// A target that serves reads, refuses its first claim, and writes that refusal once more before each later response.
+struct RepeatingTarget {
+    address: SocketAddr,
+    claims: AtomicUsize,
+}
+
+impl RepeatingTarget {
+    async fn start() -> Arc<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let target = Arc::new(Self { address: listener.local_addr().unwrap(), claims: AtomicUsize::new(0) });
+        let server = target.clone();
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::spawn(server.clone().serve(stream));
+            }
+        });
+        target
+    }
+
+    async fn serve(self: Arc<Self>, mut stream: TcpStream) {
+        let (mut buffer, mut refused) = (Vec::new(), String::new());
+        while let Some(request) = read_message(&mut stream, &mut buffer).await {
+            let id = format!("X-Request-Id: {}\r\n", header(&request, "x-request-id").unwrap_or_default());
+            let ok = sealed_response("ok").replace("X-Request-Id: {id}\r\n", &id);
+            let text = if !request.starts_with("POST") {
+                ok
+            } else if self.claims.fetch_add(1, Ordering::Relaxed) == 0 {
+                refused = refusal(&id);
+                refused.clone()
+            } else {
+                format!("{refused}{ok}")
+            };
+            if stream.write_all(text.as_bytes()).await.is_err() {
+                return;
+            }
+        }
+    }
+}
+
+/// Guards against a later attempt that takes a repeated refusal of an earlier one for its own: all attempts of a request
+/// have the same ID. The later attempt runs, so the claim must be neither called not run nor sent again.
+#[tokio::test]
+async fn repeated_refusal_of_an_earlier_attempt_is_no_proof_for_a_later_one() {
+    let env = TestEnv::start(Vec::new()).await;
+    let mut config = config("00000002");
+    for route in ["claim", "read"] {
+        config["Routes"][route]["MaxAttempts"] = 5.into();
+    }
+    let targets = [RepeatingTarget::start().await, RepeatingTarget::start().await];
+    for (index, target) in targets.iter().enumerate() {
+        env.store.put(&format!("servers/r{index}"), registration(target.address, "ready").to_string());
+    }
+    env.store.put("config/main", config.to_string());
+    env.wait_until(|state| {
+        let routes = state.routes.load_full();
+        routes.is_some_and(|routes| routes.config.version == 2)
+            && state.services.load()["s"].dispatcher_handle.read(|dispatcher| dispatcher.targets().len() == 2)
+    })
+    .await;
+    // Fills the budget of further attempts.
+    for _ in 0..40 {
+        assert_eq!(status(&env.send_request("GET", "/read/1").await), 200);
+    }
+    let response = env.send_request("POST", "/claim/1").await;
+    let arrivals = targets.each_ref().map(|target| target.claims.load(Ordering::Relaxed));
+    let runs: usize = arrivals.iter().map(|arrivals| arrivals.saturating_sub(1)).sum();
+    assert!(arrivals.iter().sum::<usize>() > 2, "no attempt after two refusals: {arrivals:?}");
+    assert_eq!(runs, 1, "the claim ran more than once: {arrivals:?}");
+    assert_ne!(status(&response), 503, "the claim ran: {response}");
+}
