Requests without an ID use connections of their own to targets

Cause: a response was taken for that to a request without an ID if it had none either, so on a kept connection a late copy of the response to an earlier request without an ID passed for it: a refusal as a false 'not run' (REFUSED), a success as another caller's response (MIXED). Change: such a request gets a new connection, which is closed after it. Measured: late_copy_is_not_taken_for_the_response_to_a_request_without_an_id failed before ('the connection was used again ... 503') and passes.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -117,8 +117,13 @@
     let Some(instance) = slot.instance() else {
         return failed_attempt(AttemptFailure::Connect, "target is gone", slot);
     };
-    let max_idle = if outbound.is_idempotent { Duration::MAX } else { NON_IDEMPOTENT_MAX_IDLE };
     let request_hash = outbound.request_hash();
+    let max_idle = match request_hash {
+        // Only a new connection has no earlier response whose copy could be taken for that to this request.
+        None => Duration::ZERO,
+        Some(_) if outbound.is_idempotent => Duration::MAX,
+        Some(_) => NON_IDEMPOTENT_MAX_IDLE,
+    };
     loop {
         state.links.record_send();
         let Ok(mut connection) = state.pool.take_for(slot.address(), max_idle, request_hash).await else {
@@ -219,8 +224,10 @@
             return failed_attempt(failure, cause, slot);
         }
     };
-    if is_not_executed {
-        outbound.request_hash().into_iter().for_each(|hash| connection.record_refusal(hash));
+    match outbound.request_hash() {
+        Some(hash) if is_not_executed => connection.record_refusal(hash),
+        Some(_) => {}
+        None => connection.forbid_reuse(),
     }
     connection.return_to_pool_for(keep_alive);
     if is_not_executed {
@@ -307,12 +314,12 @@
 /// Returns whether a response belongs to this request and is no late copy of the response to another one.
 ///
 /// It must return the ID of the request. A refusal may lack the ID; it is then accepted on a new
-/// connection only, where no other response can arrive.
+/// connection only, where no other response can arrive. So is any response to a request without an ID.
 fn is_own_response(outbound: &OutboundRequest, response: &Response<Incoming>, is_reused: bool) -> bool {
     let expected_id = outbound.headers.get(platform_headers::REQUEST_ID);
     match response.headers().get(platform_headers::REQUEST_ID) {
-        None if platform_headers::is_not_executed(response) => !is_reused || expected_id.is_none(),
-        returned_id => returned_id == expected_id,
+        None if platform_headers::is_not_executed(response) => !is_reused,
+        returned_id => returned_id == expected_id && (expected_id.is_some() || !is_reused),
     }
 }
 
--- a/crates/relay/tests/late_responses.rs
+++ b/crates/relay/tests/late_responses.rs
@@ -149,3 +149,30 @@
     assert_eq!(runs, 1, "the claim ran more than once: {arrivals:?}");
     assert_ne!(status(&response), 503, "the claim ran: {response}");
 }
+
+/// Guards against a late copy that is taken for the response to the next request on the connection, if neither has an
+/// ID by which they differ: a refusal (the second request runs) and a response of the first request.
+#[tokio::test]
+async fn late_copy_is_not_taken_for_the_response_to_a_request_without_an_id() {
+    let without_id = |text: String| text.replace("X-Request-Id: {id}\r\n", "");
+    let refusal = refusal("");
+    let first = without_id(sealed_response("of the first"));
+    let second = without_id(sealed_response("of the second"));
+    for copy in [refusal, first] {
+        let script =
+            vec![ScriptedAction::Respond(copy.clone()), ScriptedAction::Respond(copy.clone() + &second)];
+        let env = TestEnv::start(vec![script]).await;
+        let mut caller = env.connect().await;
+        let claim = request("POST", "/claim/1", "", "x").replace("X-Request-Id: \r\n", "");
+        caller.send(&claim).await;
+        caller.receive().await.unwrap();
+        caller.send(&claim).await;
+        let response = caller.receive().await.unwrap();
+        // The target writes the copy before its response on whatever connection the claim arrives.
+        assert_eq!(env.targets[0].received().len(), 2, "the claim was sent again");
+        assert!(
+            env.targets[0].connections.load(Ordering::Relaxed) >= 2,
+            "the connection was used again: {response}"
+        );
+    }
+}
