Guard tests: copies of refusals at any time, responses cut at any byte

What prevents it: a head counts only with its empty line, a body only with its stated length or last chunk, and 'relay' sends nothing to the caller before it has the whole response.

--- a/crates/node/tests/late_responses.rs
+++ b/crates/node/tests/late_responses.rs
@@ -195,3 +195,42 @@
     })
     .await;
 }
+
+/// Guards against a response that its target cuts in its head, in a chunk header, in a trailer or after an interim
+/// response, and that reaches the caller as a complete one.
+#[tokio::test(flavor = "multi_thread")]
+async fn response_cut_at_any_byte_does_not_end_cleanly() {
+    let head = "HTTP/1.1 200 OK\r\nSniperelay-Attempt: {attempt}\r\n";
+    let responses = [
+        format!("{head}Content-Length: 10\r\n\r\n0123456789"),
+        format!("{head}Transfer-Encoding: chunked\r\n\r\n6\r\n012345\r\n4;x=y\r\n6789\r\n0\r\n\r\n"),
+        format!("{head}Transfer-Encoding: chunked\r\nTrailer: t\r\n\r\na\r\n0123456789\r\n0\r\nt: 1\r\n\r\n"),
+        format!("HTTP/1.1 100 Continue\r\n\r\n{head}Content-Length: 10\r\n\r\n0123456789"),
+    ];
+    for response in responses {
+        let cluster = start_cluster(1, 1).await;
+        let address = cluster.caller_addresses()[0];
+        let script = response.clone();
+        let target = RawTarget::start(move |request| {
+            let path = request.head.split_whitespace().nth(1).unwrap();
+            let count: usize = path.rsplit('/').next().unwrap().parse().unwrap();
+            let attempt = header_of(&request.head, "sniperelay-attempt").unwrap_or("none");
+            let text = script.replace("{attempt}", attempt);
+            // The last byte is always left out.
+            vec![RawStep::Write(text[..count.min(text.len() - 1)].to_owned()), RawStep::Close]
+        })
+        .await;
+        use_raw_targets(&cluster, "rota-board", &[&target]).await;
+        for cut in 0..response.len() + 20 {
+            let read = format!("GET /rota/{cut} HTTP/1.1\r\nHost: rota-board\r\nConnection: close\r\n\r\n");
+            let received = send_raw_request(address, &read).await;
+            let is_success = received.starts_with("HTTP/1.1 200");
+            let has_length =
+                received.contains("0123456789") && received.to_lowercase().contains("content-length: 10");
+            let ends_cleanly = received.ends_with("0\r\n\r\n") || has_length;
+            assert!(!(is_success && ends_cleanly), "{cut} bytes: {received}");
+        }
+        assert!(target.request_count() >= response.len(), "most requests did not reach the target");
+        cluster.shut_down();
+    }
+}
--- a/crates/relay/tests/common/partition.rs
+++ b/crates/relay/tests/common/partition.rs
@@ -107,15 +107,19 @@
 
     /// Puts a proxy between an entry VM and another one, and waits until the first one uses it.
     pub async fn put_link_between_entry_vms(&self, from: usize, to: usize) -> Arc<SoakProxy> {
-        let to_name = format!("vm{to}");
         let record = self.vms[to].relay.state().own_record();
         let link = SoakProxy::start(record.peer_address).await.unwrap();
-        self.peer_overrides.lock().unwrap().push((from, to, link.address()));
+        self.override_peer(from, to, link.address()).await;
+        link
+    }
+
+    /// Lets an entry VM reach another one at a different address, and waits until it does.
+    pub async fn override_peer(&self, from: usize, to: usize, address: SocketAddr) {
+        self.peer_overrides.lock().unwrap().push((from, to, address));
         let state = self.vms[from].relay.state();
-        while state.entry_vms.load()[&to_name].peer_address != link.address() {
+        while state.entry_vms.load()[&format!("vm{to}")].peer_address != address {
             tokio::time::sleep(Duration::from_millis(10)).await;
         }
-        link
     }
 
     /// Returns how many requests with this id have reached targets.
--- a/crates/relay/tests/late_responses.rs
+++ b/crates/relay/tests/late_responses.rs
@@ -8,10 +8,12 @@
     status,
 };
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinSet;
 
 fn refusal(id: &str) -> String {
     format!("HTTP/1.1 503 Busy\r\n{id}X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
@@ -176,3 +178,92 @@
         );
     }
 }
+
+/// When a target writes the refusal of an earlier request once more.
+#[derive(Debug, Clone, Copy)]
+enum CopyTiming {
+    /// This long after the refusal, whether or not the next request has arrived.
+    AfterRefusal(Duration),
+    /// As soon as the head of the next request has arrived.
+    AfterHead,
+    /// Before the response to the next request; the connection is reset instead of that response.
+    BeforeReset,
+}
+
+/// Serves one request by a refusal, and runs all later ones. Counts the runs by request.
+async fn serve_with_copy(
+    mut stream: TcpStream,
+    status: &str,
+    timing: CopyTiming,
+    runs: Arc<Mutex<Vec<String>>>,
+) {
+    let mut buffer = Vec::new();
+    let Some(first) = read_message(&mut stream, &mut buffer).await else { return };
+    let id = header(&first, "x-request-id").unwrap_or_default();
+    let refusal =
+        format!("HTTP/1.1 {status}\r\nX-Request-Id: {id}\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+    drop(stream.write_all(refusal.as_bytes()).await);
+    if let CopyTiming::AfterRefusal(delay) = timing {
+        tokio::time::sleep(delay).await;
+        drop(stream.write_all(refusal.as_bytes()).await);
+    }
+    let mut byte = [0];
+    if let CopyTiming::AfterHead = timing
+        && stream.peek(&mut byte).await.is_ok_and(|count| count > 0)
+    {
+        drop(stream.write_all(refusal.as_bytes()).await);
+    }
+    let Some(second) = read_message(&mut stream, &mut buffer).await else { return };
+    let id = header(&second, "x-request-id").unwrap_or_default();
+    runs.lock().unwrap().push(id.clone());
+    if let CopyTiming::BeforeReset = timing {
+        drop(stream.write_all(refusal.as_bytes()).await);
+        socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO)).unwrap();
+        return;
+    }
+    drop(stream.write_all(sealed_response("ran").replace("{id}", &id).as_bytes()).await);
+}
+
+/// Guards against copies of refusals at any time relative to the next request on the connection, with each status that
+/// promises that a request has not run: a claim runs once at most, and is not refused if it runs.
+#[tokio::test]
+async fn copies_of_refusals_at_any_time_make_no_claim_not_run() {
+    let delays =
+        [0, 1, 2, 3, 5, 8, 12, 20].map(|millis| CopyTiming::AfterRefusal(Duration::from_millis(millis)));
+    let timings = || delays.into_iter().chain([CopyTiming::AfterHead, CopyTiming::BeforeReset]);
+    let mut cases = JoinSet::new();
+    for status_line in ["503 Busy", "429 Slow", "421 Misdirected"] {
+        timings().for_each(|timing| drop(cases.spawn(check_copies(status_line, timing))));
+    }
+    while let Some(result) = cases.join_next().await {
+        result.unwrap();
+    }
+}
+
+async fn check_copies(status_line: &'static str, timing: CopyTiming) {
+    let env = TestEnv::start(Vec::new()).await;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let target = registration(listener.local_addr().unwrap(), "ready");
+    let runs: Arc<Mutex<Vec<String>>> = Arc::default();
+    let server_runs = runs.clone();
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::spawn(serve_with_copy(stream, status_line, timing, server_runs.clone()));
+        }
+    });
+    env.store.put("servers/r0", target.to_string());
+    env.wait_until(|state| {
+        state.services.load()["s"].dispatcher_handle.read(|dispatcher| dispatcher.targets().len() == 1)
+    })
+    .await;
+    for id in ["first", "second", "third", "fourth"] {
+        let mut caller = env.connect().await;
+        caller.send(&request("POST", "/claim/1", id, &"x".repeat(900))).await;
+        let response = caller.receive().await.unwrap();
+        let count = runs.lock().unwrap().iter().filter(|run| *run == id).count();
+        let what = format!("{status_line}, {timing:?}, {id}: {count} runs, {response}");
+        assert!(count <= 1, "{what}");
+        assert!(count == 0 || !matches!(status(&response), 503 | 429 | 408 | 421), "{what}");
+        tokio::time::sleep(Duration::from_millis(4)).await;
+    }
+}
