A process that starts while the store is away asks seeds at once, and is offered copies

Cause: a process that starts waits 3 s for its call to the silent store before it asks its seeds, one after the other, and takes the first copy; if its seeds have started as well, it asks nobody else, and nobody tells it. Class: what the fleet has is not passed on. Change: after 0.3 s without a list, a process asks all seeds at the same time and takes the newest copy, while its call goes on. Entry VMs with copies offer them to neighbours that are not ready, and, while the store is away, to three others at random twice a second; an offer states revisions. A copy taken this way counts as unconfirmed: it serves no followers, is replaced by a newer one that is offered, and by the store. So reads begin again as soon as it has decided to read the store, readers are asked once more after an outage, and a copy that is not current is confirmed by a call that does not wait, so that readers can serve followers at once. Measured: three tests of outage_start failed before and pass.

--- a/crates/relay/src/copy_status.rs
+++ b/crates/relay/src/copy_status.rs
@@ -100,6 +100,18 @@
         status.confirmed_at = Some(now);
     }
 
+    /// Records a copy from another entry VM, made while the store is away. It counts as unconfirmed.
+    pub fn restore(&self, prefix: &'static str, revision: u64) {
+        let mut statuses = self.lock();
+        let status = statuses.entry(prefix).or_default();
+        status.revision = status.revision.max(revision);
+    }
+
+    /// Returns whether the copy of a prefix has ever been confirmed.
+    pub fn is_confirmed(&self, prefix: &str) -> bool {
+        self.lock().get(prefix).is_some_and(|status| status.confirmed_at.is_some())
+    }
+
     /// Records the revision of the store in any of its responses: up to it, the objects of every prefix may have
     /// changed.
     pub fn observe_store(&self, revision: u64, now: BootTime) {
@@ -131,11 +143,15 @@
         self.lock().get(prefix).map_or(0, |status| status.revision)
     }
 
+    /// Returns whether the copy of a prefix has been confirmed within [`MAX_COPY_AGE`].
+    pub fn is_current(&self, prefix: &str, now: BootTime) -> bool {
+        self.lock().get(prefix).is_some_and(|status| status.is_current(now))
+    }
+
     /// Returns whether all copies have been confirmed within [`MAX_COPY_AGE`]. Copies that have not been read yet do
     /// not count.
     pub fn are_current(&self, now: BootTime) -> bool {
-        let statuses = self.lock();
-        statuses.values().filter(|status| status.confirmed_at.is_some()).all(|status| status.is_current(now))
+        self.lock().values().filter(|status| status.revision > 0).all(|status| status.is_current(now))
     }
 
     /// Returns the copies that have become out of date or current again since the last call.
--- a/crates/relay/src/failure_detector.rs
+++ b/crates/relay/src/failure_detector.rs
@@ -6,6 +6,7 @@
 //! on condition that its version has not changed, so that all entry VMs exclude it. An entry VM that
 //! was still running finds its registration deleted and registers again.
 
+use crate::copy_offers::send_offers;
 use crate::shared_state::RelayState;
 use bytes::Bytes;
 use http::{Request, StatusCode};
@@ -51,9 +52,12 @@
         state.lock_unresponsive_vms().retain(|name| checks.contains_key(name));
         for neighbour in neighbours {
             let check = checks.entry(neighbour.name.clone()).or_default();
-            check.failures =
-                if check_neighbour(check, neighbour.ready_address).await { 0 } else { check.failures + 1 };
+            let status = check_neighbour(check, neighbour.ready_address).await;
+            check.failures = if status.is_some() { 0 } else { check.failures + 1 };
             handle_check_result(&state, &neighbour, check.failures).await;
+            if status.is_some_and(|status| status != StatusCode::OK) && state.has_copies() {
+                send_offers(&state, vec![neighbour]).await;
+            }
         }
     }
 }
@@ -123,15 +127,15 @@
     }
 }
 
-/// Returns whether the neighbour responds at all. The status is ignored: an entry VM that is not ready
-/// removes its own registration.
-async fn check_neighbour(check: &mut NeighbourCheck, address: SocketAddr) -> bool {
+/// Returns the status of the neighbour's readiness; `None` if it does not respond. An entry VM that is not ready removes
+/// its own registration, or has just started and has no copies yet.
+async fn check_neighbour(check: &mut NeighbourCheck, address: SocketAddr) -> Option<StatusCode> {
     let response = tokio::time::timeout(CHECK_TIMEOUT, send_check(check, address)).await;
-    let has_responded = matches!(response, Ok(Some(_)));
-    if !has_responded {
+    let status = response.ok().flatten();
+    if status.is_none() {
         check.sender = None;
     }
-    has_responded
+    status
 }
 
 async fn send_check(check: &mut NeighbourCheck, address: SocketAddr) -> Option<StatusCode> {
--- a/crates/relay/src/http_api.rs
+++ b/crates/relay/src/http_api.rs
@@ -2,6 +2,7 @@
 //! followers.
 
 use crate::content_coding::ContentCoding;
+use crate::copy_offers::{OFFER_PATH, handle_offer};
 use crate::forwarded_requests::handle_forwarded;
 use crate::limit_claims::{CLAIM_PATH, handle_claims};
 use crate::replication::{SNAPSHOT_PREFIX, hold_liveness_check};
@@ -89,6 +90,9 @@
         }
     }
     let query = request.uri().query().unwrap_or("");
+    if audience == ApiAudience::EntryVms && request.uri().path() == OFFER_PATH {
+        return handle_offer(state, query);
+    }
     match request.uri().path() {
         READY_PATH => handle_ready(state),
         LOOKUP_PATH => handle_lookup(state, query),
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -14,6 +14,7 @@
 //! | [`own_registration`] | whether this process registers itself, beside others of its name |
 //! | [`sync_progress`] | progress of reading the store: revisions, lists that are too old, outages |
 //! | [`copy_status`] | how current the copies of the store's contents are |
+//! | [`copy_offers`] | offers of copies to entry VMs that start while the store is away |
 //! | [`replication`] | replication of the store's contents from readers to followers |
 //! | [`response_cache`] | encoded replication responses, shared by all followers |
 //! | [`content_coding`] | compression of responses |
@@ -41,6 +42,7 @@
 pub mod caller_response;
 pub mod connection_end;
 pub mod content_coding;
+pub mod copy_offers;
 pub mod copy_status;
 pub mod crash_quarantine;
 pub mod crash_reports;
--- a/crates/relay/src/replication.rs
+++ b/crates/relay/src/replication.rs
@@ -21,6 +21,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::sync::watch;
+use tokio::task::JoinSet;
 
 /// Maximum number of readers. With three, one remains if two fail at the same time.
 const MAX_READERS: usize = 3;
@@ -37,6 +38,9 @@
 const LIVENESS_CHECK_MARGIN: Duration = Duration::from_millis(250);
 /// Time for which this entry VM reads the store itself after no reader responded.
 const DIRECT_READ_PERIOD: Duration = Duration::from_millis(1500);
+/// Time after the store responds again for which readers are asked again before this entry VM reads the store itself:
+/// the interval of a reader's checks of the store, and a call.
+const READER_RECOVERY_TIME: Duration = Duration::from_millis(400);
 /// Pause after neither a reader nor the store responded.
 const UNAVAILABLE_PAUSE: Duration = Duration::from_millis(500);
 /// Prefix without objects. Listing it is the cheapest call, so it serves as a liveness check.
@@ -44,7 +48,7 @@
 /// Put in front of a prefix to list the local replica of an entry VM, reader or not, however old its
 /// contents are.
 pub const SNAPSHOT_PREFIX: &str = "snapshot/";
-/// Timeout for a request to a seed.
+/// Timeout for a request for a snapshot.
 const SEED_TIMEOUT: Duration = Duration::from_millis(400);
 /// Maximum rate of calls to a reader or seed.
 const READER_CALLS_PER_SECOND: u32 = 200;
@@ -102,7 +106,7 @@
     /// Counters of the reads from readers.
     reader_calls: Arc<CallCounters>,
     is_reader: AtomicBool,
-    /// Whether this entry VM reads the store even if another one could be followed.
+    /// Whether this entry VM has decided to read the store itself.
     must_read_store: AtomicBool,
     /// Whether neither a reader nor the store responded to the last check.
     is_store_unavailable: AtomicBool,
@@ -161,8 +165,8 @@
         self.is_reader.load(Ordering::Relaxed)
     }
 
-    /// Returns whether this entry VM reads the store even if another one could be followed: it is one of the entry VMs
-    /// that are chosen as readers, or knows no other reader.
+    /// Returns whether this entry VM has decided to read the store itself: it is one of the entry VMs that are chosen as
+    /// readers, knows no other reader, or has found none that responds.
     pub fn must_read_store(&self) -> bool {
         self.must_read_store.load(Ordering::Relaxed)
     }
@@ -264,6 +268,11 @@
         ObjectList { revision, items: items.collect() }
     }
 
+    /// Returns the revisions of all copies by prefix.
+    pub fn revisions(&self) -> BTreeMap<String, u64> {
+        self.lock_prefixes().iter().map(|(prefix, replica)| (prefix.clone(), replica.revision)).collect()
+    }
+
     /// Returns all objects under a prefix, or `None` if the prefix has not been read yet.
     pub fn snapshot(&self, prefix: &str) -> Option<ObjectList> {
         self.numbered_snapshot(prefix).map(|(_, list)| list)
@@ -349,25 +358,32 @@
     }
 }
 
-/// Fetches the objects under a prefix from a seed, for a process that starts while the store is
-/// unavailable. The objects may be out of date; the changes since then are read from the store when
-/// it is available again.
-pub async fn fetch_seed_snapshot(state: &RelayState, prefix: &str) -> Option<ObjectList> {
-    for seed in
-        state.settings.entry.seeds.iter().filter(|seed| **seed != state.settings.entry.control_address)
-    {
+/// Fetches the objects under a prefix from the seeds and from entry VMs that have offered their copies, and returns
+/// the newest list. Asks all of them at the same time. The objects may be out of date; the changes since then are read
+/// from the store when it is available again.
+pub async fn fetch_newest_snapshot(state: &RelayState, prefix: &str) -> Option<ObjectList> {
+    let entry = &state.settings.entry;
+    let seeds = entry.seeds.iter().copied().filter(|seed| *seed != entry.control_address);
+    let offers: Vec<SocketAddr> =
+        state.offers.subscribe().borrow().iter().map(|offer| offer.address).collect();
+    let mut calls = JoinSet::new();
+    for address in seeds.chain(offers) {
         let snapshot = format!("{SNAPSHOT_PREFIX}{prefix}");
-        let response = tokio::time::timeout(SEED_TIMEOUT, make_entry_vm_client(*seed).list(&snapshot)).await;
-        match response {
-            Ok(Ok(list)) => {
-                log::info!(prefix, revision = list.revision; "the store is away; learned from {seed}");
-                return Some(list);
+        calls.spawn(async move {
+            let client = make_entry_vm_client(address);
+            let response = tokio::time::timeout(SEED_TIMEOUT, client.list(&snapshot)).await;
+            match response {
+                Ok(Ok(list)) => return Some((list, address)),
+                Ok(Err(error)) => log::info!("cannot list '{snapshot}' at {address}: {error}"),
+                Err(_) => log::info!("{address} did not respond in time"),
             }
-            Ok(Err(error)) => log::info!("cannot list '{prefix}' at seed {seed}: {error}"),
-            Err(_) => log::info!("seed {seed} did not respond in time"),
-        }
+            None
+        });
     }
-    None
+    let lists = calls.join_all().await.into_iter().flatten();
+    let (list, source) = lists.max_by_key(|(list, _)| list.revision)?;
+    log::info!(prefix, revision = list.revision; "the store is away; learned from {source}");
+    Some(list)
 }
 
 /// Handles a follower's liveness check: waits for `LIVENESS_CHECK_HOLD` and returns whether this
@@ -414,8 +430,13 @@
             // Checks the store with one cheap call before reading from it. Otherwise the whole fleet
             // would send its reads to the store during an outage.
             let is_store_responding = check_store(&state).await;
-            state.replica.is_store_unavailable.store(!is_store_responding, Ordering::Relaxed);
-            if is_store_responding {
+            let was_unavailable =
+                state.replica.is_store_unavailable.swap(!is_store_responding, Ordering::Relaxed);
+            if is_store_responding && was_unavailable {
+                // The readers get the store back at the same time, and serve followers once they have read it.
+                tokio::time::sleep(READER_RECOVERY_TIME).await;
+            } else if is_store_responding {
+                state.replica.must_read_store.store(true, Ordering::Relaxed);
                 switch_to_direct(&state, "no reader responds");
                 tokio::time::sleep(DIRECT_READ_PERIOD).await;
             } else {
--- a/crates/relay/src/shared_state.rs
+++ b/crates/relay/src/shared_state.rs
@@ -3,6 +3,7 @@
 mod placement;
 mod target_lists;
 
+use crate::copy_offers::CopyOffers;
 use crate::crash_quarantine::CrashQuarantine;
 use crate::decision_log::DecisionLog;
 use crate::forwarding::ForwardingPeers;
@@ -85,6 +86,8 @@
     pub response_memory: Arc<MemoryBudget>,
     /// Local copy of the store's contents, which followers read.
     pub replica: StoreReplica,
+    /// Offers of copies by other entry VMs.
+    pub offers: CopyOffers,
     /// Encoded responses to followers.
     pub response_cache: ResponseCache,
     /// Rate limits for log lines about decisions.
@@ -145,6 +148,7 @@
             links: TargetLinks::default(),
             response_memory: MemoryBudget::new(settings.limits.response_memory_bytes),
             replica: StoreReplica::default(),
+            offers: CopyOffers::default(),
             response_cache: ResponseCache::default(),
             decisions: DecisionLog::default(),
             quarantine: CrashQuarantine::new(settings.limits.first_quarantine),
@@ -204,8 +208,12 @@
     /// Returns whether this entry VM is ready for callers: it is not shutting down, and it has read the
     /// configuration and the targets.
     pub fn is_ready(&self) -> bool {
-        let has_store_data = self.routes.load().is_some() && self.has_targets.load(Ordering::Relaxed);
-        has_store_data && self.lifecycle.phase() == LifecyclePhase::Serving
+        self.has_copies() && self.lifecycle.phase() == LifecyclePhase::Serving
+    }
+
+    /// Returns whether this entry VM has read the configuration and the targets.
+    pub fn has_copies(&self) -> bool {
+        self.routes.load().is_some() && self.has_targets.load(Ordering::Relaxed)
     }
 
     /// Locks and returns the names of neighbours that do not respond to liveness checks.
--- a/crates/relay/src/startup.rs
+++ b/crates/relay/src/startup.rs
@@ -3,6 +3,7 @@
 //! See [`crate::shutdown`] for what happens after the signal.
 
 use crate::caller_connection::serve_callers;
+use crate::copy_offers::offer_copies;
 use crate::crash_reports::exchange_crash_reports;
 use crate::failure_detector::check_neighbours;
 use crate::http_api::{ApiAudience, serve_http_api};
@@ -136,6 +137,7 @@
     tokio::spawn(exchange_isolation_reports(state.clone()));
     tokio::spawn(maintain_source(state.clone()));
     tokio::spawn(check_neighbours(state.clone()));
+    tokio::spawn(offer_copies(state.clone()));
     tokio::spawn(probe_targets(state.clone()));
     tokio::spawn(check_target_links(state.clone()));
     tokio::spawn(claim_limit_shares(state.clone()));
--- a/crates/relay/src/store_sync.rs
+++ b/crates/relay/src/store_sync.rs
@@ -7,8 +7,9 @@
 //! the previous one. Objects are listed again only if the store no longer has the changes since that
 //! revision.
 
+use crate::copy_offers::CopyOffer;
 use crate::own_registration::{FoundRegistration, OwnRegistration};
-use crate::replication::{StoreSource, fetch_seed_snapshot, make_reader_client};
+use crate::replication::{StoreSource, fetch_newest_snapshot, make_reader_client};
 use crate::shared_state::{EntryVmMap, RelayState, TargetMap};
 use crate::sync_progress::{NextRead, ReadOutcome, StoreAvailability, SyncProgress};
 use sniperelay_core::target::TargetLifecycle;
@@ -47,6 +48,10 @@
 const MAX_COALESCE_PAUSE: Duration = Duration::from_secs(1);
 /// Time that a watch has to return a change, from the time at which its source is known to have later ones.
 const COPY_CHECK_DELAY: Duration = Duration::from_secs(1);
+/// Time that a process that starts waits for the store alone, before it asks other entry VMs as well.
+const FIRST_LIST_WINDOW: Duration = Duration::from_millis(300);
+/// Pause after no entry VM had a snapshot, unless one is offered earlier.
+const SNAPSHOT_RETRY_INTERVAL: Duration = Duration::from_millis(300);
 /// Time after the store responds again in which a call that was sent before may still be answered, so that a large
 /// response that is being received is not requested again.
 const RECOVERY_GRACE: Duration = Duration::from_millis(300);
@@ -377,10 +382,38 @@
     /// Reads from the store: first a list that may be a few seconds old, then changes. Gives up when the store
     /// responds to another call after an outage, since a call that was sent during the outage may never be answered.
     async fn read_from_store(&mut self) -> Result<WatcherOutcome> {
+        if !self.progress.has_read() {
+            return self.read_first().await;
+        }
         let recovery = wait_for_recovery(self.state.clone());
+        let newer = find_newer_snapshot(self.state.clone(), self.prefix);
         tokio::select! {
             outcome = self.call_store() => outcome,
             () = recovery => Ok(ReadOutcome::StoreRecovered),
+            snapshot = newer => Ok(self.apply_snapshot(snapshot)),
+        }
+    }
+
+    /// Reads the prefix for the first time: from the store, or, if it does not respond within [`FIRST_LIST_WINDOW`],
+    /// from whichever responds first, the store or another entry VM.
+    async fn read_first(&mut self) -> Result<WatcherOutcome> {
+        let state = self.state.clone();
+        let mut recoveries = state.replica.subscribe_recoveries();
+        let mut call = pin!(state.store.list_stale(self.prefix));
+        let listed = match tokio::time::timeout(FIRST_LIST_WINDOW, &mut call).await {
+            Ok(listed) => listed,
+            Err(_) => tokio::select! {
+                listed = &mut call => listed,
+                snapshot = find_snapshot(&state, self.prefix) => return Ok(self.apply_snapshot(snapshot)),
+                Ok(()) = recoveries.changed() => return Ok(ReadOutcome::StoreRecovered),
+            },
+        };
+        match listed {
+            Ok(list) => Ok(self.apply_store_list(list)),
+            Err(error) => {
+                let snapshot = fetch_newest_snapshot(&state, self.prefix).await.ok_or(error)?;
+                Ok(self.apply_snapshot(snapshot))
+            }
         }
     }
 
@@ -388,26 +421,25 @@
         let store = &self.state.store;
         let list = match self.progress.next_read() {
             NextRead::Watch(revision) => return self.watch_store(revision).await,
-            NextRead::FreshList => store.list(self.prefix).await,
-            NextRead::StaleList => store.list_stale(self.prefix).await,
+            NextRead::FreshList => store.list(self.prefix).await?,
+            NextRead::StaleList => store.list_stale(self.prefix).await?,
         };
-        match list {
-            Ok(list) => {
-                let revision = list.revision;
-                let outcome = self.apply_list(list, false);
-                self.state.replica.record_store_contact(revision);
-                Ok(outcome)
-            }
-            Err(error) => self.load_seed_snapshot(error).await,
-        }
+        Ok(self.apply_store_list(list))
+    }
+
+    fn apply_store_list(&mut self, list: ObjectList) -> WatcherOutcome {
+        let revision = list.revision;
+        let outcome = self.apply_list(list, false);
+        self.state.replica.record_store_contact(revision);
+        outcome
     }
 
     async fn watch_store(&mut self, revision: u64) -> Result<WatcherOutcome> {
-        let (wait, since) = if self.is_caught_up() {
-            (MAX_WATCH_WAIT, self.state.replica.copies().revision(self.prefix).max(revision))
-        } else {
-            (Duration::ZERO, revision)
-        };
+        let copies = self.state.replica.copies();
+        // A copy that is not current is confirmed first, by a call that does not wait.
+        let is_current = self.is_caught_up() && copies.is_current(self.prefix, boot_clock::now());
+        let wait = if is_current { MAX_WATCH_WAIT } else { Duration::ZERO };
+        let since = if self.is_caught_up() { copies.revision(self.prefix).max(revision) } else { revision };
         let poll = |since| poll_store(&self.state, self.prefix, since);
         let events = tokio::select! {
             events = self.state.store.watch(self.prefix, since, wait) => events?,
@@ -420,16 +452,11 @@
         Ok(ReadOutcome::Read(changes))
     }
 
-    /// Loads the objects from a seed if the store is unavailable and this process has not yet read any.
-    ///
-    /// Returns `error` if there is nothing to load.
-    async fn load_seed_snapshot(&mut self, error: PlatformError) -> Result<WatcherOutcome> {
-        if self.progress.has_read() {
-            return Err(error);
-        }
-        let list = fetch_seed_snapshot(&self.state, self.prefix).await.ok_or(error)?;
+    /// Applies a snapshot of another entry VM. It takes effect at once, and may be out of date until the store or a
+    /// reader confirms it.
+    fn apply_snapshot(&mut self, list: ObjectList) -> WatcherOutcome {
         self.is_from_seed = true;
-        Ok(self.apply_list(list, true))
+        self.apply_list(list, true)
     }
 
     /// Reads from a reader: first a list, then changes. The list is up to date as long as the reader
@@ -464,7 +491,12 @@
             log::warn!(prefix = self.prefix, revision = list.revision; "the store has returned from an older copy");
         }
         self.state.replica.apply_snapshot(self.prefix, &list);
-        self.state.replica.copies().confirm(self.prefix, list.revision, boot_clock::now());
+        let copies = self.state.replica.copies();
+        if self.is_from_seed {
+            copies.restore(self.prefix, list.revision);
+        } else {
+            copies.confirm(self.prefix, list.revision, boot_clock::now());
+        }
         let listed: BTreeMap<String, u64> =
             list.items.iter().map(|item| (item.key.clone(), item.version)).collect();
         let deleted_keys = self.known_versions.keys().filter(|key| !listed.contains_key(*key));
@@ -517,22 +549,59 @@
         if !is_following && !matches!(error, PlatformError::Throttled(_)) {
             self.state.replica.record_store_failure();
         }
-        let pause = if is_following { READER_FAILURE_PAUSE } else { STORE_FAILURE_PAUSE };
+        let pause = match is_following {
+            true => READER_FAILURE_PAUSE,
+            false if !self.progress.has_read() => SNAPSHOT_RETRY_INTERVAL,
+            false => STORE_FAILURE_PAUSE,
+        };
         self.pause(pause).await;
     }
 }
 
-/// Waits until the store responds again after a failed call, and [`RECOVERY_GRACE`] longer. Does not return on an entry
-/// VM that is about to follow a reader: if the whole fleet read the store at once, most calls would exceed its rate.
-async fn wait_for_recovery(state: Arc<RelayState>) {
-    let mut recoveries = state.replica.subscribe_recoveries();
+/// Fetches a snapshot from another entry VM, as soon as one has it.
+async fn find_snapshot(state: &RelayState, prefix: &str) -> ObjectList {
+    let mut offers = state.offers.subscribe();
     loop {
-        if recoveries.changed().await.is_err() {
-            return std::future::pending().await;
+        if let Some(list) = fetch_newest_snapshot(state, prefix).await {
+            return list;
         }
-        if state.replica.must_read_store() {
-            return tokio::time::sleep(RECOVERY_GRACE).await;
+        drop(tokio::time::timeout(SNAPSHOT_RETRY_INTERVAL, offers.changed()).await);
+    }
+}
+
+/// Fetches a snapshot that is newer than the copy of a prefix, as soon as one is offered. Does not return if the copy
+/// has been confirmed in this process.
+async fn find_newer_snapshot(state: Arc<RelayState>, prefix: &'static str) -> ObjectList {
+    let mut offers = state.offers.subscribe();
+    loop {
+        let copies = state.replica.copies();
+        let own = copies.revision(prefix);
+        let is_newer =
+            |offer: &CopyOffer| offer.revisions.get(prefix).is_some_and(|revision| *revision > own);
+        let is_offered = offers.borrow_and_update().iter().any(is_newer);
+        if is_offered
+            && !copies.is_confirmed(prefix)
+            && let Some(list) = fetch_newest_snapshot(&state, prefix).await
+            && list.revision > own
+        {
+            return list;
         }
+        if copies.is_confirmed(prefix) || offers.changed().await.is_err() {
+            return std::future::pending().await;
+        }
+    }
+}
+
+/// Waits until the store responds again after a failed call, and [`RECOVERY_GRACE`] longer. On an entry VM that may still
+/// follow a reader, waits until it has found none: if the whole fleet read the store at once, most calls would exceed
+/// its rate.
+async fn wait_for_recovery(state: Arc<RelayState>) {
+    if state.replica.subscribe_recoveries().changed().await.is_err() {
+        return std::future::pending().await;
+    }
+    tokio::time::sleep(RECOVERY_GRACE).await;
+    while !state.replica.must_read_store() {
+        tokio::time::sleep(RECOVERY_GRACE).await;
     }
 }
 
