--- a/crates/relay/src/shutdown.rs
+++ b/crates/relay/src/shutdown.rs
@@ -4,9 +4,11 @@
 //! have its address from a lookup are served for a while, and responses tell them to close the
 //! connection. After that, new requests are refused, because they might not finish before the process
 //! ends: the maximum latency of a target is not known, and a request that is cut off is lost. Finally,
-//! idle connections are closed and requests in flight are finished. The process ends before its grace
-//! period is over.
+//! idle connections are closed and requests in flight are finished. While the store is away, the process does
+//! not end before another entry VM is known to hold its copies of the store's contents. It ends before its
+//! grace period is over in any case.
 
+use crate::copy_offers::must_keep_offering;
 use crate::shared_state::RelayState;
 use crate::store_sync::deregister;
 use sniperelay_node::lifecycle::{RefusingState, ServingState, WithdrawnState};
@@ -122,7 +124,8 @@
         context.drain_sender.send_replace(true);
         let end = context.started_at + context.schedule.end_after;
         let connections = &context.state.connections;
-        while connections.load(Ordering::Relaxed) > 0 && Instant::now() < end {
+        let is_busy = || connections.load(Ordering::Relaxed) > 0 || must_keep_offering(&context.state);
+        while is_busy() && Instant::now() < end {
             tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
         }
         let open_connections = connections.load(Ordering::Relaxed);
--- a/crates/relay/tests/outage_start.rs
+++ b/crates/relay/tests/outage_start.rs
@@ -139,6 +139,35 @@
     assert_eq!(status(&caller.receive().await.unwrap()), 404, "the offered routes are not in force");
 }
 
+/// Guards against knowledge that is lost with the last entry VM that has it: a planned stop with the store away waits, for
+/// as long as it may, until another one has the copies.
+#[tokio::test]
+async fn last_entry_vm_with_copies_hands_them_on_before_it_ends() {
+    let (store, informed) = start_informed_with_grace("4s").await;
+    let silent = start_silent_store().await;
+    let late = common::start_seeded_relay("late", silent.address(), "");
+    // Until then, the other one is known at an address where nobody listens yet.
+    let mut record = late.state().own_record();
+    let real = record.peer_address;
+    record.peer_address = start_silent_seed().await;
+    record.ready_address = record.peer_address;
+    store.put("sniperelay-entry-vms/late", encode_entry_vm(&record));
+    wait_until("late is known", HANG_LIMIT, || informed.state().entry_vms.load().contains_key("late")).await;
+    let state = informed.state().clone();
+    let stop = tokio::spawn(informed.shutdown());
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    store.control.is_silent.store(true, Ordering::Relaxed);
+    // Without callers, a stop ends after three quarters of its time, here 3 s. By then, the store is away.
+    tokio::time::sleep(Duration::from_millis(2700)).await;
+    assert!(!stop.is_finished(), "the last entry VM with copies has ended");
+    let mut vms = (**state.entry_vms.load()).clone();
+    vms.get_mut("late").unwrap().peer_address = real;
+    state.set_entry_vms(vms);
+    wait_until("the copies are handed on", HANG_LIMIT, || late.state().is_ready()).await;
+    stop.await.unwrap();
+    assert_eq!(version(&late), 1);
+}
+
 #[test]
 fn offers_are_decoded_as_far_as_they_can_be_read() {
     let offer = decode_offer("from=10.0.0.1:7&config/=5&servers/=x&=1&extra").unwrap();
