An entry VM states that it has taken a forwarded request

A build before does not know forwarding and responds 404, 503 or, to a path that it knows, 200; callers of an isolated entry VM got that. Change: an entry VM that takes a request says so by a header. Responses of builds between state it by an outcome or by the returned ID of the request, which only a request that was taken gets. Anything else counts as not taken, so the next entry VM is asked.

--- a/crates/node/src/traffic/headers.rs
+++ b/crates/node/src/traffic/headers.rs
@@ -35,6 +35,8 @@
 pub const MIN_VERSION: HeaderName = HeaderName::from_static("sniperelay-min-version");
 /// Address of the caller of a forwarded request.
 pub const CALLER: HeaderName = HeaderName::from_static("sniperelay-caller");
+/// Present on the response to a forwarded request that was taken.
+pub const ACCEPTED: HeaderName = HeaderName::from_static("sniperelay-accepted");
 /// Present on the response to a forwarded request that was not taken and has not been sent to a target.
 pub const NOT_ACCEPTED: HeaderName = HeaderName::from_static("sniperelay-not-accepted");
 /// Outcome of the request, in refusals by sniperelay.
--- a/crates/relay/src/forwarded_requests.rs
+++ b/crates/relay/src/forwarded_requests.rs
@@ -15,7 +15,7 @@
 use sniperelay_core::reason::RefusalReason;
 use sniperelay_node::lifecycle::LifecyclePhase;
 use sniperelay_node::traffic::headers::{
-    ATTEMPTS_LEFT, CALLER, FORWARDED_BY_PEER, MIN_VERSION, NOT_ACCEPTED, REASON, strip_hop_by_hop,
+    ACCEPTED, ATTEMPTS_LEFT, CALLER, FORWARDED_BY_PEER, MIN_VERSION, NOT_ACCEPTED, REASON, strip_hop_by_hop,
 };
 use std::net::{IpAddr, SocketAddr};
 use std::str::FromStr;
@@ -112,9 +112,8 @@
     if let Some(length) = response.declared_length {
         encoded.headers_mut().insert(header::CONTENT_LENGTH, length);
     }
-    if is_not_taken {
-        encoded.headers_mut().insert(NOT_ACCEPTED, HeaderValue::from_static("isolated or stopping"));
-    }
+    let (name, value) = if is_not_taken { (NOT_ACCEPTED, "isolated or stopping") } else { (ACCEPTED, "1") };
+    encoded.headers_mut().insert(name, HeaderValue::from_static(value));
     encoded
 }
 
--- a/crates/relay/src/forwarding.rs
+++ b/crates/relay/src/forwarding.rs
@@ -3,7 +3,8 @@
 //! A request is forwarded once: an entry VM that receives a forwarded request never forwards it. Other entry VMs
 //! are chosen like the homes of the request's host, without those that are known to reach no target, so that few
 //! of them send to the same targets and different hosts use different ones. One that refuses to take the request
-//! has not sent it on; the next one is then asked.
+//! has not sent it on; the next one is then asked. So is one that does not state that it has taken the request: entry
+//! VMs of earlier builds, which do not know forwarding, respond like that.
 //!
 //! Invariant: a request that is not idempotent is written to a connection of one entry VM at most. If that
 //! connection is lost, it is not known whether the request has run.
@@ -14,12 +15,13 @@
 use http::{HeaderMap, HeaderValue, Method, Request, Response, header};
 use hyper::body::Incoming;
 use sniperelay_core::reason::RefusalReason;
-use sniperelay_hosted::headers::set_attempt_headers;
+use sniperelay_hosted::headers::{REQUEST_ID, set_attempt_headers};
 use sniperelay_hosted::registration::EntryVmRecord;
 use sniperelay_node::boot_clock;
 use sniperelay_node::traffic::body::{RequestBody, full_body};
 use sniperelay_node::traffic::headers::{
-    ATTEMPTS_LEFT, CALLER, FORWARDED_BY_PEER, MIN_VERSION, NOT_ACCEPTED, REASON, strip_hop_by_hop,
+    ACCEPTED, ATTEMPTS_LEFT, CALLER, FORWARDED_BY_PEER, MIN_VERSION, NOT_ACCEPTED, OUTCOME, REASON,
+    strip_hop_by_hop,
 };
 use sniperelay_node::traffic::pool::PooledConnection;
 use std::collections::HashMap;
@@ -178,7 +180,7 @@
     response: Response<Incoming>,
     connection: PooledConnection,
 ) -> PeerAnswer {
-    let is_accepted = !response.headers().contains_key(NOT_ACCEPTED);
+    let is_accepted = states_acceptance(request.outbound, response.headers());
     // The other entry VM has lost its targets while it handled the request, which may have run.
     let is_lost = is_refused_as_isolated(response.headers());
     let (mut parts, incoming) = response.into_parts();
@@ -195,6 +197,7 @@
     }
     let declared_length = take_declared_length(&request.outbound.method, &mut parts.headers);
     strip_hop_by_hop(&mut parts.headers);
+    parts.headers.remove(ACCEPTED);
     PeerAnswer::Responded(Box::new(CallerResponse {
         status: parts.status,
         headers: parts.headers,
@@ -204,6 +207,18 @@
     }))
 }
 
+/// Returns whether a response states that the other entry VM has taken the request.
+///
+/// Builds without the header for it (before the registration states a protocol) state it by what only a request that was
+/// taken gets: an outcome, or its ID, which the target returns. Builds that do not know forwarding respond with neither,
+/// and have sent nothing to a target.
+fn states_acceptance(outbound: &OutboundRequest, headers: &HeaderMap) -> bool {
+    let id = outbound.headers.get(REQUEST_ID);
+    let returns_id = id.is_some() && headers.get(REQUEST_ID) == id;
+    !headers.contains_key(NOT_ACCEPTED)
+        && (headers.contains_key(ACCEPTED) || headers.contains_key(OUTCOME) || returns_id)
+}
+
 fn is_refused_as_isolated(headers: &HeaderMap) -> bool {
     headers.get(REASON).is_some_and(|reason| reason == RefusalReason::Isolated.as_str())
 }
