serve: documents are listed again after a watch that was not answered

Change: a watch of the documents waits 5 s, and after one that fails, the documents are listed. Only the few entry VMs chosen to watch do that; the list of VMs, which all of them watch, is left as it is.

--- a/crates/node/src/control/platform_sync.rs
+++ b/crates/node/src/control/platform_sync.rs
@@ -16,8 +16,11 @@
 
 /// Prefix of the keys of VMs in the platform.
 pub const VM_PREFIX: &str = "vms/";
-/// Maximum time for which a watch call waits for changes.
-const WATCH_TIMEOUT: Duration = Duration::from_secs(10);
+/// Maximum time for which a watch of the list of VMs waits for changes.
+const VM_WATCH_TIMEOUT: Duration = Duration::from_secs(10);
+/// Maximum time for which a watch of the documents waits for changes. A watch that is never answered ends after it and
+/// the timeout of a call (3 s); a change must be active within 12 s.
+const DOCUMENT_WATCH_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time for which this entry VM waits for peers to deliver the documents before it reads them from the
 /// platform.
 const PEER_GRACE_PERIOD: Duration = Duration::from_millis(1500);
@@ -73,7 +76,7 @@
     since: u64,
     table: &mut VmTable,
 ) -> Result<(u64, bool), PlatformError> {
-    let changes = platform.watch(VM_PREFIX, since, WATCH_TIMEOUT).await?;
+    let changes = platform.watch(VM_PREFIX, since, VM_WATCH_TIMEOUT).await?;
     for change in &changes.events {
         match change.value.as_ref().and_then(|value| parse_vm(&change.key, value)) {
             Some(record) => drop(table.insert(change.key.clone(), record)),
@@ -108,8 +111,10 @@
         match result {
             Ok(revision) => since = Some(revision),
             Err(PlatformError::WatchTooOld) => since = None,
+            // A list is read next: another watch might not be answered either.
             Err(error) => {
-                log::debug!("cannot read the documents: {error}");
+                log::info!("cannot read the documents: {error}");
+                since = None;
                 tokio::time::sleep(jittered(POLL_INTERVAL)).await;
             }
         }
@@ -136,7 +141,7 @@
     event_sender: &UnboundedSender<ControlEvent>,
     since: u64,
 ) -> Result<u64, PlatformError> {
-    let changes: EventList = platform.watch(CONFIG_PREFIX, since, WATCH_TIMEOUT).await?;
+    let changes: EventList = platform.watch(CONFIG_PREFIX, since, DOCUMENT_WATCH_TIMEOUT).await?;
     for change in &changes.events {
         match &change.value {
             Some(value) => forward_edition(event_sender, &change.key, value),
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -101,7 +101,12 @@
 
 impl SilentCalls {
     fn contains(&self, uri: &http::Uri) -> bool {
-        let waits = |query: &str| query.contains("WaitMs=") && !query.contains("WaitMs=0");
+        let waits = |query: &str| {
+            let wait = query
+                .split('&')
+                .find_map(|pair| pair.strip_prefix("WaitMs=").or_else(|| pair.strip_prefix("wait_ms=")));
+            wait.is_some_and(|wait| wait != "0")
+        };
         match self {
             Self::WaitingWatches(part) => uri.path().contains(part) && uri.query().is_some_and(waits),
             Self::All(part) => uri.path().contains(part),
