--- a/crates/node/src/traffic/pool.rs
+++ b/crates/node/src/traffic/pool.rs
@@ -100,7 +100,7 @@
     }
 
     /// Same as [`Self::take_fresh`], for an attempt of a request. The connection has not carried an attempt of it that
-    /// was refused: the target might write that refusal once more, which could not be told from one of this attempt.
+    /// was refused: the target might write that refusal once more, and all attempts of a request have the same ID.
     ///
     /// # Errors
     ///
--- a/crates/relay/src/copy_offers.rs
+++ b/crates/relay/src/copy_offers.rs
@@ -1,12 +1,12 @@
 //! Offers of copies of the store's contents to entry VMs that have none, or old ones, while the store is away.
 //!
-//! A process that starts knows its seeds only, which may have started at the same time. Entry VMs that have copies know
-//! the others by their registrations. Each of them offers its copies to the neighbours that are not ready, and, while
-//! the store is away, to a few others at random, so that what one entry VM knows reaches all of them in a number of
-//! rounds that grows with the logarithm of the fleet. An offer states revisions; who lacks them fetches a snapshot.
+//! A process that starts has only the addresses of its seeds, which may have started at the same time. Entry VMs that
+//! have copies have the registrations of all others as well. Each of them offers its copies to the neighbours that are
+//! not ready, and, while the store is away, to a few others at random, so that the copies of one entry VM reach the
+//! whole fleet in a number of rounds that grows with the logarithm of its size. An offer states revisions; a recipient
+//! that lacks them fetches a snapshot.
 //!
-//! An entry VM in a planned stop that knows of no other one with copies like its own goes on offering until its time to
-//! stop is over.
+//! In a planned stop, an entry VM whose copies no other one has stated goes on offering until its time to stop is over.
 //!
 //! Invariants:
 //!
@@ -57,7 +57,7 @@
     pub revisions: CopyRevisions,
 }
 
-/// Offers received, and whether the own copies are known to be held by another entry VM.
+/// Offers received, and whether another entry VM has stated copies with all changes of the own ones.
 #[derive(Debug, Default)]
 pub struct CopyOffers {
     received: watch::Sender<VecDeque<CopyOffer>>,
@@ -81,13 +81,12 @@
     }
 }
 
-/// Returns whether the store is away, as far as this entry VM knows: neither the store nor a reader has responded for a
-/// while.
+/// Returns whether neither the store nor a reader has responded to this entry VM for [`AWAY_AFTER`].
 pub fn is_store_away(state: &RelayState) -> bool {
     state.replica.contact_age().is_none_or(|age| age > AWAY_AFTER)
 }
 
-/// Returns whether this entry VM has copies that no other one is known to hold while the store is away.
+/// Returns whether the store is away and this entry VM has copies that no other one has stated.
 pub fn must_keep_offering(state: &RelayState) -> bool {
     state.has_copies() && is_store_away(state) && !state.offers.is_held_elsewhere.load(Ordering::Relaxed)
 }
--- a/crates/relay/src/replication.rs
+++ b/crates/relay/src/replication.rs
@@ -166,7 +166,7 @@
     }
 
     /// Returns whether this entry VM has decided to read the store itself: it is one of the entry VMs that are chosen as
-    /// readers, knows no other reader, or has found none that responds.
+    /// readers, there is no other reader, or none responds.
     pub fn must_read_store(&self) -> bool {
         self.must_read_store.load(Ordering::Relaxed)
     }
--- a/crates/relay/tests/silent_store.rs
+++ b/crates/relay/tests/silent_store.rs
@@ -79,18 +79,24 @@
     address
 }
 
-/// Guards against a watch that is sent while the store is silent and is waited for long after its return
-/// (incidents inc1 and inc2 of issue 33): a restarted reader kept the configuration of its seed.
-#[tokio::test]
-async fn watch_sent_to_a_silent_store_does_not_hold_back_the_configuration() {
+/// Starts a store that is silent, and an entry VM that has loaded the configuration of a seed and watches it.
+async fn start_in_silence() -> (Arc<PlatformStandin>, RunningRelay) {
     let store = PlatformStandin::start().await.unwrap();
     store.put("config/main", config("00000001").to_string());
     store.control.is_silent.store(true, Ordering::Relaxed);
     let relay = common::start_seeded_relay("vm0", store.address(), &start_seed().await);
     wait_until("the state of the seed is loaded", HANG_LIMIT, || relay.state().is_ready()).await;
-    let copies = relay.state().replica.copies();
+    let copies = relay.state().replica.copies().clone();
     let is_watching = || copies.statuses().get("config/").is_some_and(|status| status.read_since.is_some());
     wait_until("the configuration is watched", HANG_LIMIT, is_watching).await;
+    (store, relay)
+}
+
+/// Guards against a watch that is sent while the store is silent and is waited for long after its return
+/// (incidents inc1 and inc2 of issue 33): a restarted reader kept the configuration of its seed.
+#[tokio::test]
+async fn watch_sent_to_a_silent_store_does_not_hold_back_the_configuration() {
+    let (store, relay) = start_in_silence().await;
     store.control.is_silent.store(false, Ordering::Relaxed);
     store.put("config/main", config("00000009").to_string());
     wait_until("the new version", CONFIG_BOUND, || version(relay.state()) == 9).await;
@@ -100,14 +106,7 @@
 /// its changes, which may be seconds later: the store itself has responded again.
 #[tokio::test]
 async fn stale_replica_after_an_outage_does_not_hold_back_the_configuration() {
-    let store = PlatformStandin::start().await.unwrap();
-    store.put("config/main", config("00000001").to_string());
-    store.control.is_silent.store(true, Ordering::Relaxed);
-    let relay = common::start_seeded_relay("vm0", store.address(), &start_seed().await);
-    wait_until("the state of the seed is loaded", HANG_LIMIT, || relay.state().is_ready()).await;
-    let copies = relay.state().replica.copies();
-    let is_watching = || copies.statuses().get("config/").is_some_and(|status| status.read_since.is_some());
-    wait_until("the configuration is watched", HANG_LIMIT, is_watching).await;
+    let (store, relay) = start_in_silence().await;
     store.freeze_stale_lists();
     store.control.is_silent.store(false, Ordering::Relaxed);
     store.put("config/main", config("00000009").to_string());
