A list of the store takes effect at once when a reader has no later changes

Cause: a list of the store takes effect with the changes since it, read by a watch that does not wait. If the entry VM follows a reader in between, the watch goes to the reader and waits 5 s for changes that do not come. Class: a wait where an answer was due at once. Change: a watch at a reader waits only if what has been read is in effect.

--- a/crates/relay/src/store_sync.rs
+++ b/crates/relay/src/store_sync.rs
@@ -467,7 +467,9 @@
             return Ok(self.apply_list(list, true));
         };
         let poll = |since| reader.watch(self.prefix, since, Duration::ZERO);
-        let mut watch = pin!(reader.watch(self.prefix, revision, MAX_READER_WATCH_WAIT));
+        // A list of the store takes effect with the changes since then, also if there are none.
+        let wait = if self.is_caught_up() { MAX_READER_WATCH_WAIT } else { Duration::ZERO };
+        let mut watch = pin!(reader.watch(self.prefix, revision, wait));
         let events = tokio::select! {
             events = &mut watch => Some(events),
             events = find_missed_changes(&self.state, self.prefix, revision, poll) => Some(events),
--- a/crates/relay/tests/silent_store.rs
+++ b/crates/relay/tests/silent_store.rs
@@ -19,6 +19,9 @@
 /// Time after which a configuration must be in force on an entry VM that reaches the store: `Contact` (3 s) and
 /// `ConfigApply` (2 s) of the platform's bounds.
 const CONFIG_BOUND: Duration = Duration::from_secs(5);
+/// Time after which a configuration must be in force on an entry VM that has found a reader: `ConfigApply` of the
+/// platform's bounds.
+const READER_BOUND: Duration = Duration::from_secs(2);
 /// Timeout after which a condition that does not come true fails the test.
 const HANG_LIMIT: Duration = Duration::from_secs(30);
 
@@ -196,3 +199,30 @@
     });
     address
 }
+
+/// Guards against a list of the store that does not take effect for as long as a watch at a reader waits, because its
+/// reader was changed in between: the configuration was 5 s late (seen on a day of watha-relay).
+#[tokio::test]
+async fn list_of_the_store_takes_effect_when_a_reader_has_no_later_changes() {
+    let (store, relays) = start_fleet(1).await;
+    store.put("config/main", config("00000009").to_string());
+    let reader = relays[0].state();
+    wait_until("version 9 at the reader", HANG_LIMIT, || version(reader) == 9).await;
+    // The store of the other one answers lists, but no watches. Three larger entry VMs are the readers.
+    let own = PlatformStandin::start().await.unwrap();
+    own.control.set_silent_calls(Some(SilentCalls::Watches("/config")));
+    let mut record = reader.own_record();
+    record.capacity += 1;
+    for name in ["vm0", "vm1", "vm2"] {
+        record.name = name.to_owned();
+        own.put(&format!("sniperelay-entry-vms/{name}"), encode_entry_vm(&record));
+    }
+    own.put("config/main", config("00000009").to_string());
+    while own.list("").0 < store.list("").0 {
+        own.put("other/x", "1");
+    }
+    let late = common::start_named_relay("late", own.address());
+    let is_following = || matches!(late.state().replica.source(), StoreSource::Reader(_));
+    wait_until("a reader is followed", HANG_LIMIT, is_following).await;
+    wait_until("version 9", READER_BOUND, || version(late.state()) == 9).await;
+}
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -95,6 +95,8 @@
 pub enum SilentCalls {
     /// Watches that wait for changes.
     WaitingWatches(&'static str),
+    /// Watches, whether or not they wait.
+    Watches(&'static str),
     /// All calls.
     All(&'static str),
 }
@@ -109,6 +111,9 @@
         };
         match self {
             Self::WaitingWatches(part) => uri.path().contains(part) && uri.query().is_some_and(waits),
+            Self::Watches(part) => {
+                uri.path().contains(part) && uri.query().is_some_and(|query| query.contains("Watch="))
+            }
             Self::All(part) => uri.path().contains(part),
         }
     }
