--- a/crates/relay/src/unaware_vms.rs
+++ b/crates/relay/src/unaware_vms.rs
@@ -1,8 +1,8 @@
 //! Entry VMs whose build does not know rate limits of targets, and that therefore own none.
 //!
-//! The owner of a limit is computed by each entry VM from the shared lists, which do not say what a build knows. An
-//! owner that does not know claims refuses them in a way of its own; its claimants then leave it out, and say so in their
-//! claims to the next owner, so that it leaves it out as well. A process that replaces it is asked again.
+//! Each entry VM computes the owner of a limit from the shared lists, which do not contain the build of an entry VM. An
+//! owner of a build without claims responds to them with status 404 or 503. Its claimants then leave it out, and name it
+//! in their claims to the next owner, which leaves it out as well. A process that replaces it is asked again.
 
 use sniperelay_core::ids::IncarnationId;
 use sniperelay_hosted::registration::EntryVmRecord;
