--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -5,8 +5,11 @@
 
 mod deployment;
 mod http;
+mod large_bodies;
+mod moved_route;
 mod queued_at_stop;
 mod record;
+mod stale_pages;
 mod store;
 mod target;
 mod vm;
@@ -33,6 +36,9 @@
     record.say(format!("case {case}, disruption: {is_troubled}"));
     let verdict = match case.as_str() {
         "queued-at-stop" => queued_at_stop::run(&record, is_troubled),
+        "large-bodies" => large_bodies::run(&record, is_troubled),
+        "moved-route" => moved_route::run(&record, is_troubled),
+        "stale-pages" => stale_pages::run(&record, is_troubled),
         _ => Verdict::NotRun("unknown case".to_owned()),
     };
     let code = match verdict {
