Review, case 4: requests that wait for a service whose route is moved away

Cause: the dispatcher of a service without routes keeps its requests and an outdated list of targets.

--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -6,6 +6,7 @@
 mod deployment;
 mod http;
 mod large_bodies;
+mod moved_route;
 mod queued_at_stop;
 mod record;
 mod stale_pages;
@@ -36,6 +37,7 @@
     let verdict = match case.as_str() {
         "queued-at-stop" => queued_at_stop::run(&record, is_troubled),
         "large-bodies" => large_bodies::run(&record, is_troubled),
+        "moved-route" => moved_route::run(&record, is_troubled),
         "stale-pages" => stale_pages::run(&record, is_troubled),
         _ => Verdict::NotRun("unknown case".to_owned()),
     };
--- a/review/standin/src/moved_route.rs
+++ b/review/standin/src/moved_route.rs
@@ -1,11 +1,12 @@
 //! DRAIN: requests that wait for a service when a configuration moves its route away.
 //!
-//! Three entry VMs, two services with three targets of 6 slots. Requests are those of the row `bulk` of the sheet of
-//! akwaaba-slips-grown: 380 ms of work, 4,000 ms aim, 8,000 ms deadline. Clients send 1.5 times what a service can do, all the
-//! time. One target of the first service leaves (planned work). The disruption is a configuration, sent just before, that
+//! Three entry VMs, two services with eight targets of 4 slots. Requests are those of the row `bulk` of the sheet of
+//! akwaaba-slips-grown: 380 ms of work, 4,000 ms aim, 8,000 ms deadline. Clients send twice what a service can do, all the
+//! time. Two targets of the first service leave (planned work). The disruption is a configuration, sent just before, that
 //! moves the route to the second service (planned work, too).
 //!
-//! Checked: requests that reach the leaving target later than `Drain` after the store accepted that it is `draining`.
+//! Checked: requests that reach a leaving target later than `Drain` after the store accepted that it is
+//! `draining`.
 
 use crate::Verdict;
 use crate::deployment::{BOUNDS, Route, config, own_network};
@@ -22,11 +23,11 @@
 const HOST: &str = "jepu9.example";
 const DRAIN: f64 = 2.0;
 const DEADLINE: Duration = Duration::from_millis(8000);
-/// Requests a second: the targets of a service can do 3 x 6 / 0.38 = 47.
-const REQUESTS_PER_SECOND: u32 = 70;
+/// Requests a second: the targets of a service can do 8 x 4 / 0.38 = 84.
+const REQUESTS_PER_SECOND: u32 = 168;
 /// Times, counted from the first request.
 const CHANGE_AT: f64 = 12.0;
-const DRAIN_AT: f64 = 12.2;
+const DRAIN_AT: f64 = 12.05;
 const END_AT: f64 = 18.0;
 /// Time for which the leaving target goes on serving: `Drain` and a little longer.
 const SERVES_ON: f64 = 3.5;
@@ -36,10 +37,10 @@
     let store = Store::start(&format!("{network}.200"));
     let start = |n: usize, service: &str| {
         let (ip, zone) = (format!("{network}.{}", 100 + n), format!("z{}", n % 3 + 1));
-        Target::start(record, &ip, &format!("i-{n}"), service, &zone, 6)
+        Target::start(record, &ip, &format!("i-{n}"), service, &zone, 4)
     };
     let targets: Vec<Arc<Target>> =
-        (1..=3).map(|n| start(n, "archive")).chain((4..=6).map(|n| start(n, "archive-new"))).collect();
+        (1..=8).map(|n| start(n, "archive")).chain((9..=16).map(|n| start(n, "archive-new"))).collect();
     let route = |service| Route {
         host: HOST,
         prefix: "/bulk/",
@@ -64,7 +65,7 @@
     if homes.is_empty() {
         return Verdict::NotRun("no home".to_owned());
     }
-    let leaving = &targets[0];
+    let leaving = &targets[..2];
     let answers = Arc::new(Mutex::new(BTreeMap::new()));
     let mut senders = Vec::new();
     let traffic_start = record.now();
@@ -81,15 +82,19 @@
             }
         }
         if time >= DRAIN_AT && drained_at == f64::MAX {
-            store.put(&format!("servers/{}", leaving.id), leaving.entry("draining"));
+            for target in leaving {
+                store.put(&format!("servers/{}", target.id), target.entry("draining"));
+                record.say(format!("the store accepts that {} is draining", target.id));
+            }
             drained_at = record.now();
-            record.say(format!("the store accepts that {} is draining", leaving.id));
         }
         if record.now() > drained_at + SERVES_ON && !has_ended {
             has_ended = true;
-            leaving.has_ended.store(true, Ordering::Relaxed);
-            store.delete(&format!("servers/{}", leaving.id));
-            record.say(format!("{} ends; its entry is removed", leaving.id));
+            for target in leaving {
+                target.has_ended.store(true, Ordering::Relaxed);
+                store.delete(&format!("servers/{}", target.id));
+                record.say(format!("{} ends; its entry is removed", target.id));
+            }
         }
         let address = homes[number as usize % homes.len()];
         number += 1;
@@ -112,16 +117,15 @@
     }
     senders.into_iter().for_each(|sender| drop(sender.join()));
     record.say(format!("{number} requests: {:?}", answers.lock().unwrap()));
-    let arrivals = leaving.arrivals.lock().unwrap();
-    let late: Vec<_> = arrivals.iter().filter(|arrival| arrival.at > drained_at + DRAIN).collect();
-    for arrival in &late {
-        record.say(format!(
-            "DRAIN: {} reaches {} {:.3} s after the acknowledgement",
-            arrival.id,
-            leaving.id,
-            arrival.at - drained_at
-        ));
+    let mut late = 0;
+    for target in leaving {
+        let arrivals = target.arrivals.lock().unwrap();
+        for arrival in arrivals.iter().filter(|arrival| arrival.at > drained_at + DRAIN) {
+            late += 1;
+            let after = arrival.at - drained_at;
+            record.say(format!("DRAIN: {} reaches {} {after:.3} s after the acknowledgement", arrival.id, target.id));
+        }
     }
-    record.say(format!("{} requests reached the leaving target later than Drain", late.len()));
-    if late.is_empty() { Verdict::Held } else { Verdict::Broken }
+    record.say(format!("{late} requests reached a leaving target later than Drain"));
+    if late == 0 { Verdict::Held } else { Verdict::Broken }
 }
