--- a/review/standin/src/http.rs
+++ b/review/standin/src/http.rs
@@ -32,8 +32,7 @@
     io::Error::new(io::ErrorKind::InvalidData, text.to_owned())
 }
 
-/// Reads one message. Returns `None` if the connection ends before its first byte. `progress` is called after each
-/// read with the number of bytes that are buffered.
+/// Reads one message. Returns `None` if the connection ends before its first byte.
 pub fn read_message(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> io::Result<Option<Message>> {
     let mut chunk = vec![0; 64 * 1024];
     let head_end = loop {
@@ -87,10 +86,6 @@
             Self::GaveUp => "gave up".to_owned(),
         }
     }
-
-    pub fn status(&self) -> u16 {
-        if let Self::Answered(message) = self { message.status() } else { 0 }
-    }
 }
 
 /// A request of a client.
--- a/review/standin/src/large_bodies.rs
+++ b/review/standin/src/large_bodies.rs
@@ -10,7 +10,8 @@
 
 use crate::Verdict;
 use crate::deployment::{BOUNDS, Route, config, own_network};
-use crate::http::{ClientRequest, Outcome, send_on};
+use crate::kept_connections::{Cut, send_claims};
+use crate::memory::watch_memory;
 use crate::record::Record;
 use crate::store::Store;
 use crate::target::Target;
@@ -18,12 +19,11 @@
 use std::collections::HashSet;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 const HOST: &str = "jepu9.example";
-const MEMORY_LIMIT_KB: u64 = 260 * 1000;
+const MEMORY_LIMIT_MB: u64 = 260;
 const BODY_BYTES: usize = 30_000_000;
 /// Pace of a user's link: 40 Mbit/s.
 const BYTES_PER_SECOND: f64 = 5_000_000.0;
@@ -34,13 +34,6 @@
 const RUN_TIME: f64 = 24.0;
 const BURST_AT: f64 = 8.0;
 
-/// Request on a kept connection that was closed without an answer.
-struct Cut {
-    id: String,
-    at: f64,
-    outcome: String,
-}
-
 pub fn run(record: &Arc<Record>, is_troubled: bool) -> Verdict {
     let network = own_network();
     let store = Store::start(&format!("{network}.200"));
@@ -59,7 +52,10 @@
         latency_ms: 3000,
         priority,
     };
-    store.put("config/main", config(7, &[route("/claim/", "claims", 4000, 0), route("/bundle/", "bundles", 12_000, 1)]));
+    store.put(
+        "config/main",
+        config(7, &[route("/claim/", "claims", 4000, 0), route("/bundle/", "bundles", 12_000, 1)]),
+    );
     for target in &targets {
         store.put(&format!("servers/{}", target.id), target.entry("ready"));
     }
@@ -77,14 +73,12 @@
     let home = vms.remove(position);
     let address = home.front;
     let end = record.now() + RUN_TIME;
-    let peak_kb = Arc::new(AtomicU64::new(0));
-    let was_killed = Arc::new(AtomicBool::new(false));
-    let guard = watch_memory(record, home, &peak_kb, &was_killed, end + 8.0);
+    let guard = watch_memory(record, home, MEMORY_LIMIT_MB, end + 8.0);
     let cuts = Arc::new(Mutex::new(Vec::new()));
     let mut users: Vec<_> = (0..KEPT_CONNECTIONS)
         .map(|number| {
             let (record, cuts) = (record.clone(), cuts.clone());
-            std::thread::spawn(move || send_claims(&record, address, number, end, &cuts))
+            std::thread::spawn(move || send_claims(&record, address, HOST, number, end, &cuts))
         })
         .collect();
     let upload = |number: usize, until: f64| {
@@ -99,92 +93,28 @@
         users.extend((USUAL_UPLOADS..BURST_UPLOADS).map(|number| upload(number, until)));
     }
     users.into_iter().for_each(|user| drop(user.join()));
-    drop(guard.join());
+    let Ok((_, peak_mb, was_killed)) = guard.join() else {
+        return Verdict::NotRun("the watch of the memory failed".to_owned());
+    };
     let given: HashSet<String> = targets
         .iter()
-        .flat_map(|target| target.arrivals.lock().unwrap().iter().map(|arrival| arrival.id.clone()).collect::<Vec<_>>())
+        .flat_map(|target| {
+            target.arrivals.lock().unwrap().iter().map(|arrival| arrival.id.clone()).collect::<Vec<_>>()
+        })
         .collect();
-    let cuts = cuts.lock().unwrap();
+    let cuts: std::sync::MutexGuard<'_, Vec<Cut>> = cuts.lock().unwrap();
     let lost: Vec<&Cut> = cuts.iter().filter(|cut| given.contains(&cut.id)).collect();
     for cut in &lost {
-        record.say(format!("LOST: {} was given to a target, then {} at {:.3} s", cut.id, cut.outcome, cut.at));
+        record
+            .say(format!("LOST: {} was given to a target, then {} at {:.3} s", cut.id, cut.outcome, cut.at));
     }
     record.say(format!(
-        "peak of the process: {} MB; killed: {}; {} requests on kept connections lost, 3 are allowed",
-        peak_kb.load(Ordering::Relaxed) / 1000,
-        was_killed.load(Ordering::Relaxed),
+        "peak of the process: {peak_mb} MB; killed: {was_killed}; {} requests on kept connections lost, 3 are allowed",
         lost.len()
     ));
     if lost.len() > 3 { Verdict::Broken } else { Verdict::Held }
 }
 
-/// Kills the process when its memory exceeds the limit, as the platform does.
-fn watch_memory(
-    record: &Arc<Record>,
-    mut vm: Vm,
-    peak_kb: &Arc<AtomicU64>,
-    was_killed: &Arc<AtomicBool>,
-    end: f64,
-) -> std::thread::JoinHandle<()> {
-    let (record, peak_kb, was_killed) = (record.clone(), peak_kb.clone(), was_killed.clone());
-    std::thread::spawn(move || {
-        let mut logged_at = 0.0;
-        while record.now() < end {
-            let Some(kb) = resident_kb(vm.pid()) else { break };
-            peak_kb.fetch_max(kb, Ordering::Relaxed);
-            if record.now() - logged_at > 0.5 {
-                logged_at = record.now();
-                record.log(format!("front-{} uses {} MB", vm.number, kb / 1000));
-            }
-            if kb > MEMORY_LIMIT_KB {
-                record.say(format!("front-{} uses {} MB, more than its 260 MB", vm.number, kb / 1000));
-                was_killed.store(true, Ordering::Relaxed);
-                vm.kill();
-                break;
-            }
-            std::thread::sleep(Duration::from_millis(10));
-        }
-    })
-}
-
-fn resident_kb(pid: u32) -> Option<u64> {
-    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
-    let line = status.lines().find(|line| line.starts_with("VmRSS:"))?;
-    line.split_whitespace().nth(1)?.parse().ok()
-}
-
-/// Sends small requests one after the other on a connection that is kept.
-fn send_claims(record: &Record, address: SocketAddr, number: usize, end: f64, cuts: &Mutex<Vec<Cut>>) {
-    let Ok(mut stream) = TcpStream::connect_timeout(&address, Duration::from_secs(1)) else { return };
-    let mut count = 0;
-    while record.now() < end {
-        count += 1;
-        let id = format!("claim-{number:02}-{count:03}");
-        let request = ClientRequest {
-            method: "POST",
-            host: HOST.to_owned(),
-            path: "/claim/w600".to_owned(),
-            id: id.clone(),
-            deadline: Duration::from_millis(4000),
-            body: vec![b'c'; 300],
-        };
-        record.log(format!("{id} sent on connection {number}"));
-        let outcome = send_on(&mut stream, &request);
-        record.log(format!("{id}: {}", outcome.text()));
-        match outcome {
-            Outcome::Answered(message) if message.header("connection") == Some("close") => return,
-            Outcome::Answered(_) => {}
-            outcome => {
-                // The first request of a connection is not one of a kept connection.
-                if count > 1 && matches!(outcome, Outcome::Closed(_)) {
-                    cuts.lock().unwrap().push(Cut { id, at: record.now(), outcome: outcome.text() });
-                }
-                return;
-            }
-        }
-    }
-}
-
 /// Sends requests with long bodies, one after the other.
 fn send_bundles(record: &Record, address: SocketAddr, number: usize, until: f64) {
     let mut count = 0;
@@ -193,7 +123,7 @@
         let id = format!("bundle-{number:02}-{count:02}");
         record.log(format!("{id} begins to send {BODY_BYTES} bytes"));
         let answer = send_bundle(address, &id);
-        let text = answer.map_or_else(|error| format!("closed without an answer ({error})"), |text| text);
+        let text = answer.unwrap_or_else(|error| format!("closed without an answer ({error})"));
         record.log(format!("{id}: {text}"));
         std::thread::sleep(Duration::from_millis(100));
     }
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -5,7 +5,10 @@
 
 mod deployment;
 mod http;
+mod kept_connections;
 mod large_bodies;
+mod many_configurations;
+mod memory;
 mod moved_route;
 mod queued_at_stop;
 mod record;
@@ -37,6 +40,7 @@
     let verdict = match case.as_str() {
         "queued-at-stop" => queued_at_stop::run(&record, is_troubled),
         "large-bodies" => large_bodies::run(&record, is_troubled),
+        "many-configurations" => many_configurations::run(&record, is_troubled),
         "moved-route" => moved_route::run(&record, is_troubled),
         "stale-pages" => stale_pages::run(&record, is_troubled),
         _ => Verdict::NotRun("unknown case".to_owned()),
--- a/review/standin/src/moved_route.rs
+++ b/review/standin/src/moved_route.rs
@@ -123,7 +123,10 @@
         for arrival in arrivals.iter().filter(|arrival| arrival.at > drained_at + DRAIN) {
             late += 1;
             let after = arrival.at - drained_at;
-            record.say(format!("DRAIN: {} reaches {} {after:.3} s after the acknowledgement", arrival.id, target.id));
+            record.say(format!(
+                "DRAIN: {} reaches {} {after:.3} s after the acknowledgement",
+                arrival.id, target.id
+            ));
         }
     }
     record.say(format!("{late} requests reached a leaving target later than Drain"));
--- a/review/standin/src/queued_at_stop.rs
+++ b/review/standin/src/queued_at_stop.rs
@@ -47,7 +47,16 @@
     let network = own_network();
     let store = Store::start(&format!("{network}.200"));
     let targets: Vec<Arc<Target>> = (1..=3)
-        .map(|n| Target::start(record, &format!("{network}.10{n}"), &format!("i-{n}"), "archive", &format!("z{n}"), 6))
+        .map(|n| {
+            Target::start(
+                record,
+                &format!("{network}.10{n}"),
+                &format!("i-{n}"),
+                "archive",
+                &format!("z{n}"),
+                6,
+            )
+        })
         .collect();
     for target in &targets {
         *target.limit.lock().unwrap() = Some(SERVER_LIMIT.to_owned());
@@ -81,7 +90,8 @@
     let end = record.now() + RUN_TIME;
     let users: Vec<_> = (0..USERS)
         .map(|number| {
-            let user = User { number, directories: directories.clone(), record: record.clone(), sent: sent.clone() };
+            let user =
+                User { number, directories: directories.clone(), record: record.clone(), sent: sent.clone() };
             std::thread::spawn(move || user.run(end))
         })
         .collect();
@@ -152,14 +162,17 @@
     let (status, body) = crate::vm::get(directory, &format!("/api/resolve?Name={HOST}&Region=r&Zone=z1"))?;
     let value: serde_json::Value = serde_json::from_slice(&body).ok()?;
     let addresses = value["Addresses"].as_array()?;
-    let addresses: Vec<SocketAddr> = addresses.iter().filter_map(|address| address.as_str()?.parse().ok()).collect();
+    let addresses: Vec<SocketAddr> =
+        addresses.iter().filter_map(|address| address.as_str()?.parse().ok()).collect();
     (status == 200 && !addresses.is_empty()).then_some(addresses)
 }
 
 fn report(record: &Record, sent: &[Sent], targets: &[Arc<Target>], signalled_at: f64) -> Verdict {
     let given: std::collections::HashSet<String> = targets
         .iter()
-        .flat_map(|target| target.arrivals.lock().unwrap().iter().map(|arrival| arrival.id.clone()).collect::<Vec<_>>())
+        .flat_map(|target| {
+            target.arrivals.lock().unwrap().iter().map(|arrival| arrival.id.clone()).collect::<Vec<_>>()
+        })
         .collect();
     let mut counts = std::collections::BTreeMap::new();
     for request in sent {
@@ -187,6 +200,10 @@
             request.ended_at - signalled_at
         ));
     }
-    record.say(format!("{} requests cut without an answer, {} of them never given to a target", lost.len(), unsent.len()));
+    record.say(format!(
+        "{} requests cut without an answer, {} of them never given to a target",
+        lost.len(),
+        unsent.len()
+    ));
     if unsent.is_empty() { Verdict::Held } else { Verdict::Broken }
 }
--- a/review/standin/src/stale_pages.rs
+++ b/review/standin/src/stale_pages.rs
@@ -48,7 +48,8 @@
         latency_ms: 500,
         priority: 0,
     };
-    let routes = [route("jepu9.example", "/read/", "safe", "board"), route(HOST, "/claim/", "unsafe", "desk")];
+    let routes =
+        [route("jepu9.example", "/read/", "safe", "board"), route(HOST, "/claim/", "unsafe", "desk")];
     store.put("config/main", config(7, &routes));
     for target in board.iter().chain(&desk) {
         store.put(&format!("servers/{}", target.id), target.entry("ready"));
@@ -132,10 +133,15 @@
         let after = |at: f64| at - drained_at;
         record.say(format!(
             "DRAIN: {} requests reach {} from {:.3} s to {:.3} s after the acknowledgement, the first one {}",
-            late.len(), leaving.id, after(first.at), after(last.at), first.id
+            late.len(),
+            leaving.id,
+            after(first.at),
+            after(last.at),
+            first.id
         ));
     }
-    let lost = late.iter().filter(|arrival| sent.get(&arrival.id).is_some_and(|(_, text)| text == "502")).count();
+    let lost =
+        late.iter().filter(|arrival| sent.get(&arrival.id).is_some_and(|(_, text)| text == "502")).count();
     let mut answers = BTreeMap::new();
     sent.values().for_each(|(_, text)| *answers.entry(text.clone()).or_insert(0) += 1);
     record.say(format!(
--- a/review/standin/src/target.rs
+++ b/review/standin/src/target.rs
@@ -42,7 +42,14 @@
 }
 
 impl Target {
-    pub fn start(record: &Arc<Record>, ip: &str, id: &str, service: &str, zone: &str, slots: usize) -> Arc<Self> {
+    pub fn start(
+        record: &Arc<Record>,
+        ip: &str,
+        id: &str,
+        service: &str,
+        zone: &str,
+        slots: usize,
+    ) -> Arc<Self> {
         let listener = TcpListener::bind(format!("{ip}:0")).expect("a free port for a target");
         let target = Arc::new(Self {
             id: id.to_owned(),
@@ -133,7 +140,10 @@
     }
 
     fn refusal(&self, status: u16, id: &str) -> Vec<u8> {
-        let head = format!("HTTP/1.1 {status} X\r\nX-Not-Executed: 1\r\nX-Request-Id: {id}\r\n{}", self.load_header());
+        let head = format!(
+            "HTTP/1.1 {status} X\r\nX-Not-Executed: 1\r\nX-Request-Id: {id}\r\n{}",
+            self.load_header()
+        );
         format!("{head}Content-Length: 0\r\n\r\n").into_bytes()
     }
 
--- a/review/standin/src/vm.rs
+++ b/review/standin/src/vm.rs
@@ -104,11 +104,6 @@
             record: self.record.clone(),
         }
     }
-
-    /// Returns the path of a machine's log.
-    pub fn log_path(&self, number: usize) -> PathBuf {
-        self.folder.join(format!("front-{number}.log"))
-    }
 }
 
 impl Drop for Fleet {
@@ -182,10 +177,6 @@
         self.kill();
     }
 
-    pub fn has_ended(&mut self) -> bool {
-        matches!(self.child.try_wait(), Ok(Some(_)))
-    }
-
     /// Kills the process.
     pub fn kill(&mut self) {
         let _ = self.child.kill();
