--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -4,6 +4,7 @@
 //! held, 1 if it was broken, and 2 if the case could not run.
 
 mod deployment;
+mod frozen_follower;
 mod http;
 mod kept_connections;
 mod large_bodies;
@@ -39,6 +40,7 @@
     record.say(format!("case {case}, disruption: {is_troubled}"));
     let verdict = match case.as_str() {
         "queued-at-stop" => queued_at_stop::run(&record, is_troubled),
+        "frozen-follower" => frozen_follower::run(&record, is_troubled),
         "large-bodies" => large_bodies::run(&record, is_troubled),
         "many-configurations" => many_configurations::run(&record, is_troubled),
         "moved-route" => moved_route::run(&record, is_troubled),
--- a/review/standin/src/vm.rs
+++ b/review/standin/src/vm.rs
@@ -106,6 +106,19 @@
     }
 }
 
+impl Fleet {
+    /// Returns the lines of a machine's log that contain a text.
+    pub fn log_lines(&self, number: usize, text: &str) -> Vec<String> {
+        let log =
+            std::fs::read_to_string(self.folder.join(format!("front-{number}.log"))).unwrap_or_default();
+        log.lines().filter(|line| line.contains(text)).map(str::to_owned).collect()
+    }
+
+    pub fn log_contains(&self, number: usize, text: &str) -> bool {
+        !self.log_lines(number, text).is_empty()
+    }
+}
+
 impl Drop for Fleet {
     fn drop(&mut self) {
         if std::env::var_os("REVIEW_KEEP_LOGS").is_none() {
