--- a/review/standin/src/frozen_follower.rs
+++ b/review/standin/src/frozen_follower.rs
@@ -34,7 +34,9 @@
     let network = own_network();
     let store = Store::start(&format!("{network}.200"));
     let target = Target::start(record, &format!("{network}.101"), "i-1", "claims", "z1", 6);
-    record.say(format!("the configuration has {} bytes", put_config(&store, 1, false)));
+    let text = config_text(1, false);
+    store.put_text("config/main", &text);
+    record.say(format!("the configuration has {} bytes", text.len()));
     store.put(&format!("servers/{}", target.id), target.entry("ready"));
     let fleet = Fleet::new(record, &network, store.address, BOUNDS);
     let vms: Vec<Vm> = (1..=5).map(|n| fleet.start(n, &format!("z{}", n % 4))).collect();
@@ -47,25 +49,28 @@
         return Verdict::NotRun("no entry VM follows another one".to_owned());
     };
     record.say(format!("front-{} follows another entry VM", follower.number));
-    let mut frozen_at = None;
-    let mut resumed_at = record.now();
-    for change in 1..=CHANGES {
-        put_config(&store, 1 + change, change == CHANGES);
+    let versions: Vec<String> =
+        (1..=CHANGES).map(|change| config_text(1 + change, change == CHANGES)).collect();
+    let begin = record.now();
+    let wait_until = |time: f64| std::thread::sleep(Duration::from_secs_f64((time - record.now()).max(0.0)));
+    let mut frozen_at = f64::MAX;
+    let mut resumed_at = begin;
+    for (change, text) in (1..).zip(&versions) {
+        wait_until(begin + CHANGE_INTERVAL.as_secs_f64() * f64::from(change));
+        store.put_text("config/main", text);
         if is_troubled && change == FREEZE_AFTER {
             follower.signal("STOP");
-            frozen_at = Some(record.now());
+            frozen_at = record.now();
         }
-        let next_at = record.now() + CHANGE_INTERVAL.as_secs_f64();
-        while record.now() < next_at {
-            std::thread::sleep(Duration::from_millis(5));
-            if frozen_at.is_some_and(|at| record.now() - at >= FREEZE_TIME) {
-                follower.signal("CONT");
-                resumed_at = record.now();
-                frozen_at = None;
-            }
+        let next_at = begin + CHANGE_INTERVAL.as_secs_f64() * f64::from(change + 1);
+        if frozen_at + FREEZE_TIME < next_at {
+            wait_until(frozen_at + FREEZE_TIME);
+            follower.signal("CONT");
+            resumed_at = record.now();
+            frozen_at = f64::MAX;
         }
     }
-    let acknowledged_at = record.now() - CHANGE_INTERVAL.as_secs_f64();
+    let acknowledged_at = record.now();
     record.say(format!("the store has accepted {CHANGES} versions; the last one adds the route /new/"));
     let begin = (acknowledged_at + CONFIG_APPLY).max(resumed_at + CONTACT) + 0.5;
     std::thread::sleep(Duration::from_secs_f64((begin - record.now()).max(0.0)));
@@ -105,8 +110,8 @@
     if refused > 0 { Verdict::Broken } else { Verdict::Held }
 }
 
-/// Writes a version of the configuration. Returns its size in bytes.
-fn put_config(store: &Store, version: u32, has_new_route: bool) -> usize {
+/// Returns a version of the configuration.
+fn config_text(version: u32, has_new_route: bool) -> String {
     let route = |prefix| Route {
         host: HOST,
         prefix,
@@ -131,7 +136,5 @@
             routes.insert(format!("r-m{number}"), route);
         }
     }
-    let text = value.to_string();
-    store.put_text("config/main", &text);
-    text.len()
+    value.to_string()
 }
