--- a/review/standin/src/frozen_follower.rs
+++ b/review/standin/src/frozen_follower.rs
@@ -106,6 +106,7 @@
     for line in fleet.log_lines(follower.number, "cannot read from the reader").iter().rev().take(1) {
         record.say(format!("log of front-{}: {line}", follower.number));
     }
+    record.say(format!("front-{} says that it is ready: {}", follower.number, follower.is_ready()));
     record.say(format!("{refused} of {number} requests on the added route were refused with 404"));
     if refused > 0 { Verdict::Broken } else { Verdict::Held }
 }
