Followers get the latest change of each object; the change log is gone

Cause: each replica kept up to 2,048 changes per prefix with the whole value, and a change of config/main holds the whole configuration. Class: a bound by number where others decide the size. Change: module change_index, one entry per object without a value; deletions alone are bounded by number. Values come from the copy.

--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -15,6 +15,7 @@
 //! | [`sync_progress`] | progress of reading the store: revisions, lists that are too old, outages |
 //! | [`copy_status`] | how current the copies of the store's contents are |
 //! | [`copy_offers`] | offers of copies to entry VMs that start while the store is away |
+//! | [`change_index`] | latest changes of the store's objects, for followers |
 //! | [`replication`] | replication of the store's contents from readers to followers |
 //! | [`response_cache`] | encoded replication responses, shared by all followers |
 //! | [`content_coding`] | compression of responses |
@@ -41,6 +42,7 @@
 pub mod attempt;
 pub mod caller_connection;
 pub mod caller_response;
+pub mod change_index;
 pub mod connection_end;
 pub mod content_coding;
 pub mod copy_offers;
--- a/crates/relay/src/replication.rs
+++ b/crates/relay/src/replication.rs
@@ -6,6 +6,7 @@
 //! current, so that no entry VM follows a reader that is cut off from the store or stands still. Readers relay objects unchanged, with the versions that
 //! the store gave them. A follower never returns to a revision before the one it has reached.
 
+use crate::change_index::ChangeIndex;
 use crate::copy_status::{CopyTable, CopyTransition};
 use crate::shared_state::RelayState;
 use sniperelay_core::home::{SizedCandidate, choose_homes_by_capacity};
@@ -15,7 +16,7 @@
 use sniperelay_platform::api::{EventList, ObjectEvent, ObjectList, PlatformApi, StoredObject};
 use sniperelay_platform::transport::CallCounters;
 use sniperelay_platform::{CallLimiter, HttpPlatform, PlatformError, PlatformTransport};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -25,8 +26,6 @@
 
 /// Maximum number of readers. With three, one remains if two fail at the same time.
 const MAX_READERS: usize = 3;
-/// Maximum number of changes per prefix that are stored for followers.
-const CHANGE_LOG_CAPACITY: usize = 2048;
 /// Interval between two checks by a reader that the store responds.
 const STORE_CHECK_INTERVAL: Duration = Duration::from_millis(300);
 /// Maximum age of the store's last response at which a reader serves followers. Also the timeout
@@ -80,9 +79,8 @@
     /// Number of the latest change; see [`StoreReplica::change_number`].
     change_number: u64,
     objects: BTreeMap<String, StoredObject>,
-    change_log: VecDeque<ObjectEvent>,
-    /// Revision up to which changes have been dropped from the change log.
-    compacted_revision: u64,
+    /// Changes for followers. The values are in `objects`.
+    changes: ChangeIndex,
     /// Revision of the latest change that may be in the copy.
     latest_change: u64,
 }
@@ -186,22 +184,21 @@
         self.lock_prefixes().get(prefix).map(|replica| replica.change_number)
     }
 
-    /// Replaces the copy of a prefix by a complete list, and clears the change log of the prefix.
+    /// Replaces the copy of a prefix by a complete list. Changes before it are not known.
     pub fn apply_snapshot(&self, prefix: &str, list: &ObjectList) {
         let objects = list.items.iter().map(|item| (item.key.clone(), item.clone())).collect();
         let replica = PrefixReplica {
             revision: list.revision,
             change_number: self.next_change_number(),
             objects,
-            change_log: VecDeque::new(),
-            compacted_revision: list.revision,
+            changes: ChangeIndex::starting_at(list.revision),
             latest_change: list.revision,
         };
         self.lock_prefixes().insert(prefix.to_owned(), replica);
         self.changed.send_replace(());
     }
 
-    /// Applies changes to the copy of a prefix and appends them to its change log.
+    /// Applies changes to the copy of a prefix.
     pub fn apply_changes(&self, prefix: &str, list: &EventList) {
         let mut prefixes = self.lock_prefixes();
         let replica = prefixes.entry(prefix.to_owned()).or_default();
@@ -287,7 +284,7 @@
     }
 
     /// Waits up to `wait` for changes after revision `since`; the list is empty if there are none. Returns
-    /// `None` if the prefix has not been read yet or the changes are no longer in the change log.
+    /// `None` if the prefix has not been read yet or not all changes since then are known.
     pub async fn wait_for_changes(&self, prefix: &str, since: u64, wait: Duration) -> Option<EventList> {
         self.wait_for_change(prefix, since, wait).await;
         self.numbered_changes(prefix, since).map(|(_, list)| list)
@@ -310,16 +307,16 @@
     /// Returns whether the changes after revision `since` can be returned but there are none yet.
     fn must_wait(&self, prefix: &str, since: u64) -> bool {
         let prefixes = self.lock_prefixes();
-        let replica = prefixes.get(prefix).filter(|replica| replica.has_log_since(since));
-        replica.is_some_and(|replica| replica.changes_since(since).next().is_none())
+        let replica = prefixes.get(prefix).filter(|replica| replica.has_changes_since(since));
+        replica.is_some_and(|replica| replica.changes.since(since).next().is_none())
     }
 
-    /// Returns the changes after revision `since`, with the change number of the prefix. Returns `None` if the
-    /// prefix has not been read yet or the changes are no longer in the change log.
+    /// Returns the latest change of each object that has changed after revision `since`, with the change number of the
+    /// prefix. Returns `None` if the prefix has not been read yet or not all changes since then are known.
     pub fn numbered_changes(&self, prefix: &str, since: u64) -> Option<(u64, EventList)> {
         let prefixes = self.lock_prefixes();
-        let replica = prefixes.get(prefix).filter(|replica| replica.has_log_since(since))?;
-        let events = replica.changes_since(since).cloned().collect();
+        let replica = prefixes.get(prefix).filter(|replica| replica.has_changes_since(since))?;
+        let events = replica.changes_since(since).collect();
         // The follower may have reached a later revision than this entry VM.
         let list = EventList { revision: replica.revision.max(since), events };
         Some((replica.change_number, list))
@@ -332,12 +329,19 @@
 }
 
 impl PrefixReplica {
-    fn has_log_since(&self, revision: u64) -> bool {
-        revision >= self.compacted_revision
+    /// Returns whether all changes after a revision are known.
+    fn has_changes_since(&self, revision: u64) -> bool {
+        revision >= self.changes.first_revision()
     }
 
-    fn changes_since(&self, revision: u64) -> impl Iterator<Item = &ObjectEvent> {
-        self.change_log.iter().filter(move |event| event.version > revision)
+    fn changes_since(&self, revision: u64) -> impl Iterator<Item = ObjectEvent> {
+        let current_value = |key| self.objects.get(key).map(|object| object.value.clone());
+        let changes = self.changes.since(revision);
+        changes.map(move |(version, key)| ObjectEvent {
+            key: key.to_owned(),
+            version,
+            value: current_value(key),
+        })
     }
 
     fn apply(&mut self, event: &ObjectEvent) {
@@ -350,11 +354,7 @@
             None => drop(self.objects.remove(&event.key)),
         }
         self.latest_change = self.latest_change.max(event.version);
-        self.change_log.push_back(event.clone());
-        while self.change_log.len() > CHANGE_LOG_CAPACITY {
-            self.compacted_revision =
-                self.change_log.pop_front().map_or(self.compacted_revision, |event| event.version);
-        }
+        self.changes.record(&event.key, event.version, event.value.is_none());
     }
 }
 
--- a/crates/relay/src/response_cache.rs
+++ b/crates/relay/src/response_cache.rs
@@ -57,7 +57,7 @@
 impl ResponseCache {
     /// Returns the current contents of a prefix as JSON. The body is compressed if `accepted` permits it and
     /// the JSON text has at least [`MIN_COMPRESSED_BYTES`]. Returns `None` if the prefix has not been read yet
-    /// or the changes are no longer in the change log.
+    /// or not all changes since then are known.
     ///
     /// # Errors
     ///
