A read whose response cannot be used leads to a list, another reader, or the store

Cause: a follower repeated a watch whose response exceeded 16 MiB, every 0.7 s, with the same reader, whose liveness checks succeeded. Class: a retry that cannot succeed. The same at readers of the store, until the store had dropped its history. Change: after an unusable response to a watch the prefix is listed. A reader whose list cannot be used, or that fails three times in a row, is not followed for 5 s. Counter readers_rejected. The scripted reader of slow_replication knows the prefix of isolation reports now, as readers do.

--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -97,6 +97,8 @@
     pub platform_failures: AtomicU64,
     /// Target entries that expired around an outage of the store and were retained temporarily.
     pub entries_held: AtomicU64,
+    /// Readers that an entry VM has ceased to follow because their responses could not be used.
+    pub readers_rejected: AtomicU64,
     /// Requests refused before a service was selected: no route, no configuration, or shutting down.
     pub early_refusals: AtomicU64,
     /// Response bodies cut because they broke off at the target or exceeded a limit.
@@ -134,7 +136,7 @@
 }
 
 impl ProcessCounters {
-    fn named(&self) -> [(&'static str, &AtomicU64); 32] {
+    fn named(&self) -> [(&'static str, &AtomicU64); 33] {
         [
             ("lookups", &self.lookups),
             ("probe_calls", &self.probe_calls),
@@ -151,6 +153,7 @@
             ("platform_calls", &self.platform_calls),
             ("platform_failures", &self.platform_failures),
             ("entries_held", &self.entries_held),
+            ("readers_rejected", &self.readers_rejected),
             ("early_refusals", &self.early_refusals),
             ("responses_cut", &self.responses_cut),
             ("targets_held_off", &self.targets_held_off),
--- a/crates/relay/src/replication.rs
+++ b/crates/relay/src/replication.rs
@@ -40,6 +40,9 @@
 /// Time after the store responds again for which readers are asked again before this entry VM reads the store itself:
 /// the interval of a reader's checks of the store, and a call.
 const READER_RECOVERY_TIME: Duration = Duration::from_millis(400);
+/// Time for which a reader is not followed after its responses could not be used. Longer than it takes to try the
+/// other readers and the store.
+const READER_REJECTION_PERIOD: Duration = Duration::from_secs(5);
 /// Pause after neither a reader nor the store responded.
 const UNAVAILABLE_PAUSE: Duration = Duration::from_millis(500);
 /// Prefix without objects. Listing it is the cheapest call, so it serves as a liveness check.
@@ -111,6 +114,8 @@
     source: watch::Sender<StoreSource>,
     /// How current the copies are.
     copies: Arc<CopyTable>,
+    /// Readers that are not followed, each with the end of that time.
+    rejected_readers: Mutex<BTreeMap<SocketAddr, BootTime>>,
 }
 
 impl Default for StoreReplica {
@@ -129,6 +134,7 @@
             is_store_unavailable: AtomicBool::new(false),
             source: watch::Sender::new(StoreSource::Direct),
             copies: Arc::default(),
+            rejected_readers: Mutex::default(),
         }
     }
 }
@@ -251,6 +257,24 @@
         is_recent && self.is_reader() && is_direct && self.copies.are_current(boot_clock::now())
     }
 
+    /// Records that the responses of a reader cannot be used, although it responds to liveness checks. It is not followed
+    /// for [`READER_REJECTION_PERIOD`].
+    pub fn reject_reader(&self, address: SocketAddr) {
+        let until = boot_clock::now() + READER_REJECTION_PERIOD;
+        self.lock_rejected_readers().insert(address, until);
+    }
+
+    fn is_rejected(&self, address: SocketAddr) -> bool {
+        let now = boot_clock::now();
+        let mut rejected = self.lock_rejected_readers();
+        rejected.retain(|_, until| *until > now);
+        rejected.contains_key(&address)
+    }
+
+    fn lock_rejected_readers(&self) -> MutexGuard<'_, BTreeMap<SocketAddr, BootTime>> {
+        self.rejected_readers.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns the latest change of each prefix that has changed after revision `since`, as objects without a value
     /// whose keys are the prefixes. The revision of the list is the latest change of all prefixes.
     pub fn latest_changes(&self, since: u64) -> ObjectList {
@@ -408,13 +432,14 @@
         let count = readers.len();
         readers.retain(|reader| reader.name != state.settings.entry.name);
         let is_reader = readers.len() < count;
+        readers.retain(|reader| !state.replica.is_rejected(reader.peer_address));
         let is_settled = state.is_membership_settled.load(Ordering::Relaxed);
         state.replica.is_reader.store(is_reader && is_settled, Ordering::Relaxed);
         let must_read = is_reader || readers.is_empty();
         state.replica.must_read_store.store(must_read, Ordering::Relaxed);
         if must_read && (check_store(&state).await || readers.is_empty()) {
             failures = 0;
-            switch_to_direct(&state, "this entry VM is a reader, or no other reader is known");
+            switch_to_direct(&state, "this entry VM is a reader, or no other reader can be followed");
             tokio::time::sleep(STORE_CHECK_INTERVAL).await;
             continue;
         }
--- a/crates/relay/src/store_sync.rs
+++ b/crates/relay/src/store_sync.rs
@@ -57,6 +57,8 @@
 const RECOVERY_GRACE: Duration = Duration::from_millis(300);
 /// Pause after a reader failed, unless the source changes earlier.
 const READER_FAILURE_PAUSE: Duration = Duration::from_millis(700);
+/// Number of reads in a row without a usable response after which a reader is not followed any more.
+const MAX_READER_FAILURES: u32 = 3;
 /// Time without received bytes after which a transfer from an earlier reader is abandoned.
 const TRANSFER_STALL_TIMEOUT: Duration = Duration::from_millis(600);
 /// Pause after a failed call to the store, unless the source changes earlier.
@@ -251,6 +253,8 @@
     /// Client for the reader that is followed. It is used for this prefix only, so that it shows the progress of
     /// this prefix's transfers.
     reader: Option<Arc<HttpPlatform>>,
+    /// Reads from this reader without a usable response since the last one with it.
+    reader_failures: u32,
     /// Versions of the existing objects by key.
     known_versions: BTreeMap<String, u64>,
     /// Whether to pause before the next watch, to coalesce further changes.
@@ -273,6 +277,7 @@
             availability: StoreAvailability::default(),
             source,
             reader: None,
+            reader_failures: 0,
             known_versions: BTreeMap::new(),
             is_coalescing: false,
             is_from_seed: false,
@@ -344,6 +349,7 @@
         match &self.reader {
             Some(reader) if reader.address() == address => reader.clone(),
             _ => {
+                self.reader_failures = 0;
                 let counters = self.state.replica.reader_calls().clone();
                 self.reader.insert(Arc::new(make_reader_client(address, counters))).clone()
             }
@@ -357,12 +363,14 @@
         }
         match outcome {
             ReadOutcome::Read(changes) => {
+                self.reader_failures = 0;
                 self.is_coalescing = self.is_caught_up() && !changes.is_empty();
                 changes
             }
             ReadOutcome::OlderList { revision } => {
                 let reached = self.progress.highest_revision();
                 log::info!(prefix = self.prefix, listed = revision, reached; "an older list was ignored");
+                self.record_reader_failure(false);
                 self.pause(MIN_COALESCE_PAUSE).await;
                 Vec::new()
             }
@@ -374,6 +382,19 @@
         }
     }
 
+    /// Records a read without a usable response from the followed reader, if there is one. Another source is chosen
+    /// if it would fail again, or after [`MAX_READER_FAILURES`] in a row: liveness checks may succeed all the same.
+    fn record_reader_failure(&mut self, would_fail_again: bool) {
+        let StoreSource::Reader(address) = *self.source.borrow() else { return };
+        self.reader_failures += 1;
+        if would_fail_again || self.reader_failures >= MAX_READER_FAILURES {
+            let failures = std::mem::take(&mut self.reader_failures);
+            log::warn!(prefix = self.prefix, failures; "reader {address} sends no usable response; choosing another source");
+            self.state.metrics.process().readers_rejected.fetch_add(1, Ordering::Relaxed);
+            self.state.replica.reject_reader(address);
+        }
+    }
+
     /// Waits, unless the source changes earlier.
     async fn pause(&mut self, pause: Duration) {
         let (Ok(_) | Err(_)) = tokio::time::timeout(pause, self.source.changed()).await;
@@ -548,9 +569,20 @@
         } else if self.availability.record_failure(boot_clock::now()) {
             log::warn!(prefix = self.prefix; "store lost: {error}");
         }
-        if !is_following && !matches!(error, PlatformError::Throttled(_)) {
+        let is_sent = !matches!(error, PlatformError::Throttled(_));
+        if !is_following && is_sent {
             self.state.replica.record_store_failure();
         }
+        let is_malformed = matches!(error, PlatformError::Malformed(_));
+        if is_sent {
+            self.record_reader_failure(is_malformed && !self.progress.has_list());
+        }
+        // The same watch would get the same response.
+        if is_malformed && self.progress.has_list() {
+            log::warn!(prefix = self.prefix; "the changes cannot be read, listing instead: {error}");
+            self.progress.lose_history();
+            return;
+        }
         let pause = match is_following {
             true => READER_FAILURE_PAUSE,
             false if !self.progress.has_read() => SNAPSHOT_RETRY_INTERVAL,
--- a/crates/relay/src/sync_progress.rs
+++ b/crates/relay/src/sync_progress.rs
@@ -82,7 +82,7 @@
         self.is_caught_up = true;
     }
 
-    /// Records that the changes since the last revision are no longer available.
+    /// Records that the changes since the last revision are not available.
     pub fn lose_history(&mut self) {
         self.revision = None;
         self.is_caught_up = false;
--- a/crates/relay/tests/slow_replication.rs
+++ b/crates/relay/tests/slow_replication.rs
@@ -16,7 +16,8 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 
-const PREFIXES: [&str; 4] = ["config/", "servers/", "sniperelay-entry-vms/", "sniperelay-crash-reports/"];
+const PREFIXES: [&str; 5] =
+    ["config/", "servers/", "sniperelay-entry-vms/", "sniperelay-crash-reports/", "sniperelay-isolated/"];
 /// Responses of at least this size are sent slowly, in bytes.
 const LARGE_RESPONSE_BYTES: usize = 100 * 1024;
 /// Number of parts in which a large response is sent, and the pause after each.
