Planned stop: what waits for a target is refused before the process ends

Cause: a stop bounded when requests are taken and when the process ends, not when a request that waits may still be given to a target: in the dispatcher, for a share of a limit, for a repeat, for a connection, for the rest of its body. Class: a deadline that the work does not know. Change: StopDeadline. From the time at which a response, by the 98th percentile of the rank's own latencies, would not arrive before the end, no attempt is started, and a request without one in flight gets 503 with Retry-After, or 502 if it may have run. Requests at targets are waited for as before. In relay and serve.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -249,6 +249,11 @@
         self.bind_queued(now, actions);
     }
 
+    /// Returns the time within which 98 of 100 requests of a rank get their response.
+    pub fn response_time(&self, rank: RankId) -> Duration {
+        self.ranks[rank.min(self.ranks.len() - 1)].latency_p98.value()
+    }
+
     /// Returns the number of requests that are queued or in flight.
     pub fn request_count(&self) -> usize {
         self.requests.len()
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -16,6 +16,7 @@
 //! | [`operator`] | HTTP interface for operators |
 //! | [`metrics`] | counters and histograms |
 //! | [`lifecycle`] | lifecycle phases of the process |
+//! | [`stop_deadline`] | the end of the process in a planned stop, for requests in flight |
 //! | [`logs`] | logging setup |
 //! | [`boot_clock`] | time since boot, which includes time in suspension |
 //! | [`wall_clock`] | wall-clock time |
@@ -31,6 +32,7 @@
 pub mod operator;
 pub mod peer;
 pub mod shared_state;
+pub mod stop_deadline;
 pub mod traffic;
 pub mod wall_clock;
 
--- a/crates/node/src/shared_state.rs
+++ b/crates/node/src/shared_state.rs
@@ -4,6 +4,7 @@
 use crate::dispatcher_handle::{OutgoingPeerMessage, ServiceEntry};
 use crate::lifecycle::LifecycleView;
 use crate::metrics::MetricSet;
+use crate::stop_deadline::StopDeadline;
 use crate::traffic::pool::TargetPool;
 use arc_swap::ArcSwap;
 use sniperelay_config::NodeSettings;
@@ -60,6 +61,8 @@
     pub status: ArcSwap<serde_json::Value>,
     /// Lifecycle phase of the process.
     pub lifecycle: LifecycleView,
+    /// End of the process, if it is stopping.
+    pub stop_deadline: StopDeadline,
     /// Metrics of this process.
     pub metrics: MetricSet,
     /// Connections to targets and other entry VMs.
@@ -94,6 +97,7 @@
             members: ArcSwap::default(),
             status: ArcSwap::new(Arc::new(serde_json::Value::Null)),
             lifecycle,
+            stop_deadline: StopDeadline::default(),
             metrics,
             pool: TargetPool::default(),
             traffic_sender,
--- a/crates/node/src/traffic/caller_connection.rs
+++ b/crates/node/src/traffic/caller_connection.rs
@@ -22,7 +22,7 @@
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, SetOnce, watch};
 
@@ -56,6 +56,7 @@
             }
         }
     }
+    acceptor.set_stop_deadline();
     for (stream, caller) in take_backlog(listener) {
         acceptor.serve(stream, caller);
     }
@@ -118,6 +119,12 @@
         });
     }
 
+    /// Starts the drain limit for the requests in flight.
+    fn set_stop_deadline(&self) {
+        let drain_limit = self.node_state.settings.entry.drain_limit;
+        self.node_state.stop_deadline.set(Instant::now() + drain_limit);
+    }
+
     /// Waits until all connections have ended. Returns false if the drain limit passes first.
     async fn wait_for_connections(&self) -> bool {
         let all_permits = self.permits.acquire_many(self.connection_limit);
--- a/crates/node/src/traffic/request_handler.rs
+++ b/crates/node/src/traffic/request_handler.rs
@@ -28,10 +28,13 @@
 use sniperelay_core::reason::{RefusalReason, RetryReason};
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 type Result<T> = std::result::Result<T, Refusal>;
 
+/// Time after which a caller may retry when this process is stopping: at once, at another entry VM.
+const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(1);
+
 /// Processes one request of a caller and returns the response.
 pub async fn handle_request(
     node_state: Arc<NodeState>,
@@ -213,12 +216,24 @@
         );
         let timeout = tokio::time::sleep_until(inbound.final_deadline.into());
         tokio::pin!(timeout);
+        let node_state = self.outbound.node_state.clone();
+        let rank = inbound.rank;
+        let response_time = || dispatcher_handle.read(|dispatcher| dispatcher.response_time(rank));
+        let stop = node_state.stop_deadline.wait_until_too_late(response_time);
+        tokio::pin!(stop);
+        let mut is_too_late = false;
         loop {
             let step = tokio::select! {
                 signal = request_guard.next_signal() => self.handle_signal(signal),
                 Some(result) = self.attempts.next() => self.handle_attempt_result(result),
+                () = &mut stop, if !is_too_late => {
+                    is_too_late = true;
+                    None
+                }
                 () = &mut timeout => Some(Err(self.timeout_refusal())),
             };
+            // Also once the last attempt in flight has failed.
+            let step = step.or_else(|| if is_too_late { self.stop_refusal().map(Err) } else { None });
             if let Some(result) = step {
                 return self.finish(request_guard, result);
             }
@@ -241,6 +256,10 @@
 
     fn handle_signal(&mut self, signal: Option<DispatchSignal>) -> Option<Result<Response<ResponseBody>>> {
         match signal? {
+            DispatchSignal::Start { slot, .. } if self.is_too_late_to_start() => {
+                drop(slot);
+                return self.stop_refusal().map(Err);
+            }
             DispatchSignal::Start { slot, address, retry } => {
                 return self.start_attempt(slot, address, retry);
             }
@@ -256,6 +275,20 @@
         None
     }
 
+    /// Returns whether this process ends before a further attempt is likely to get its response.
+    fn is_too_late_to_start(&self) -> bool {
+        let rank = self.inbound.rank;
+        let response_time = || self.entry.dispatcher_handle.read(|dispatcher| dispatcher.response_time(rank));
+        self.outbound.node_state.stop_deadline.is_too_late(response_time, Instant::now())
+    }
+
+    /// Returns the refusal of a request for which no attempt may be started before this process ends, or `None` if an
+    /// attempt is in flight, whose response is waited for.
+    fn stop_refusal(&self) -> Option<Refusal> {
+        let is_waiting = !self.execution.has_attempt_in_flight();
+        is_waiting.then(|| self.refusal(RefusalReason::Stopping).with_retry_after(STOPPING_RETRY_AFTER))
+    }
+
     fn start_attempt(
         &mut self,
         slot: AttemptSlot,
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -21,14 +21,20 @@
 
 /// Same as [`start_cluster`], with `limits` added to the `[limits]` section of the settings.
 pub async fn start_limited_cluster(entry_vms: usize, targets: usize, limits: &str) -> ClusterStandin {
+    start_cluster_with(entry_vms, targets, |options| options.limits = limits.to_owned()).await
+}
+
+/// Same as [`start_cluster`], with options that `change` has changed.
+pub async fn start_cluster_with(
+    entry_vms: usize,
+    targets: usize,
+    change: impl FnOnce(&mut ClusterOptions),
+) -> ClusterStandin {
     let mut spec: DeploymentSpec = cooperative();
     spec.entry_vm_count = entry_vms;
     spec.services.iter_mut().for_each(|service| service.target_count = targets);
-    let options = ClusterOptions {
-        lookup_keep: Duration::from_millis(500),
-        limits: limits.to_owned(),
-        ..ClusterOptions::default()
-    };
+    let mut options = ClusterOptions { lookup_keep: Duration::from_millis(500), ..ClusterOptions::default() };
+    change(&mut options);
     ClusterStandin::start(spec, options).await.unwrap()
 }
 
--- a/crates/node/tests/planned_stop.rs
+++ b/crates/node/tests/planned_stop.rs
@@ -2,9 +2,11 @@
 
 mod common;
 
-use common::{start_cluster, status_of};
+use common::raw_target::{RawRequest, RawStep, RawTarget, use_raw_targets, valid_response};
+use common::{start_cluster, start_cluster_with, status_of, wait_until};
 use sniperelay_node::traffic::caller_connection::serve_callers;
 use sniperelay_standin::cluster::ClusterStandin;
+use std::collections::BTreeMap;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
@@ -12,6 +14,8 @@
 use tokio::task::JoinHandle;
 
 const READ: &[u8] = b"GET /rota/x HTTP/1.1\r\nHost: rota-board\r\n\r\n";
+/// A request whose deadline is far beyond the drain limit of the test.
+const DOWNLOAD: &[u8] = b"GET /ledger/x HTTP/1.1\r\nHost: ledger-vault\r\n\r\n";
 
 /// Reads until the connection is closed, on a thread of its own.
 async fn read_to_end(mut stream: TcpStream) -> String {
@@ -107,3 +111,32 @@
     drop(streams);
     cluster.shut_down();
 }
+
+/// Guards against a stop that ends while requests wait for a slot: they got no answer, although 503 would have been
+/// true. What a target works on is waited for.
+#[tokio::test]
+async fn requests_that_wait_for_a_slot_are_refused_before_the_drain_limit() {
+    let cluster = start_cluster_with(1, 1, |options| options.drain_limit = Duration::from_secs(2)).await;
+    let hold = |_: &RawRequest| vec![RawStep::Pause(Duration::from_millis(800))];
+    let target = RawTarget::start(move |request| [hold(request), valid_response("ok")].concat()).await;
+    use_raw_targets(&cluster, "ledger-vault", &[&target]).await;
+    let (address, drain_sender, server) = start_server(&cluster).await;
+    let send = |_| {
+        let mut stream = connect(address);
+        stream.write_all(DOWNLOAD).unwrap();
+        tokio::spawn(read_to_end(stream))
+    };
+    let readers: Vec<_> = (0..16).map(send).collect();
+    wait_until("a request is at the target", || target.request_count() > 0).await;
+    drain_sender.send_replace(true);
+    let mut counts = BTreeMap::new();
+    for reader in readers {
+        let response = reader.await.unwrap();
+        let status = if response.is_empty() { 0 } else { status_of(&response) };
+        *counts.entry(status).or_insert(0) += 1;
+    }
+    assert!(server.await.unwrap(), "not all connections ended in time: {counts:?}");
+    assert!(counts.keys().all(|status| [200, 503].contains(status)), "{counts:?}");
+    assert!(counts.contains_key(&200), "{counts:?}");
+    cluster.shut_down();
+}
--- a/crates/relay/src/caller_connection.rs
+++ b/crates/relay/src/caller_connection.rs
@@ -6,14 +6,15 @@
 //! the requests. A non-idempotent request starts only when no other request of its connection is in
 //! flight, so that it never follows a response that closes the connection.
 
-use crate::caller_response::{CallerResponse, ConnectionReuse};
+use crate::caller_response::{CallerResponse, ConnectionReuse, RelayRefusal};
 use crate::connection_end::{ConnectionEnd, MAX_LATE_BYTES, report_cancelled, report_late_bytes};
 use crate::request_body::BodyReader;
-use crate::request_handler::{RequestOrigin, handle_request};
+use crate::request_handler::{RequestOrigin, SHUTDOWN_RETRY_AFTER, handle_request};
 use crate::request_head::{RequestError, RequestHead, parse_head};
 use crate::shared_state::{ConnectionGuard, RelayState};
 use bytes::{Bytes, BytesMut};
 use http::{HeaderValue, Method};
+use sniperelay_core::reason::RefusalReason;
 use sniperelay_core::route::CallerLimits;
 use sniperelay_hosted::headers::REQUEST_ID;
 use sniperelay_node::lifecycle::LifecyclePhase;
@@ -138,6 +139,8 @@
     Response(CallerResponse),
     TimedOut,
     Draining,
+    /// The process ends soon, and the rest of a request has not arrived.
+    Ending,
 }
 
 struct CallerConnection {
@@ -216,6 +219,12 @@
                     return Ok(ConnectionEnd::Responded);
                 }
                 ConnectionEvent::Draining => return Ok(ConnectionEnd::ShuttingDown),
+                ConnectionEvent::Ending => {
+                    let refusal = RelayRefusal::not_run(RefusalReason::Stopping, SHUTDOWN_RETRY_AFTER);
+                    let response = CallerResponse::from_refusal(&refusal);
+                    self.write_response(&Method::GET, response, ConnectionReuse::Closed).await?;
+                    return Ok(ConnectionEnd::Responded);
+                }
             }
         }
     }
@@ -226,6 +235,7 @@
         let may_read = self.error.is_none() && has_room;
         let expiry = self.waiting_since + self.read_timeout();
         let is_between = is_idle && self.is_between_requests();
+        let ending = self.state.stop_deadline.wait_until_too_late(|| Duration::ZERO);
         let grace = if self.has_request { Duration::ZERO } else { FIRST_REQUEST_GRACE };
         let may_close_at = self.opened_at + grace;
         let drain = &mut self.drain;
@@ -241,6 +251,7 @@
             read = self.stream.read_buf(&mut self.buffer), if may_read => read.map(ConnectionEvent::Read),
             () = tokio::time::sleep_until(expiry), if is_idle => Ok(ConnectionEvent::TimedOut),
             () = draining, if is_between => Ok(ConnectionEvent::Draining),
+            () = ending, if is_idle && !is_between => Ok(ConnectionEvent::Ending),
         }
     }
 
--- a/crates/relay/src/request_handler.rs
+++ b/crates/relay/src/request_handler.rs
@@ -46,7 +46,7 @@
 const TARGET_REFUSED_RETRY_AFTER: Duration = Duration::from_millis(20);
 /// Time after which a caller may retry during a shutdown of this process: immediately, at another
 /// entry VM.
-const SHUTDOWN_RETRY_AFTER: Duration = Duration::from_millis(1);
+pub(crate) const SHUTDOWN_RETRY_AFTER: Duration = Duration::from_millis(1);
 
 /// Where a request comes from.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -283,6 +283,11 @@
         let isolation = async { drop(links.wait_for(|is_isolated| *is_isolated).await) };
         tokio::pin!(isolation);
         let mut is_isolation_awaited = !self.is_bound_here;
+        let state = self.state.clone();
+        let response_time = || dispatcher_handle.read(|dispatcher| dispatcher.response_time(rank));
+        let stop = state.stop_deadline.wait_until_too_late(response_time);
+        tokio::pin!(stop);
+        let mut is_too_late = false;
         loop {
             let step = tokio::select! {
                 biased;
@@ -292,8 +297,14 @@
                     is_isolation_awaited = false;
                     self.isolation_refusal().map(Err)
                 }
+                () = &mut stop, if !is_too_late => {
+                    is_too_late = true;
+                    None
+                }
                 () = &mut timeout => Some(Err(self.timeout_refusal())),
             };
+            // Also once the last attempt in flight has failed.
+            let step = step.or_else(|| if is_too_late { self.stop_refusal().map(Err) } else { None });
             if let Some(result) = step {
                 return self.finish(rank, request_guard, result);
             }
@@ -419,6 +430,10 @@
                     let is_final = !self.execution.has_attempt_in_flight();
                     return is_final.then(|| Err(self.make_refusal(RefusalReason::Quarantined, retry_after)));
                 }
+                if self.is_too_late_to_start() {
+                    drop(slot);
+                    return self.stop_refusal().map(Err);
+                }
                 if let Some(reason) = retry {
                     self.entry.counters[0].count_retry(reason);
                 }
@@ -437,6 +452,21 @@
         None
     }
 
+    /// Returns whether this process ends before a further attempt is likely to get its response.
+    fn is_too_late_to_start(&self) -> bool {
+        let response_time =
+            || self.entry.dispatcher_handle.read(|dispatcher| dispatcher.response_time(self.rank));
+        self.state.stop_deadline.is_too_late(response_time, Instant::now())
+    }
+
+    /// Returns the refusal of a request for which no attempt may be started before this process ends, or `None` if an
+    /// attempt is in flight, whose response is waited for.
+    fn stop_refusal(&mut self) -> Option<RelayRefusal> {
+        self.cancel_unwritten_attempt();
+        let is_waiting = !self.execution.has_attempt_in_flight();
+        is_waiting.then(|| self.make_refusal(RefusalReason::Stopping, SHUTDOWN_RETRY_AFTER))
+    }
+
     fn start_attempt(&mut self, slot: AttemptSlot) {
         let target = slot.target();
         self.is_last_written = Arc::default();
--- a/crates/relay/src/request_handler/forward.rs
+++ b/crates/relay/src/request_handler/forward.rs
@@ -61,7 +61,8 @@
         let has_not_run = self.execution.outcome() == Outcome::NotRun;
         let attempts_made = if has_not_run { 0 } else { self.attempt_records.len() as u32 };
         let attempts_left = self.max_attempts.max(1).saturating_sub(attempts_made);
-        if attempts_left == 0 || !(has_not_run || self.outbound.is_idempotent) {
+        if attempts_left == 0 || !(has_not_run || self.outbound.is_idempotent) || self.is_too_late_to_start()
+        {
             return None;
         }
         let outbound = self.outbound.clone();
@@ -113,7 +114,7 @@
     }
 
     /// Ends the only attempt in flight if it still waits for a connection.
-    fn cancel_unwritten_attempt(&mut self) {
+    pub(super) fn cancel_unwritten_attempt(&mut self) {
         if self.attempts.len() == 1 && !self.is_last_written.load(Ordering::Relaxed) {
             self.attempts.clear();
             self.abort_handles.clear();
--- a/crates/relay/src/shared_state.rs
+++ b/crates/relay/src/shared_state.rs
@@ -30,6 +30,7 @@
 use sniperelay_node::dispatcher_handle::{DispatcherHandle, OutgoingPeerMessage, ServiceEntry};
 use sniperelay_node::lifecycle::{LifecyclePhase, LifecycleView};
 use sniperelay_node::metrics::MetricSet;
+use sniperelay_node::stop_deadline::StopDeadline;
 use sniperelay_node::traffic::pool::TargetPool;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::net::SocketAddr;
@@ -79,6 +80,8 @@
     pub unaware_vms: UnawareVms,
     /// Phase of the process.
     pub lifecycle: LifecycleView,
+    /// End of the process, if it is shutting down.
+    pub stop_deadline: StopDeadline,
     /// Metrics of this process.
     pub metrics: MetricSet,
     /// Connections to targets.
@@ -147,6 +150,7 @@
             isolated_vms: ArcSwap::default(),
             unaware_vms: UnawareVms::default(),
             lifecycle,
+            stop_deadline: StopDeadline::default(),
             metrics: MetricSet::new()?,
             pool: TargetPool::default(),
             links: TargetLinks::default(),
--- a/crates/standin/src/cluster.rs
+++ b/crates/standin/src/cluster.rs
@@ -39,6 +39,8 @@
     pub heartbeat: Duration,
     /// Time for which callers may cache lookup responses.
     pub lookup_keep: Duration,
+    /// Time within which the connections of callers end in a planned stop.
+    pub drain_limit: Duration,
     /// Number of traffic threads per entry VM.
     pub traffic_threads: usize,
     /// Keys of the section `[limits]` of the settings, as INI.
@@ -51,6 +53,7 @@
             policy: "slot-credit".to_owned(),
             heartbeat: Duration::from_millis(200),
             lookup_keep: Duration::from_millis(1500),
+            drain_limit: Duration::from_secs(60),
             traffic_threads: 1,
             limits: String::new(),
         }
@@ -169,12 +172,13 @@
         let options = &self.options;
         format!(
             "[entry-vm]\nfailure-domain = {domain}\ncaller-address = 127.0.0.1:0\npeer-address = {PEER_HOST}:0\n\
-             operator-address = 127.0.0.1:0\ntraffic-threads = {}\nlookup-keep-ms = {}\n\
+             operator-address = 127.0.0.1:0\ntraffic-threads = {}\nlookup-keep-ms = {}\ndrain-limit-ms = {}\n\
              [platform]\naddress = {}\nlist-interval-ms = 500\nstatus-interval-ms = 2000\n\
              [peers]\nseeds = {}\nheartbeat-ms = {}\nca-file = {}\ncertificate-file = {}\nkey-file = {}\n\
              [limits]\n{}\n[routing]\npolicy = {}\n[operators]\nadmin = {ADMIN_TOKEN}\n[log]\nlevel = warn\n",
             options.traffic_threads,
             options.lookup_keep.as_millis(),
+            options.drain_limit.as_millis(),
             self.platform.address(),
             seeds.join(", "),
             options.heartbeat.as_millis(),
