serve: the list of VMs is read anew if its changes cannot be read

Callers of `serve` would have got no new targets any more after an entry VM had missed more than 16 MiB of changes to the list of VMs. The documents were listed after any failure already. Change: a malformed response to the watch leads to a list, and to a warning.

--- a/crates/node/src/control/platform_sync.rs
+++ b/crates/node/src/control/platform_sync.rs
@@ -55,6 +55,11 @@
                 }
             }
             Err(PlatformError::WatchTooOld) => records = None,
+            // The same watch would get the same response.
+            Err(error @ PlatformError::Malformed(_)) => {
+                log::warn!("the changes of the list of VMs cannot be read, listing instead: {error}");
+                records = None;
+            }
             Err(error) => log::debug!("cannot read the list of VMs: {error}"),
         }
         tokio::time::sleep(jittered(pause)).await;
