--- a/crates/relay/src/request_handler.rs
+++ b/crates/relay/src/request_handler.rs
@@ -303,7 +303,7 @@
                 }
                 () = &mut timeout => Some(Err(self.timeout_refusal())),
             };
-            // Also once the last attempt in flight has failed.
+            // From then on the request is refused as soon as no attempt is in flight.
             let step = step.or_else(|| if is_too_late { self.stop_refusal().map(Err) } else { None });
             if let Some(result) = step {
                 return self.finish(rank, request_guard, result);
--- a/crates/relay/src/shutdown.rs
+++ b/crates/relay/src/shutdown.rs
@@ -3,10 +3,11 @@
 //! On the signal, this entry VM reports that it is not ready and deregisters. Callers that still
 //! have its address from a lookup are served for a while, and responses tell them to close the
 //! connection. After that, new requests are refused, because they might not finish before the process
-//! ends: the maximum latency of a target is not known, and a request that is cut off is lost. Those that still wait
-//! for a target are refused while they can be; see [`sniperelay_node::stop_deadline`]. Finally, idle connections
-//! are closed and requests in flight are finished. While the store is away, the process does not end before another entry VM is known to hold its copies of the store's contents. It ends before its
-//! grace period is over in any case.
+//! ends: the maximum latency of a target is not known, and a request that is cut off is lost. Those that
+//! still wait for a target are refused while they can be; see [`sniperelay_node::stop_deadline`].
+//! Finally, idle connections are closed and requests in flight are finished. While the store is away, the
+//! process does not end before another entry VM is known to hold its copies of the store's contents. It
+//! ends before its grace period is over in any case.
 
 use crate::copy_offers::must_keep_offering;
 use crate::shared_state::RelayState;
