A response whose announced body exceeds the limit is not read

Cause: took every body above 16 MiB for a malformed response. Change: only an announced length above the limit is malformed, at once; a body without end is no response, as before.

--- a/crates/platform/src/transport.rs
+++ b/crates/platform/src/transport.rs
@@ -11,8 +11,8 @@
 use crate::limiter::{CallLimiter, LimiterRefusal};
 use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
@@ -257,6 +257,9 @@
         let head = tokio::time::timeout_at(deadline, self.receive_head(request));
         let (response, _driver) = head.await.unwrap_or_else(|_| Err(call_timed_out()))?;
         let (parts, incoming) = response.into_parts();
+        if incoming.size_hint().lower() > MAX_RESPONSE_BYTES as u64 {
+            return Err(PlatformError::Malformed(format!("the body exceeds {MAX_RESPONSE_BYTES} bytes")));
+        }
         let body = self.receive_body(incoming, deadline).await?;
         self.counters.received_bytes.fetch_add(body.len() as u64, Ordering::Relaxed);
         Ok(PlatformResponse { status: parts.status, headers: parts.headers, body })
@@ -284,7 +287,7 @@
             let extension = Duration::from_secs_f64(body.len() as f64 / MIN_RECEIVE_RATE);
             let frame = tokio::time::timeout_at(deadline + extension, limited.frame()).await;
             let Some(frame) = frame.map_err(|_| call_timed_out())? else { return Ok(body.freeze()) };
-            let frame = frame.map_err(|error| body_error(&*error))?;
+            let frame = frame.map_err(|error| no_response(&error))?;
             self.record_receipt();
             if let Some(data) = frame.data_ref() {
                 body.extend_from_slice(data);
@@ -310,14 +313,6 @@
     PlatformError::NoResponse(error.to_string())
 }
 
-/// Returns the error of a body that broke off, or that exceeds [`MAX_RESPONSE_BYTES`].
-fn body_error(error: &(dyn std::error::Error + 'static)) -> PlatformError {
-    if error.is::<LengthLimitError>() {
-        return PlatformError::Malformed(format!("the body exceeds {MAX_RESPONSE_BYTES} bytes"));
-    }
-    no_response(&error)
-}
-
 fn call_timed_out() -> PlatformError {
     PlatformError::NoResponse("call timed out".to_owned())
 }
