Test: a slow service gets no request from a stopping entry VM

Cause: with the check at the start of an attempt taken out, all tests of planned stops passed, since requests that wait were refused in another place; a request that arrives during the stop and finds an open connection was given to a target.

--- a/crates/relay/tests/planned_stop.rs
+++ b/crates/relay/tests/planned_stop.rs
@@ -199,3 +199,19 @@
     assert!(env.targets[0].received().is_empty());
     stop.await.unwrap();
 }
+
+/// Guards against a request that arrives in a planned stop and is given to a target although its service takes longer
+/// than the process has left.
+#[tokio::test]
+async fn slow_service_gets_no_request_from_a_stopping_entry_vm() {
+    let slow = ScriptedAction::RespondAfter(Duration::from_millis(900), sealed_response("ok"));
+    let env = TestEnv::start(vec![vec![slow, ScriptedAction::Respond(sealed_response("ok"))]]).await;
+    let target = env.targets[0].clone();
+    // The grace period is one second. Leaves an open connection, on which a request could be written at once.
+    assert_eq!(status(&env.send_request("GET", "/read/1").await), 200);
+    let address = caller_address(&env);
+    let stop = tokio::spawn(env.relay.begin_shutdown().run_remaining_phases());
+    assert_eq!(statuses(send_requests(address, 1, "GET", "/read/2")).await, [503]);
+    assert_eq!(target.received().len(), 1);
+    assert!(stop.await.unwrap(), "not all connections ended in time");
+}
