A list that may be stale does not confirm a copy

What callers could see: a reader whose first list was stale, and whose watch was not answered yet, served followers for up to 2 s; these take the list of a reader for up to date and let it take effect at once. Cause: apply_list confirmed the copy for any list of the store, and observe_store confirmed each copy that includes the revision of some response, which may be as stale as the copy itself. Change: a list that may be stale leaves its copy unconfirmed until the watch after it, and responses for other prefixes confirm a copy only if it has been confirmed before. Conclusion: mended. A copy that was confirmed once is still confirmed by stale responses, so its age may be too low by how far these lag.

--- a/crates/relay/src/copy_status.rs
+++ b/crates/relay/src/copy_status.rs
@@ -8,7 +8,9 @@
 //! Invariants:
 //!
 //! - The revision of a copy, and that of the latest change that may concern it, never decrease.
-//! - A copy counts as confirmed only by a response for its prefix, or by a latest change that it includes.
+//! - A copy counts as confirmed only by an up-to-date response for its prefix, or by a latest change that it includes.
+//! - Responses for other prefixes confirm a copy only if it has been confirmed before: they may be stale, and then show a
+//!   revision that a stale copy includes as well.
 //!
 //! Time is passed in; see [`sniperelay_node::boot_clock`].
 
@@ -46,11 +48,15 @@
     /// Records the latest change that may concern the copy, and confirms it if it includes that change.
     fn observe_change(&mut self, revision: u64, now: BootTime) {
         self.latest_change = self.latest_change.max(revision);
-        if self.revision >= self.latest_change {
+        if self.includes_latest_change() {
             self.confirmed_at = Some(now);
         }
     }
 
+    fn includes_latest_change(&self) -> bool {
+        self.revision >= self.latest_change
+    }
+
     fn is_current(&self, now: BootTime) -> bool {
         self.age(now).is_some_and(|age| age < MAX_COPY_AGE)
     }
@@ -100,7 +106,7 @@
         status.confirmed_at = Some(now);
     }
 
-    /// Records a copy from another entry VM, made while the store is away. It counts as unconfirmed.
+    /// Records a copy that may be out of date. It counts as unconfirmed.
     pub fn restore(&self, prefix: &'static str, revision: u64) {
         let mut statuses = self.lock();
         let status = statuses.entry(prefix).or_default();
@@ -112,10 +118,15 @@
         self.lock().get(prefix).is_some_and(|status| status.confirmed_at.is_some())
     }
 
-    /// Records the revision of the store in any of its responses: up to it, the objects of every prefix may have
-    /// changed.
+    /// Records the revision of the store in any of its responses, which may be stale: up to it, the objects of every
+    /// prefix may have changed.
     pub fn observe_store(&self, revision: u64, now: BootTime) {
-        self.lock().values_mut().for_each(|status| status.observe_change(revision, now));
+        for status in self.lock().values_mut() {
+            status.latest_change = status.latest_change.max(revision);
+            if status.confirmed_at.is_some() && status.includes_latest_change() {
+                status.confirmed_at = Some(now);
+            }
+        }
         self.observed.send_replace(());
     }
 
--- a/crates/relay/src/store_sync.rs
+++ b/crates/relay/src/store_sync.rs
@@ -514,7 +514,7 @@
         }
         self.state.replica.apply_snapshot(self.prefix, &list);
         let copies = self.state.replica.copies();
-        if self.is_from_seed {
+        if self.is_from_seed || !is_current {
             copies.restore(self.prefix, list.revision);
         } else {
             copies.confirm(self.prefix, list.revision, boot_clock::now());
--- a/crates/relay/tests/silent_store.rs
+++ b/crates/relay/tests/silent_store.rs
@@ -226,3 +226,25 @@
     wait_until("a reader is followed", HANG_LIMIT, is_following).await;
     wait_until("version 9", READER_BOUND, || version(late.state()) == 9).await;
 }
+
+/// Guards against a reader that serves a stale list to followers as if it were up to date: the list confirmed its copy
+/// before the changes since then were read.
+#[tokio::test]
+async fn stale_list_without_the_changes_since_then_confirms_no_copy() {
+    let store = PlatformStandin::start().await.unwrap();
+    store.put("config/main", config("00000001").to_string());
+    store.freeze_stale_lists();
+    store.put("config/main", config("00000009").to_string());
+    store.control.set_silent_calls(Some(SilentCalls::Watches("/config")));
+    let relay = common::start_named_relay("vm0", store.address());
+    let replica = &relay.state().replica;
+    wait_until("the stale list is read", HANG_LIMIT, || replica.copies().revision("config/") > 0).await;
+    assert!(!replica.copies().is_confirmed("config/"), "the list confirmed the copy");
+    let is_settled = || relay.state().is_membership_settled.load(Ordering::Relaxed);
+    wait_until("the entry VMs are read", HANG_LIMIT, is_settled).await;
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    assert!(!replica.copies().is_confirmed("config/"), "a response for another prefix confirmed the copy");
+    assert!(!replica.can_serve_followers());
+    store.control.set_silent_calls(None);
+    wait_until("the new version", CONFIG_BOUND, || version(relay.state()) == 9).await;
+}
--- a/crates/relay/tests/sync_progress.rs
+++ b/crates/relay/tests/sync_progress.rs
@@ -93,6 +93,19 @@
     assert_eq!((copies.revision("config/"), copies.revision("other/")), (9, 0));
 }
 
+/// A copy that may be stale is confirmed by no response for another prefix: that one may be as stale.
+#[test]
+fn copy_that_was_never_confirmed_is_not_confirmed_by_the_revision_of_the_store() {
+    let at = Duration::from_secs;
+    let copies = CopyTable::default();
+    copies.restore("config/", 7);
+    copies.observe_store(7, at(1));
+    assert!(!copies.is_confirmed("config/") && !copies.are_current(at(1)));
+    copies.confirm("config/", 7, at(2));
+    copies.observe_store(7, at(3));
+    assert_eq!(copies.statuses()["config/"].age(at(3)), Some(at(0)));
+}
+
 /// A reader states the changes since its earlier statement. Those that a follower lacks leave its copy unconfirmed.
 #[test]
 fn copy_without_a_change_that_its_reader_states_is_not_confirmed() {
