A check against a stale state does not confirm a copy that lacks the latest change

What callers could see: an entry VM whose watch is never answered keeps an old configuration or target for as long as the stale state lags (up to 6 s in the site files, longer in the test). Cause: find_missed_changes took "no changes" from a state older than the change that had led to the check for a confirmation. A stale response also let a stale list take effect. Change: a stale response counts only if it includes the latest known change; otherwise, and before anything is in effect, the current state is read. Conclusion: mended. One full call more for each check while stale responses lag by more than a second.

--- a/crates/relay/src/copy_status.rs
+++ b/crates/relay/src/copy_status.rs
@@ -139,10 +139,14 @@
         self.observed.send_replace(());
     }
 
-    /// Waits until the objects of a prefix may have changed after a revision.
-    pub async fn wait_until_behind(&self, prefix: &str, revision: u64) {
+    /// Waits until the objects of a prefix may have changed after a revision. Returns the revision of the latest change.
+    pub async fn wait_until_behind(&self, prefix: &str, revision: u64) -> u64 {
         let mut observed = self.observed.subscribe();
-        while self.lock().get(prefix).is_none_or(|status| status.latest_change <= revision) {
+        loop {
+            let latest_change = self.lock().get(prefix).map_or(0, |status| status.latest_change);
+            if latest_change > revision {
+                return latest_change;
+            }
             if observed.changed().await.is_err() {
                 return std::future::pending().await;
             }
--- a/crates/relay/src/store_sync.rs
+++ b/crates/relay/src/store_sync.rs
@@ -460,7 +460,11 @@
         let is_current = self.is_caught_up() && copies.is_current(self.prefix, boot_clock::now());
         let wait = if is_current { MAX_WATCH_WAIT } else { Duration::ZERO };
         let since = if self.is_caught_up() { copies.revision(self.prefix).max(revision) } else { revision };
-        let poll = |since| poll_store(&self.state, self.prefix, since);
+        // What a stale list showed takes effect only with an up-to-date response.
+        let accepts_stale = self.is_caught_up();
+        let poll = |since, latest_change| {
+            poll_store(&self.state, self.prefix, since, accepts_stale.then_some(latest_change))
+        };
         let events = tokio::select! {
             events = self.state.store.watch(self.prefix, since, wait) => events?,
             events = find_missed_changes(&self.state, self.prefix, since, poll) => events?,
@@ -486,7 +490,7 @@
             let list = reader.list(self.prefix).await?;
             return Ok(self.apply_list(list, true));
         };
-        let poll = |since| reader.watch(self.prefix, since, Duration::ZERO);
+        let poll = |since, _| reader.watch(self.prefix, since, Duration::ZERO);
         // A list of the store takes effect with the changes since then, also if there are none.
         let wait = if self.is_caught_up() { MAX_READER_WATCH_WAIT } else { Duration::ZERO };
         let mut watch = pin!(reader.watch(self.prefix, revision, wait));
@@ -650,23 +654,28 @@
     }
 }
 
-/// Checks the copy of a prefix by `poll`, while a watch of it waits, whenever its source has later changes. Returns
-/// the changes that the watch has not returned in time; does not return while there are none.
+/// Checks the copy of a prefix by `poll`, while a watch of it waits, whenever its source has later changes. `poll` gets
+/// the revision of the copy and that of the latest change. Returns the changes that the watch has not returned in time;
+/// does not return while there are none.
 async fn find_missed_changes<P: Future<Output = Result<EventList>>>(
     state: &RelayState,
     prefix: &'static str,
     mut since: u64,
-    poll: impl Fn(u64) -> P,
+    poll: impl Fn(u64, u64) -> P,
 ) -> Result<EventList> {
+    let copies = state.replica.copies();
     loop {
-        state.replica.copies().wait_until_behind(prefix, since).await;
+        copies.wait_until_behind(prefix, since).await;
         let is_source_temporary =
             matches!(state.replica.source(), StoreSource::Direct) && !state.replica.must_read_store();
         tokio::time::sleep(if is_source_temporary { 2 * COPY_CHECK_DELAY } else { COPY_CHECK_DELAY }).await;
-        match poll(since).await {
+        let latest_change = copies.wait_until_behind(prefix, since).await;
+        match poll(since, latest_change).await {
             Ok(list) if list.events.is_empty() => {
                 since = since.max(list.revision);
-                state.replica.copies().confirm(prefix, since, boot_clock::now());
+                if since >= latest_change {
+                    copies.confirm(prefix, since, boot_clock::now());
+                }
             }
             Ok(list) => {
                 log::warn!(prefix, since, revision = list.revision; "the watch has not returned {} changes", list.events.len());
@@ -678,13 +687,22 @@
     }
 }
 
-/// Reads changes from a state of the store that may be old, or from the current one if the former does not have
-/// them.
-async fn poll_store(state: &RelayState, prefix: &str, since: u64) -> Result<EventList> {
-    match state.store.poll_stale(prefix, since).await {
-        Err(PlatformError::WatchTooOld) => state.store.watch(prefix, since, Duration::ZERO).await,
-        result => result,
+/// Reads the changes after `since`: from a state of the store that may be stale, if it includes `stale_limit`, or from the
+/// current one.
+async fn poll_store(
+    state: &RelayState,
+    prefix: &str,
+    since: u64,
+    stale_limit: Option<u64>,
+) -> Result<EventList> {
+    if let Some(stale_limit) = stale_limit {
+        match state.store.poll_stale(prefix, since).await {
+            Ok(list) if list.revision < stale_limit => {}
+            Err(PlatformError::WatchTooOld) => {}
+            result => return result,
+        }
     }
+    state.store.watch(prefix, since, Duration::ZERO).await
 }
 
 /// Finishes a call to an earlier reader as long as bytes of its response arrive. Returns `None` if the call is
--- a/crates/relay/tests/silent_store.rs
+++ b/crates/relay/tests/silent_store.rs
@@ -248,3 +248,23 @@
     store.control.set_silent_calls(None);
     wait_until("the new version", CONFIG_BOUND, || version(relay.state()) == 9).await;
 }
+
+/// Guards against a copy that stands still while its watch is never answered and the store's stale state lags behind: a
+/// check against that state confirmed the copy.
+#[tokio::test]
+async fn check_against_a_stale_state_does_not_hide_a_change() {
+    let store = PlatformStandin::start().await.unwrap();
+    store.put("config/main", config("00000001").to_string());
+    store.control.set_silent_calls(Some(SilentCalls::WaitingWatches("/config")));
+    let relay = common::start_named_relay("vm0", store.address());
+    wait_until("the entry VM is ready", HANG_LIMIT, || relay.state().is_ready()).await;
+    let copies = relay.state().replica.copies().clone();
+    let is_watching = || copies.statuses()["config/"].read_since.is_some();
+    wait_until("the configuration is watched", HANG_LIMIT, is_watching).await;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    store.freeze_stale_lists();
+    store.put("config/main", config("00000009").to_string());
+    // The watch of this prefix is answered and states the later revision.
+    store.put("servers/other", "{}");
+    wait_until("the new version", CONFIG_BOUND, || version(relay.state()) == 9).await;
+}
