A registration does not return to an earlier version

What could happen: an entry VM that follows a reader writes its registration to the store itself. Until the reader has it, the watch of the reader shows the change before it, such as the deletion by the predecessor of that name in its planned stop. The entry VM then took its own registration for deleted, left itself out of its list of entry VMs, and registered once more. Cause: versions that this process has written were replaced by whatever its source showed. Change: known_versions, without a network: a list or a change replaces nothing that is known at a later version. Conclusion: mended in all readers of a copy, as each goes through the same watcher.

--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -12,6 +12,7 @@
 //! | [`shared_state`] | state shared by all tasks: routes, services, entry VMs, phase |
 //! | [`store_sync`] | synchronization of configuration, targets and entry VMs with the store |
 //! | [`own_registration`] | whether this process registers itself, beside others of its name |
+//! | [`known_versions`] | versions of the objects that this process has read or written |
 //! | [`sync_progress`] | progress of reading the store: revisions, lists that are too old |
 //! | [`store_availability`] | outages of the store, as far as this entry VM sees them |
 //! | [`copy_status`] | how current the copies of the store's contents are |
@@ -56,6 +57,7 @@
 pub mod forwarding;
 pub mod http_api;
 pub mod isolation_reports;
+pub mod known_versions;
 pub mod limit_claims;
 pub mod load_probe;
 pub mod own_registration;
--- a/crates/relay/src/store_sync.rs
+++ b/crates/relay/src/store_sync.rs
@@ -8,6 +8,7 @@
 //! revision.
 
 use crate::copy_offers::CopyOffer;
+use crate::known_versions::{KnownVersions, ListChanges};
 use crate::own_registration::{FoundRegistration, OwnRegistration};
 use crate::replication::{StoreSource, fetch_newest_snapshot, make_reader_client};
 use crate::shared_state::{EntryVmMap, RelayState, TargetMap};
@@ -19,7 +20,7 @@
 use sniperelay_hosted::routes::{CONFIG_KEY, CONFIG_PREFIX, decode_config};
 use sniperelay_node::boot_clock::{self, BootTime};
 use sniperelay_node::lifecycle::LifecyclePhase;
-use sniperelay_platform::api::{EventList, ObjectList, PlatformApi, StaleList, StoredObject};
+use sniperelay_platform::api::{EventList, ObjectEvent, ObjectList, PlatformApi, StaleList, StoredObject};
 use sniperelay_platform::{HttpPlatform, PlatformError, Result};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -243,6 +244,16 @@
     Deleted(String),
 }
 
+impl From<ObjectEvent> for StoreChange {
+    fn from(event: ObjectEvent) -> Self {
+        let ObjectEvent { key, version, value } = event;
+        match value {
+            Some(value) => Self::Updated(StoredObject { key, version, value }),
+            None => Self::Deleted(key),
+        }
+    }
+}
+
 /// Watches the objects under one prefix.
 pub(crate) struct PrefixWatcher {
     state: Arc<RelayState>,
@@ -254,8 +265,7 @@
     reader: Option<Arc<HttpPlatform>>,
     /// Reads from this reader without a usable response since the last one with it.
     reader_failures: u32,
-    /// Versions of the existing objects by key.
-    known_versions: BTreeMap<String, u64>,
+    known_versions: KnownVersions,
     /// Whether to pause before the next watch, to coalesce further changes.
     is_coalescing: bool,
     /// Whether the last changes came from a seed because the store was unavailable.
@@ -276,7 +286,7 @@
             source,
             reader: None,
             reader_failures: 0,
-            known_versions: BTreeMap::new(),
+            known_versions: KnownVersions::default(),
             is_coalescing: false,
             is_from_seed: false,
         }
@@ -303,14 +313,14 @@
     /// Returns the registration under the name of this process among the entry VMs that have been read.
     fn find_registration(&self, vms: &EntryVmMap) -> Option<FoundRegistration> {
         let own = self.state.own_record();
-        let version = *self.known_versions.get(&format!("{ENTRY_VM_PREFIX}{}", own.name))?;
+        let version = self.known_versions.get(&format!("{ENTRY_VM_PREFIX}{}", own.name))?;
         let is_restored = self.progress.is_restored(version);
         Some(FoundRegistration { version, is_own: *vms.get(&own.name)? == own, is_restored })
     }
 
     /// Returns the version of an object that exists.
     pub(crate) fn known_version(&self, key: &str) -> Option<u64> {
-        self.known_versions.get(key).copied()
+        self.known_versions.get(key)
     }
 
     /// Waits for changes. May return an empty list.
@@ -522,39 +532,18 @@
         } else {
             copies.confirm(self.prefix, list.revision, boot_clock::now());
         }
-        let listed: BTreeMap<String, u64> =
-            list.items.iter().map(|item| (item.key.clone(), item.version)).collect();
-        let deleted_keys = self.known_versions.keys().filter(|key| !listed.contains_key(*key));
-        let mut changes: Vec<StoreChange> = deleted_keys.cloned().map(StoreChange::Deleted).collect();
-        let is_changed = |item: &StoredObject| self.known_versions.get(&item.key) != Some(&item.version);
+        let ListChanges { deleted, updated } = self.known_versions.apply_list(list);
         let to_change = if is_restored { StoreChange::Restored } else { StoreChange::Updated };
-        changes.extend(list.items.into_iter().filter(is_changed).map(to_change));
-        self.known_versions = listed;
-        ReadOutcome::Read(changes)
+        let deletions = deleted.into_iter().map(StoreChange::Deleted);
+        ReadOutcome::Read(deletions.chain(updated.into_iter().map(to_change)).collect())
     }
 
     fn apply_events(&mut self, list: EventList) -> Vec<StoreChange> {
         self.progress.accept_changes(list.revision);
         self.state.replica.apply_changes(self.prefix, &list);
         self.state.replica.copies().confirm(self.prefix, list.revision, boot_clock::now());
-        let mut changes = Vec::new();
-        for event in list.events {
-            match event.value {
-                Some(value) => {
-                    self.known_versions.insert(event.key.clone(), event.version);
-                    changes.push(StoreChange::Updated(StoredObject {
-                        key: event.key,
-                        version: event.version,
-                        value,
-                    }));
-                }
-                None => {
-                    self.known_versions.remove(&event.key);
-                    changes.push(StoreChange::Deleted(event.key));
-                }
-            }
-        }
-        changes
+        let is_new = |event: &ObjectEvent| self.known_versions.apply_event(event);
+        list.events.into_iter().filter(is_new).map(StoreChange::from).collect()
     }
 
     /// Handles a read that failed. `began_at` is the time at which it was sent.
@@ -787,12 +776,12 @@
 ) -> Option<u64> {
     let own = state.own_record();
     let key = format!("{ENTRY_VM_PREFIX}{}", own.name);
-    let mut expected = watcher.known_versions.get(&key).copied().unwrap_or(0);
+    let mut expected = watcher.known_versions.get(&key).unwrap_or(0);
     for _ in 0..MAX_REGISTER_ATTEMPTS {
         match state.store.put(&key, expected, &encode_entry_vm(&own)).await {
             Ok(version) => {
                 log::info!(version; "registered as {}", own.name);
-                watcher.known_versions.insert(key, version);
+                watcher.known_versions.record_written(key, version);
                 vms.insert(own.name.clone(), own);
                 return Some(version);
             }
