The key after which a list continues is percent-encoded

What could happen: an entry of another writer whose name has a space and ends a page of a list makes each list of that kind fail, in every entry VM ("invalid uri character"); one with '&', '%' or '#' makes it skip objects or read the same page again. Cause: the name was put into the query as it is. Change: percent-encoding (a library of that name, new in Cargo.lock); the stand-in decodes it. Whether the users' store decodes the query is not shown by a page; names of letters, digits, '-', '.', '_' and '~' are sent as before.

--- a/crates/standin/src/hosted.rs
+++ b/crates/standin/src/hosted.rs
@@ -4,6 +4,7 @@
 
 use crate::platform::PlatformStandin;
 use http::{Method, StatusCode};
+use percent_encoding::percent_decode_str;
 use serde::Serialize;
 use serde_json::value::{RawValue, to_raw_value};
 use serde_json::{Value, json};
@@ -78,7 +79,8 @@
 
 fn list_objects(standin: &PlatformStandin, request: &HostedRequest<'_>) -> HostedResponse {
     let prefix = format!("{}/", request.path);
-    let after = request.field("after").map(|name| format!("{prefix}{name}"));
+    let decode = |name| percent_decode_str(name).decode_utf8_lossy();
+    let after = request.field("after").map(|name| format!("{prefix}{}", decode(name)));
     let may_be_old = request.field("AllowStale") == Some("1");
     let (revision, objects) = if may_be_old { standin.list_stale(&prefix) } else { standin.list(&prefix) };
     let rest = objects.iter().filter(|object| after.as_ref().is_none_or(|after| object.key > *after));
