--- a/crates/standin/src/hosted.rs
+++ b/crates/standin/src/hosted.rs
@@ -12,8 +12,8 @@
 
 /// Path prefix of all objects.
 pub const OBJECTS_PATH: &str = "/api/objects/";
-/// Maximum number of objects on one page of a list.
-const MAX_PAGE_ITEMS: usize = 50;
+/// Maximum number of objects on one page of a list, unless the stand-in is set to another one.
+pub const MAX_PAGE_ITEMS: usize = 50;
 
 /// A request to the API of the hosted platform.
 #[derive(Debug)]
@@ -84,7 +84,8 @@
     let may_be_old = request.field("AllowStale") == Some("1");
     let (revision, objects) = if may_be_old { standin.list_stale(&prefix) } else { standin.list(&prefix) };
     let rest = objects.iter().filter(|object| after.as_ref().is_none_or(|after| object.key > *after));
-    let items: Vec<HostedObject> = rest.clone().take(MAX_PAGE_ITEMS).map(HostedObject::stored).collect();
+    let items: Vec<HostedObject> =
+        rest.clone().take(standin.page_items()).map(HostedObject::stored).collect();
     let has_more = rest.count() > items.len();
     Ok((StatusCode::OK, to_raw_value(&HostedPage { items, has_more, revision })?))
 }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -4,6 +4,7 @@
 //! | module | job |
 //! |---|---|
 //! | [`platform`] | object API with versions and watches; simulates outages and lost responses |
+//! | [`recent_states`] | states of the last moments, for calls that accept old data |
 //! | [`hosted`] | the same objects, served through the API of the hosted platform |
 //! | [`soak`] | fault soak of `sniperelay relay` processes, with targets and callers of its own |
 //! | [`target`] | backend server for `sniperelay serve`, with slots, queue, load reports and faults |
@@ -26,5 +27,6 @@
 pub mod hosted;
 pub mod load;
 pub mod platform;
+pub mod recent_states;
 pub mod soak;
 pub mod target;
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -4,7 +4,8 @@
 //! accepted and never answered), single watches that are never answered, delayed responses, responses lost after the write was applied, and a change log without its earlier entries,
 //! so that watches are rejected.
 
-use crate::hosted::{self, HostedRequest};
+use crate::hosted::{self, HostedRequest, MAX_PAGE_ITEMS};
+use crate::recent_states::RecentStates;
 use anyhow::Result;
 use bytes::Bytes;
 use http::{Method, Request, Response, StatusCode};
@@ -17,7 +18,7 @@
 use sniperelay_platform::api::{EventList, ObjectEvent, ObjectList, StoredObject};
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 use tokio::net::TcpListener;
@@ -147,10 +148,14 @@
     frozen: Mutex<Option<(u64, Vec<StoredObject>)>>,
     /// States by prefix from which lists are returned to callers that accept old ones, one state a call and page.
     stale_states: Mutex<BTreeMap<String, VecDeque<StoreCopy>>>,
+    /// States of the last moments; see [`Self::answer_stale_lists_from`].
+    recent_states: Mutex<Option<RecentStates>>,
     /// Number of times that the store has returned from a copy; sent in responses of the hosted API.
     history: AtomicU64,
     changed: watch::Sender<u64>,
     started: Instant,
+    /// Maximum number of objects on one page of a list of the hosted API.
+    page_items: AtomicUsize,
     /// Injected faults and counters.
     pub control: PlatformControl,
 }
@@ -168,9 +173,11 @@
             store: Mutex::default(),
             frozen: Mutex::default(),
             stale_states: Mutex::default(),
+            recent_states: Mutex::default(),
             history: AtomicU64::new(0),
             changed: watch::Sender::new(0),
             started: Instant::now(),
+            page_items: AtomicUsize::new(MAX_PAGE_ITEMS),
             control: PlatformControl::default(),
         });
         tokio::spawn(standin.clone().accept(listener));
@@ -185,14 +192,14 @@
     /// Writes an object without an API call, a version check or injected faults. Returns the new version.
     pub fn put(&self, key: &str, value: impl Into<String>) -> u64 {
         let version = self.lock().put(key, value.into());
-        self.changed.send_replace(version);
+        self.announce_change(version);
         version
     }
 
     /// Deletes an object without an API call, a version check or injected faults.
     pub fn delete(&self, key: &str) {
         let version = self.lock().delete(key);
-        self.changed.send_replace(version);
+        self.announce_change(version);
     }
 
     /// Reads an object without an API call.
@@ -227,6 +234,9 @@
         store.discarded_revision = copy.revision;
         drop(store);
         self.history.fetch_add(1, Ordering::Relaxed);
+        if let Some(states) = self.lock_recent_states().as_mut() {
+            states.restart(copy.clone());
+        }
         self.changed.send_replace(copy.revision);
     }
 
@@ -236,6 +246,34 @@
         *self.frozen.lock().unwrap_or_else(PoisonError::into_inner) = Some(frozen);
     }
 
+    /// From now on, each page of a list that may be old is read from a state that held within the last `max_age`, chosen by
+    /// `seed`.
+    pub fn answer_stale_lists_from(&self, max_age: Duration, seed: u64) {
+        let states = RecentStates::starting_with(self.take_copy(), max_age, seed);
+        *self.lock_recent_states() = Some(states);
+    }
+
+    /// Sets the maximum number of objects on one page of a list of the hosted API.
+    pub fn set_page_items(&self, count: usize) {
+        self.page_items.store(count, Ordering::Relaxed);
+    }
+
+    /// Returns the maximum number of objects on one page of a list of the hosted API.
+    pub fn page_items(&self) -> usize {
+        self.page_items.load(Ordering::Relaxed)
+    }
+
+    fn lock_recent_states(&self) -> MutexGuard<'_, Option<RecentStates>> {
+        self.recent_states.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn announce_change(&self, version: u64) {
+        if let Some(states) = self.lock_recent_states().as_mut() {
+            states.record(self.take_copy());
+        }
+        self.changed.send_replace(version);
+    }
+
     /// From now on, each page of a list under `prefix` that may be old is read from the next of these states. The first one
     /// follows the last one.
     pub fn set_stale_states(&self, prefix: &str, states: Vec<StoreCopy>) {
@@ -256,7 +294,8 @@
 
     /// Returns a revision and the objects whose keys start with `prefix`, as they were at some time before.
     pub fn list_stale(&self, prefix: &str) -> (u64, Vec<StoredObject>) {
-        if let Some(StoreCopy { revision, mut objects }) = self.next_stale_state(prefix) {
+        let recent = || self.lock_recent_states().as_mut().and_then(RecentStates::choose);
+        if let Some(StoreCopy { revision, mut objects }) = self.next_stale_state(prefix).or_else(recent) {
             objects.retain(|object| object.key.starts_with(prefix));
             return (revision, objects);
         }
@@ -461,7 +500,7 @@
             None => store.delete(key),
         };
         drop(store);
-        self.changed.send_replace(version);
+        self.announce_change(version);
         let lost_response =
             self.control
                 .responses_to_lose
--- a/crates/standin/src/soak/mod.rs
+++ b/crates/standin/src/soak/mod.rs
@@ -6,6 +6,8 @@
 //! end), proxies reset, stall and delay connections, and signals stop, kill and pause the
 //! processes.
 //!
+//! Throughout the soak, each page of a list that may be old shows a state of its own age.
+//!
 //! The soak checks the guarantees as callers and targets observe them:
 //!
 //! - a response with status 200 has the complete body that belongs to its request, and the request ran;
@@ -62,6 +64,11 @@
 pub const ENTRY_VM_COUNT: usize = 5;
 const TARGET_COUNT: usize = 6;
 const CALLER_COUNT: usize = 12;
+/// Objects on one page of a list of the store, so that a list has several pages.
+const PAGE_ITEMS: usize = 2;
+/// Maximum age of the state from which the store answers a call that accepts old data: the most that the users' site files
+/// have.
+const MAX_STALENESS: Duration = Duration::from_secs(6);
 /// Time for which service may recover after all faults are cleared, before the final reads are sent.
 const RECOVERY_TIME: Duration = Duration::from_secs(8);
 /// Minimum number of the [`FINAL_READS`] that must be served.
@@ -200,6 +207,8 @@
     async fn start(plan: &SoakPlan, run_counter: &RunCounter, crash_log: &CrashLog) -> Result<Self> {
         let limit_log = plan.stated_limits.then(LimitLog::default);
         let store = PlatformStandin::start().await?;
+        store.set_page_items(PAGE_ITEMS);
+        store.answer_stale_lists_from(MAX_STALENESS, plan.seed);
         let store_proxy = SoakProxy::start(store.address()).await?;
         let mut targets = Vec::new();
         for index in 0..TARGET_COUNT {
