Pages of a list: the missing changes are applied to all of them

Cause: taking the filter of paged_list out made no test fail. The changes after the oldest page include the last one of each object that may differ, so that what they leave is its state, whether or not its page has them already; the ranges of the pages decided nothing, and took the order of names for that of their bytes. Change: no ranges; the last change of each object replaces it. A list whose pages agree keeps the order of the store. A list that lacks changes is a type of its own.

--- a/crates/platform/tests/paged_list.rs
+++ b/crates/platform/tests/paged_list.rs
@@ -2,7 +2,7 @@
 
 use proptest::prelude::*;
 use sniperelay_platform::api::{EventList, ObjectEvent, ObjectList, StoredObject};
-use sniperelay_platform::paged_list::PagedList;
+use sniperelay_platform::paged_list::{AssembledList, PagedList};
 use std::collections::BTreeMap;
 
 /// Number of keys of a generated history.
@@ -73,7 +73,7 @@
             let page = items[..items.len().min(size)].to_vec();
             let has_more = items.len() > page.len();
             last_key = page.last().map(|object| object.key.clone()).filter(|_| has_more);
-            pages.add_page(revision, page, last_key.clone());
+            pages.add_page(revision, page);
             if !has_more {
                 return pages;
             }
@@ -100,31 +100,32 @@
         let history = History::new(&operations, states_last_version);
         let latest = history.latest_revision();
         let revisions: Vec<u64> = ages.iter().map(|age| latest.saturating_sub(*age)).collect();
+        // The changes may come in two responses.
+        let mut responses = vec![until.min(latest), latest].into_iter();
         let mut pages = history.read_pages(&revisions, size);
-        let mut is_complete = pages.missing_since().is_none();
-        if let Some(since) = pages.missing_since() {
-            // The changes may come in two responses.
-            let until = until.clamp(since, latest);
-            pages.apply_changes(history.changes(since, until));
-            if let Some(since) = pages.missing_since() {
-                prop_assert!(since >= until);
-                pages.apply_changes(history.changes(since, latest));
-            }
-            is_complete = pages.missing_since().is_none();
-        }
-        prop_assert!(is_complete);
-        let list = pages.into_list();
+        let list = loop {
+            pages = match pages.assemble() {
+                AssembledList::Complete(list) => break list,
+                AssembledList::Incomplete(pages) => pages,
+            };
+            let since = pages.lowest_revision();
+            let until = responses.next().expect("the list is complete after all changes");
+            pages.apply_changes(history.changes(since, until.max(since)));
+        };
         prop_assert!(revisions[0] <= list.revision && list.revision <= latest);
         prop_assert_eq!(&list, &history.list(list.revision));
     }
 }
 
-/// The revision of a list whose pages agree needs no changes.
+/// A list whose pages agree needs no changes.
 #[test]
 fn pages_of_one_revision_are_complete() {
     let history = History::new(&[(0, true), (1, true), (2, true)], false);
-    let pages = history.read_pages(&[3], 2);
-    assert_eq!(pages.missing_since(), None);
-    assert_eq!(pages.into_list(), history.list(3));
-    assert_eq!(PagedList::default().into_list(), ObjectList { revision: 0, items: Vec::new() });
+    for (pages, expected) in [
+        (history.read_pages(&[3], 2), history.list(3)),
+        (PagedList::default(), ObjectList { revision: 0, items: Vec::new() }),
+    ] {
+        let AssembledList::Complete(list) = pages.assemble() else { panic!("changes are missing") };
+        assert_eq!(list, expected);
+    }
 }
