A check of a copy asks for the change that led to it

Cause: compared a stale answer with the latest change known when the check was made, which may be milliseconds old; a stale answer that lags a little then led to a full call, although it included the change of a second before that had led to the check. Change: the change that led to the check counts. A later one leads to the next check.

--- a/crates/relay/src/store_sync.rs
+++ b/crates/relay/src/store_sync.rs
@@ -642,8 +642,8 @@
 }
 
 /// Checks the copy of a prefix by `poll`, while a watch of it waits, whenever its source has later changes. `poll` gets
-/// the revision of the copy and that of the latest change. Returns the changes that the watch has not returned in time;
-/// does not return while there are none.
+/// the revision of the copy and that of the change that led to the check. Returns the changes that the watch has not
+/// returned in time; does not return while there are none.
 async fn find_missed_changes<P: Future<Output = Result<EventList>>>(
     state: &RelayState,
     prefix: &'static str,
@@ -652,11 +652,10 @@
 ) -> Result<EventList> {
     let copies = state.replica.copies();
     loop {
-        copies.wait_until_behind(prefix, since).await;
+        let latest_change = copies.wait_until_behind(prefix, since).await;
         let is_source_temporary =
             matches!(state.replica.source(), StoreSource::Direct) && !state.replica.must_read_store();
         tokio::time::sleep(if is_source_temporary { 2 * COPY_CHECK_DELAY } else { COPY_CHECK_DELAY }).await;
-        let latest_change = copies.wait_until_behind(prefix, since).await;
         match poll(since, latest_change).await {
             Ok(list) if list.events.is_empty() => {
                 since = since.max(list.revision);
