--- a/crates/platform/src/paged_list.rs
+++ b/crates/platform/src/paged_list.rs
@@ -42,6 +42,11 @@
         self.lowest_revision.unwrap_or(0)
     }
 
+    /// Returns the revision of the newest page.
+    pub fn highest_revision(&self) -> ObjectVersion {
+        self.highest_revision
+    }
+
     /// Applies all changes after [`Self::lowest_revision`] up to the revision of the event list, which are
     /// in their order.
     pub fn apply_changes(&mut self, list: EventList) {
