A service that loses its last route keeps its targets up to date

Cause: requests that wait keep the dispatcher of their service. A service whose last route is moved away was dropped from the map of services, which is what gets new lists of targets and ticks; the dispatcher went on with the list that it had. Change: services without a route are kept beside the map, and get the same updates. A service that gets a route again continues with its state: pauses that targets have asked for, limits, ejections.

--- a/crates/relay/src/shared_state.rs
+++ b/crates/relay/src/shared_state.rs
@@ -2,6 +2,7 @@
 
 mod placement;
 mod target_lists;
+mod unrouted_services;
 
 use crate::copy_offers::CopyOffers;
 use crate::crash_quarantine::CrashQuarantine;
@@ -39,6 +40,7 @@
 use std::time::Duration;
 use target_lists::TargetLists;
 use tokio::sync::mpsc::UnboundedSender;
+use unrouted_services::keep_unrouted;
 
 /// The active version of the configuration.
 #[derive(Debug)]
@@ -70,6 +72,9 @@
     pub routes: ArcSwapOption<ActiveRoutes>,
     /// Services of the active configuration.
     pub services: ArcSwap<ServiceMap>,
+    /// Services without a route in the active configuration, in the order in which they lost their last one. Requests that
+    /// were admitted before may still be there.
+    unrouted_services: ArcSwap<Vec<Arc<ServiceEntry>>>,
     /// Registered entry VMs, this one included.
     pub entry_vms: ArcSwap<EntryVmMap>,
     /// Names of neighbours that do not respond to liveness checks.
@@ -145,6 +150,7 @@
             store,
             routes: ArcSwapOption::empty(),
             services: ArcSwap::default(),
+            unrouted_services: ArcSwap::default(),
             entry_vms: ArcSwap::default(),
             unresponsive_vms: Mutex::default(),
             isolated_vms: ArcSwap::default(),
@@ -298,12 +304,19 @@
         }
     }
 
+    /// Calls `visit` with each service of the active configuration, and with those that have lost their routes.
+    pub fn for_each_service(&self, visit: impl FnMut(&Arc<ServiceEntry>)) {
+        let (routed, unrouted) = (self.services.load(), self.unrouted_services.load());
+        routed.values().chain(unrouted.iter()).for_each(visit);
+    }
+
     /// Assigns to each service the targets that this entry VM serves. Must be called after every
     /// change of targets, entry VMs or routes.
     pub fn assign_targets(&self) {
         let targets = self.targets();
         let cells = self.own_cells(&targets);
-        for (service, entry) in self.services.load().iter() {
+        self.for_each_service(|entry| {
+            let service = &entry.document.name;
             let cell = cells.get(service);
             let max_report_age = cell.map(|cell| self.max_report_age(cell.host_count));
             let capacity = self.attempt_budget_capacity(cell);
@@ -317,7 +330,7 @@
                 &targets,
                 cell.map(|cell| &cell.targets),
             );
-        }
+        });
     }
 
     /// Returns the time at which a registered instance has started, in milliseconds since the Unix epoch.
@@ -334,11 +347,12 @@
     }
 
     fn replace_services(self: &Arc<Self>, documents: &[ServiceDocument]) {
-        let current_services = self.services.load();
+        let mut previous = ServiceMap::new();
+        self.for_each_service(|entry| drop(previous.insert(entry.document.name.clone(), entry.clone())));
         let mut services = ServiceMap::new();
         for document in documents {
             let document = Arc::new(document.clone());
-            let dispatcher_handle = match current_services.get(&document.name) {
+            let dispatcher_handle = match previous.get(&document.name) {
                 Some(entry) => {
                     entry.dispatcher_handle.run_operation(|dispatcher, now, _| {
                         dispatcher.replace_document(document.clone(), now)
@@ -352,6 +366,8 @@
                 Arc::new(ServiceEntry::new(document, dispatcher_handle, &self.metrics)),
             );
         }
+        let unrouted = keep_unrouted(&self.unrouted_services.load(), &self.services.load(), &services);
+        self.unrouted_services.store(Arc::new(unrouted));
         self.services.store(Arc::new(services));
     }
 
--- a/crates/relay/src/startup.rs
+++ b/crates/relay/src/startup.rs
@@ -163,7 +163,7 @@
 async fn run_upkeep(state: Arc<RelayState>) {
     loop {
         tokio::time::sleep(UPKEEP_INTERVAL).await;
-        state.services.load().values().for_each(|entry| entry.dispatcher_handle.tick_if_needed());
+        state.for_each_service(|entry| entry.dispatcher_handle.tick_if_needed());
     }
 }
 
