A waiting request follows its route to another service

What callers saw: requests that waited for a service when a configuration moved its route went on waiting there, until their deadline if that service was being emptied. Cause: a request was bound to the service and the ranks of the configuration at its arrival. Change: while a request has had no attempt, a later configuration that leads it to other services only moves it there; its id and deadline stay, and the stricter of both routes decides about repeats. Without a route it gets the response that it would get on arrival (404). A request with attempts stays, and so does one whose route still leads to its service for a part of the requests. Forwarded requests take the same way. A line 'moved' for each.

--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -8,6 +8,7 @@
 use crate::document::{ProbePolicy, RankPolicy, RetryPolicy, ServiceDocument};
 use crate::ids::{RankId, ServiceName};
 use std::collections::{BTreeMap, HashMap, HashSet};
+use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
@@ -119,7 +120,7 @@
 /// A route in a [`RouteTable`].
 #[derive(Debug)]
 pub struct RouteEntry {
-    spec: RouteSpec,
+    spec: Arc<RouteSpec>,
     destinations: Vec<WeightedDestination>,
     /// Position of the next request in the weighted distribution, as a fraction of 2^32.
     next_position: AtomicU32,
@@ -127,10 +128,15 @@
 
 impl RouteEntry {
     /// Returns the specification of the route.
-    pub fn spec(&self) -> &RouteSpec {
+    pub fn spec(&self) -> &Arc<RouteSpec> {
         &self.spec
     }
 
+    /// Returns whether requests of the route may be sent to a service.
+    pub fn leads_to(&self, service: &str) -> bool {
+        self.destinations.iter().any(|weighted| weighted.destination.service == service)
+    }
+
     /// Returns the destination of the next request. Over any sequence of requests, each destination
     /// gets almost exactly its weighted share.
     pub fn next_destination(&self) -> &RouteDestination {
@@ -164,8 +170,8 @@
         for spec in &config.routes {
             let destinations = make_destinations(spec, &documents);
             if !destinations.is_empty() {
-                let entry =
-                    RouteEntry { spec: spec.clone(), destinations, next_position: AtomicU32::new(seed) };
+                let spec_copy = Arc::new(spec.clone());
+                let entry = RouteEntry { spec: spec_copy, destinations, next_position: AtomicU32::new(seed) };
                 hosts.entry(spec.host.clone()).or_default().push(entry);
             }
         }
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -5,6 +5,7 @@
 //! an idempotent request can still be retried at another target.
 
 use crate::decision_log::DecisionKind;
+use crate::request_head::path_of;
 use crate::shared_state::RelayState;
 use bytes::{Bytes, BytesMut};
 use http::header::{self, HeaderMap};
@@ -56,6 +57,11 @@
 }
 
 impl OutboundRequest {
+    /// Returns the path without the query.
+    pub fn path(&self) -> &str {
+        path_of(&self.path_and_query)
+    }
+
     /// Returns a hash of the request's id, if it has one.
     fn request_hash(&self) -> Option<RequestHash> {
         self.headers.get(platform_headers::REQUEST_ID).map(|id| xxh3_64(id.as_bytes()))
--- a/crates/relay/src/decision_log.rs
+++ b/crates/relay/src/decision_log.rs
@@ -28,6 +28,8 @@
     Late,
     /// The request was sent to a target again.
     Retried,
+    /// The request waits for another service, as its route was changed.
+    Moved,
     /// The response came within the latency target.
     OnTime,
     /// The request's connection ended without a response.
@@ -44,6 +46,7 @@
             Self::Failed => "failed",
             Self::Late => "late",
             Self::Retried => "repeated",
+            Self::Moved => "moved",
             Self::OnTime => "answered",
             Self::Unanswered => "unanswered",
             Self::LimitChanged => "limit changed",
--- a/crates/relay/src/request_handler.rs
+++ b/crates/relay/src/request_handler.rs
@@ -3,8 +3,12 @@
 //! A request is first submitted with its latency target as the deadline. If that deadline cannot be
 //! met, the request is submitted again with its timeout as the deadline and with the lowest
 //! priority. A refusal is sent to the caller immediately.
+//!
+//! A request that waits for its first attempt follows its route if a later configuration moves it to another service. A
+//! request with attempts stays at its service.
 
 mod forward;
+mod request_route;
 
 use crate::attempt::{AttemptResult, OutboundRequest, TargetResponse, run_attempt};
 use crate::caller_response::{CallerResponse, RelayRefusal};
@@ -24,17 +28,16 @@
 use sniperelay_core::ids::{RankId, TargetKey};
 use sniperelay_core::quarantine::Admission;
 use sniperelay_core::reason::{Outcome, RefusalReason, RetryReason};
-use sniperelay_core::route::RouteSpec;
 use sniperelay_hosted::headers::{self as platform_headers, TargetReport};
 use sniperelay_node::boot_clock;
-use sniperelay_node::dispatcher_handle::{AttemptSlot, DispatchSignal, RequestGuard, ServiceEntry};
+use sniperelay_node::dispatcher_handle::{AttemptSlot, DispatchSignal, RequestGuard};
 use sniperelay_node::lifecycle::LifecyclePhase;
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
-use forward::ForwardingPlan;
+use request_route::{RequestRoute, find_route};
 
 type Result<T> = std::result::Result<T, RelayRefusal>;
 type AttemptFuture = BoxFuture<'static, std::result::Result<AttemptResult, Aborted>>;
@@ -85,57 +88,42 @@
     if state.lifecycle.phase() >= LifecyclePhase::Refusing {
         return Err(refuse_early(state, &head, RefusalReason::Stopping, SHUTDOWN_RETRY_AFTER));
     }
-    let Some(routes) = state.routes.load_full() else {
-        return Err(refuse_early(state, &head, RefusalReason::NoTarget, DEFAULT_RETRY_AFTER));
-    };
+    let route = find_route(state, &head.host, head.path());
+    let route = route.map_err(|reason| refuse_early(state, &head, reason, DEFAULT_RETRY_AFTER))?;
     let caller_timeout = platform_headers::read_deadline(&head.headers);
     let caller_timeout = caller_timeout.map_err(|error| {
         log::debug!("request refused: invalid deadline: {error}");
         refuse_early(state, &head, RefusalReason::BadRequest, DEFAULT_RETRY_AFTER)
     })?;
-    let route = routes.table.find(&head.host, head.path());
-    let route =
-        route.ok_or_else(|| refuse_early(state, &head, RefusalReason::UnknownRank, DEFAULT_RETRY_AFTER))?;
-    let destination = route.next_destination();
-    let services = state.services.load();
-    let entry = services.get(&destination.service).cloned();
-    let entry =
-        entry.ok_or_else(|| refuse_early(state, &head, RefusalReason::NoTarget, DEFAULT_RETRY_AFTER))?;
-    drop(services);
-    let spec = route.spec();
-    let timeout = caller_timeout.unwrap_or(spec.timeout).min(spec.timeout);
+    let timeout = caller_timeout.unwrap_or(route.spec.timeout).min(route.spec.timeout);
     let outbound = OutboundRequest {
         method: head.method,
         path_and_query: head.path_and_query,
         headers: head.headers,
         body,
         caller,
-        is_idempotent: spec.is_idempotent,
+        is_idempotent: route.spec.is_idempotent,
         deadline: boot_clock::now() + timeout,
     };
     let admission = admit_request(state, &outbound, &head.host);
     if let Admission::Quarantined { retry_after, .. } = admission {
-        entry.rank_counters(destination.rank).count_refusal(RefusalReason::Quarantined);
+        route.entry.rank_counters(route.ranks.on_time).count_refusal(RefusalReason::Quarantined);
         return Err(RelayRefusal::not_run(RefusalReason::Quarantined, retry_after));
     }
     let times = RequestTimes {
         arrived_at,
-        on_time_deadline: arrived_at + spec.latency.min(timeout),
+        on_time_deadline: arrived_at + route.spec.latency.min(timeout),
         final_deadline: arrived_at + timeout,
     };
-    let mut handler = RequestHandler::new(state.clone(), entry, outbound, times, destination.rank, spec);
+    let mut handler = RequestHandler::new(state.clone(), route, head.host, outbound, times);
     handler.is_trial = admission == Admission::Trial;
     handler.is_single_attempt |= handler.is_trial || admission == Admission::SingleAttempt;
     handler.limit_attempts(origin);
-    let ranks = RequestRanks { on_time: destination.rank, late: destination.late_rank };
     let result = match origin {
-        RequestOrigin::Caller => {
-            let forwarding = ForwardingPlan { host: &head.host, version: routes.config.version };
-            handler.run_or_forward(ranks, forwarding).await
-        }
-        RequestOrigin::Peer { .. } => handler.run_here(ranks).await,
+        RequestOrigin::Caller => handler.run_or_forward().await,
+        RequestOrigin::Peer { .. } => handler.run_here().await,
     };
-    handler.log_result(&spec.name, routes.config.version, &result);
+    handler.log_result(&result);
     result
 }
 
@@ -176,23 +164,14 @@
     final_deadline: Instant,
 }
 
-/// Ranks under which a request is submitted.
-#[derive(Debug, Clone, Copy)]
-struct RequestRanks {
-    /// Rank while the latency target can be met.
-    on_time: RankId,
-    /// Rank after that.
-    late: RankId,
-}
-
 /// State of a request that passes through the dispatcher of its service.
 struct RequestHandler {
     state: Arc<RelayState>,
-    entry: Arc<ServiceEntry>,
+    route: RequestRoute,
+    /// Host that the request names.
+    host: String,
     outbound: Arc<OutboundRequest>,
     times: RequestTimes,
-    /// Rank of the request while its latency target can be met.
-    rank: RankId,
     /// Whether the route allows only one attempt.
     is_single_attempt: bool,
     /// Number of attempts that the route allows, or that are left to a forwarded request.
@@ -218,20 +197,19 @@
 impl RequestHandler {
     fn new(
         state: Arc<RelayState>,
-        entry: Arc<ServiceEntry>,
+        route: RequestRoute,
+        host: String,
         outbound: OutboundRequest,
         times: RequestTimes,
-        rank: RankId,
-        spec: &RouteSpec,
     ) -> Self {
         Self {
             state,
-            entry,
+            is_single_attempt: route.spec.max_attempts < 2,
+            max_attempts: route.spec.max_attempts,
+            route,
+            host,
             outbound: Arc::new(outbound),
             times,
-            rank,
-            is_single_attempt: spec.max_attempts < 2,
-            max_attempts: spec.max_attempts,
             is_bound_here: false,
             forwarded_to: None,
             is_trial: false,
@@ -252,13 +230,29 @@
         }
     }
 
-    /// Handles the request here, first with its latency target as the deadline.
-    async fn run_here(&mut self, ranks: RequestRanks) -> Result<CallerResponse> {
-        let result = self.submit_and_wait(ranks.on_time, self.times.on_time_deadline).await;
+    /// Handles the request here. It follows its route as long as it waits for its first attempt.
+    async fn run_here(&mut self) -> Result<CallerResponse> {
+        loop {
+            if let Some(result) = self.run_at_service().await {
+                return result;
+            }
+            if let Err(refusal) = self.follow_route() {
+                let result = Err(refusal);
+                self.count_result(self.route.ranks.on_time, &result);
+                return result;
+            }
+        }
+    }
+
+    /// Handles the request at its service, first with its latency target as the deadline. Returns `None` if its route
+    /// leads to another service now.
+    async fn run_at_service(&mut self) -> Option<Result<CallerResponse>> {
+        let ranks = self.route.ranks;
+        let result = self.submit_and_wait(ranks.on_time, self.times.on_time_deadline).await?;
         if result.as_ref().is_err_and(|refusal| self.can_be_resubmitted(refusal)) {
             return self.submit_and_wait(ranks.late, self.times.final_deadline).await;
         }
-        result
+        Some(result)
     }
 
     /// Returns whether a request that was refused because of its deadline can be submitted again with a
@@ -272,9 +266,10 @@
     }
 
     /// Submits the request to the dispatcher of its service and runs attempts until there is a response
-    /// or a refusal. Neither comes later than the final deadline.
-    async fn submit_and_wait(&mut self, rank: RankId, deadline: Instant) -> Result<CallerResponse> {
-        let dispatcher_handle = self.entry.dispatcher_handle.clone();
+    /// or a refusal. Neither comes later than the final deadline. Returns `None` if the route of the request leads to
+    /// another service before its first attempt.
+    async fn submit_and_wait(&mut self, rank: RankId, deadline: Instant) -> Option<Result<CallerResponse>> {
+        let dispatcher_handle = self.route.entry.dispatcher_handle.clone();
         let mut request_guard =
             dispatcher_handle.submit(rank, deadline, self.outbound.is_idempotent, self.is_single_attempt);
         let timeout = tokio::time::sleep_until(self.times.final_deadline.into());
@@ -289,9 +284,13 @@
         tokio::pin!(stop);
         let mut is_too_late = false;
         loop {
+            let is_waiting = self.attempt_records.is_empty();
             let step = tokio::select! {
                 biased;
                 Some(result) = self.attempts.next() => self.handle_attempt_result(result),
+                () = state.wait_for_later_config(self.route.version), if is_waiting => {
+                    if self.is_moved() { return None } else { None }
+                }
                 signal = request_guard.next_signal() => self.handle_signal(signal),
                 () = &mut isolation, if is_isolation_awaited => {
                     is_isolation_awaited = false;
@@ -306,7 +305,7 @@
             // From then on the request is refused as soon as no attempt is in flight.
             let step = step.or_else(|| if is_too_late { self.stop_refusal().map(Err) } else { None });
             if let Some(result) = step {
-                return self.finish(rank, request_guard, result);
+                return Some(self.finish(rank, request_guard, result));
             }
         }
     }
@@ -327,7 +326,7 @@
     }
 
     fn count_result(&self, rank: RankId, result: &Result<CallerResponse>) {
-        let counters = self.entry.rank_counters(rank);
+        let counters = self.route.entry.rank_counters(rank);
         match result {
             Ok(_) => counters.count_response(
                 self.times.arrived_at.elapsed(),
@@ -340,7 +339,7 @@
     fn record_attempt_start(&mut self, slot: &AttemptSlot, retry: Option<RetryReason>) {
         let now = Instant::now();
         let target = slot.target();
-        let target_load = self.entry.dispatcher_handle.read(|dispatcher| {
+        let target_load = self.route.entry.dispatcher_handle.read(|dispatcher| {
             let targets = dispatcher.targets();
             let state = targets.get(target)?;
             let slowdown = state.expected_slowdown(targets.average_slowdown(), now);
@@ -372,7 +371,7 @@
         }
     }
 
-    fn log_result(&self, route: &str, version: u64, result: &Result<CallerResponse>) {
+    fn log_result(&self, result: &Result<CallerResponse>) {
         let kind = match result {
             Err(refusal) if refusal.outcome == Outcome::NotRun => DecisionKind::Refused,
             Err(_) => DecisionKind::Failed,
@@ -382,14 +381,16 @@
         let cause = result.as_ref().map_or_else(|refusal| refusal.reason.as_str(), |_| "answered");
         let service_stats = if result.is_err() { self.service_stats_text() } else { String::new() };
         let through = self.forwarded_to.as_ref().map_or_else(String::new, |name| format!(" through {name}"));
+        let (route, version) = (&self.route.spec.name, self.route.version);
         let text = format!("{cause}{through}, route {route} of version {version:08x}{service_stats}");
         self.log_decision(kind, &text);
     }
 
     /// Returns the load of the service as text, for log lines about requests without a response.
     fn service_stats_text(&self) -> String {
-        let rank = self.rank;
-        let stats = self.entry.dispatcher_handle.read(|dispatcher| dispatcher.stats(rank, Instant::now()));
+        let rank = self.route.ranks.on_time;
+        let stats =
+            self.route.entry.dispatcher_handle.read(|dispatcher| dispatcher.stats(rank, Instant::now()));
         format!(
             "; rank {}: {} waiting ({} in all), targets: {} usable, {} with a free slot, {} of them fast; usual answer {} ms",
             rank,
@@ -405,7 +406,7 @@
     /// Logs a line about this request, unless the rate limit for its kind is exceeded.
     fn log_decision(&self, kind: DecisionKind, text: &str) {
         let Some(suppressed_lines) =
-            self.state.decisions.admit(kind, &self.entry.document.name, Instant::now())
+            self.state.decisions.admit(kind, &self.route.entry.document.name, Instant::now())
         else {
             return;
         };
@@ -413,7 +414,7 @@
         let records: Vec<String> = self.attempt_records.iter().map(AttemptRecord::to_string).collect();
         log::info!(
             target: "request",
-            request = id, decision = kind.as_str(), service = self.entry.document.name.as_str(),
+            request = id, decision = kind.as_str(), service = self.route.entry.document.name.as_str(),
             after_ms = self.times.arrived_at.elapsed().as_millis() as u64,
             on_time_ms = millis_between(self.times.arrived_at, self.times.on_time_deadline),
             end_ms = millis_between(self.times.arrived_at, self.times.final_deadline), left_out = suppressed_lines;
@@ -435,7 +436,7 @@
                     return self.stop_refusal().map(Err);
                 }
                 if let Some(reason) = retry {
-                    self.entry.counters[0].count_retry(reason);
+                    self.route.entry.counters[0].count_retry(reason);
                 }
                 self.record_attempt_start(&slot, retry);
                 self.start_attempt(slot);
@@ -454,8 +455,12 @@
 
     /// Returns whether this process ends before a further attempt is likely to get its response.
     fn is_too_late_to_start(&self) -> bool {
-        let response_time =
-            || self.entry.dispatcher_handle.read(|dispatcher| dispatcher.response_time(self.rank));
+        let response_time = || {
+            self.route
+                .entry
+                .dispatcher_handle
+                .read(|dispatcher| dispatcher.response_time(self.route.ranks.on_time))
+        };
         self.state.stop_deadline.is_too_late(response_time, Instant::now())
     }
 
@@ -498,7 +503,8 @@
                 record_report(&slot, report);
                 if is_leaving {
                     let address = slot.address();
-                    self.entry
+                    self.route
+                        .entry
                         .dispatcher_handle
                         .run_operation(|dispatcher, _, _| dispatcher.mark_leaving(address));
                 }
@@ -538,7 +544,7 @@
     /// Starts to check whether the target of a lost connection has crashed.
     fn start_crash_check(&self, slot: &AttemptSlot) {
         let Some(instance) = slot.instance() else { return };
-        let health_path = self.entry.document.measuring.path.clone();
+        let health_path = self.route.entry.document.measuring.path.clone();
         let target = SuspectedTarget { instance, address: slot.address(), health_path };
         let check = check_for_crash(self.state.clone(), self.outbound.clone(), target);
         tokio::spawn(check);
--- a/crates/relay/src/request_handler/forward.rs
+++ b/crates/relay/src/request_handler/forward.rs
@@ -1,6 +1,6 @@
 //! Requests that this entry VM forwards to another one, because it reaches no target.
 
-use super::{DEFAULT_RETRY_AFTER, RequestHandler, RequestRanks, Result, indicates_not_run};
+use super::{DEFAULT_RETRY_AFTER, RequestHandler, Result, indicates_not_run};
 use crate::caller_response::{CallerResponse, RelayRefusal};
 use crate::forwarding::{ForwardedRequest, forward_request};
 use http::StatusCode;
@@ -8,39 +8,26 @@
 use std::sync::atomic::Ordering;
 use std::time::Instant;
 
-/// What is needed to forward a request.
-#[derive(Debug, Clone, Copy)]
-pub(super) struct ForwardingPlan<'a> {
-    /// Host of the request.
-    pub(super) host: &'a str,
-    /// Version of the configuration by which it was admitted.
-    pub(super) version: u64,
-}
-
 impl RequestHandler {
     /// Handles the request here, or forwards it to another entry VM if this one reaches no target.
-    pub(super) async fn run_or_forward(
-        &mut self,
-        ranks: RequestRanks,
-        plan: ForwardingPlan<'_>,
-    ) -> Result<CallerResponse> {
+    pub(super) async fn run_or_forward(&mut self) -> Result<CallerResponse> {
         if self.state.links.is_isolated() {
-            if let Some(result) = self.forward(plan).await {
+            if let Some(result) = self.forward().await {
                 return result;
             }
             self.is_bound_here = true;
         }
-        let result = self.run_here(ranks).await;
+        let result = self.run_here().await;
         let Err(refusal) = result else { return result };
         if !self.needs_other_entry_vm(&refusal) {
             return result;
         }
-        if let Some(forwarded) = self.forward(plan).await {
+        if let Some(forwarded) = self.forward().await {
             return forwarded;
         }
         if refusal.reason == RefusalReason::Isolated && Instant::now() < self.times.final_deadline {
             self.is_bound_here = true;
-            return self.run_here(ranks).await;
+            return self.run_here().await;
         }
         result
     }
@@ -57,7 +44,7 @@
     }
 
     /// Forwards the request. Returns `None` if it may not be forwarded or no other entry VM takes it.
-    async fn forward(&mut self, plan: ForwardingPlan<'_>) -> Option<Result<CallerResponse>> {
+    async fn forward(&mut self) -> Option<Result<CallerResponse>> {
         let has_not_run = self.execution.outcome() == Outcome::NotRun;
         let attempts_made = if has_not_run { 0 } else { self.attempt_records.len() as u32 };
         let attempts_left = self.max_attempts.max(1).saturating_sub(attempts_made);
@@ -68,9 +55,9 @@
         let outbound = self.outbound.clone();
         let request = ForwardedRequest {
             outbound: &outbound,
-            host: plan.host,
+            host: &self.host,
             attempts_left: if self.is_single_attempt { 1 } else { attempts_left },
-            version: plan.version,
+            version: self.route.version,
         };
         let deadline = self.times.final_deadline.into();
         let forwarded = tokio::time::timeout_at(deadline, forward_request(&self.state, &request)).await;
@@ -88,7 +75,7 @@
             None if forwarded.may_have_run => Err(RelayRefusal::unknown(RefusalReason::ConnectionLost)),
             None => return None,
         };
-        self.count_result(self.rank, &result);
+        self.count_result(self.route.ranks.on_time, &result);
         Some(result)
     }
 
--- a/crates/relay/src/request_head.rs
+++ b/crates/relay/src/request_head.rs
@@ -69,10 +69,15 @@
 impl RequestHead {
     /// Returns the path without the query.
     pub fn path(&self) -> &str {
-        self.path_and_query.split('?').next().unwrap_or(&self.path_and_query)
+        path_of(&self.path_and_query)
     }
 }
 
+/// Returns the path of a request target without its query.
+pub(crate) fn path_of(path_and_query: &str) -> &str {
+    path_and_query.split('?').next().unwrap_or(path_and_query)
+}
+
 /// Parses a head at the start of `buffer` and removes it from the buffer. Returns `None` if the head
 /// is incomplete.
 ///
--- a/crates/relay/src/shared_state.rs
+++ b/crates/relay/src/shared_state.rs
@@ -22,7 +22,7 @@
 use sniperelay_core::limit_ledger::LimitLedger;
 use sniperelay_core::memory_budget::MemoryBudget;
 use sniperelay_core::pick::PickPolicy;
-use sniperelay_core::route::{RouteConfig, RouteTable};
+use sniperelay_core::route::{RouteConfig, RouteTable, RouteVersion};
 use sniperelay_core::target::{SharedTarget, TargetLifecycle, TargetSpec};
 use sniperelay_hosted::bounds::PlatformBounds;
 use sniperelay_hosted::registration::{EntryVmRecord, TargetRecord};
@@ -40,6 +40,7 @@
 use std::time::Duration;
 use target_lists::TargetLists;
 use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::watch;
 use unrouted_services::keep_unrouted;
 
 /// The active version of the configuration.
@@ -70,6 +71,8 @@
     pub store: ObjectStore,
     /// Active configuration; `None` until the first one has been read.
     pub routes: ArcSwapOption<ActiveRoutes>,
+    /// Version of the active configuration, for requests that wait under an earlier one.
+    active_version: watch::Sender<RouteVersion>,
     /// Services of the active configuration.
     pub services: ArcSwap<ServiceMap>,
     /// Services without a route in the active configuration, in the order in which they lost their last one. Requests that
@@ -149,6 +152,7 @@
             incarnation: rand::random(),
             store,
             routes: ArcSwapOption::empty(),
+            active_version: watch::Sender::new(0),
             services: ArcSwap::default(),
             unrouted_services: ArcSwap::default(),
             entry_vms: ArcSwap::default(),
@@ -243,12 +247,22 @@
             return false;
         }
         let table = RouteTable::build(&config, rand::random());
+        let version = config.version;
         self.replace_services(table.documents());
         self.routes.store(Some(Arc::new(ActiveRoutes { config, table })));
         self.assign_targets();
+        self.active_version.send_replace(version);
         true
     }
 
+    /// Waits until the version of the active configuration is higher than `version`.
+    pub async fn wait_for_later_config(&self, version: RouteVersion) {
+        let mut receiver = self.active_version.subscribe();
+        if receiver.wait_for(|active| *active > version).await.is_err() {
+            std::future::pending().await
+        }
+    }
+
     /// Records that an instance has reported in a response that it is leaving.
     pub fn record_leaving(&self, instance: &InstanceName) {
         if self.lock_leaving_reports().record(instance, boot_clock::now()) {
--- a/crates/relay/tests/moved_routes.rs
+++ b/crates/relay/tests/moved_routes.rs
@@ -3,9 +3,9 @@
 mod common;
 
 use common::{
-    ScriptedAction, ScriptedTarget, TestEnv, config, registration, request, sealed_response, status,
+    ScriptedAction, ScriptedTarget, TestEnv, body, config, registration, request, sealed_response, status,
 };
-use serde_json::Value;
+use serde_json::{Value, json};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::task::JoinHandle;
@@ -139,3 +139,73 @@
     assert_eq!(env.targets[0].received().len(), 1, "the target had asked for 30 s without requests");
     assert_eq!(moved.received().len(), 1);
 }
+
+/// Starts an entry VM whose only target has all slots occupied, and sends a request that waits for one of them.
+async fn start_with_waiting(
+    method: &str,
+    path: &str,
+) -> (TestEnv, Vec<JoinHandle<String>>, JoinHandle<String>) {
+    let env = TestEnv::start(vec![vec![ScriptedAction::Hold]]).await;
+    let held = fill_first_target(&env).await;
+    let waiting = send(&env, method, path).await;
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    (env, held, waiting)
+}
+
+/// Guards against requests that wait for a service until their deadline although their route leads to another one.
+#[tokio::test]
+async fn waiting_requests_follow_their_route_and_others_stay() {
+    for (method, path) in [("GET", "/read/waiting"), ("POST", "/claim/waiting")] {
+        let (env, held, waiting) = start_with_waiting(method, path).await;
+        let moved = start_moved_target(&env).await;
+        apply_config(&env, &moved_config("00000002")).await;
+        let response = waiting.await.unwrap();
+        assert_eq!((status(&response), body(&response)), (200, "moved"), "{response}");
+        assert_eq!(moved.received().len(), 1);
+        // The requests that the target works on are answered there.
+        env.targets[0].release(4);
+        for response in held {
+            let response = response.await.unwrap();
+            assert_eq!((status(&response), body(&response)), (200, "held"));
+        }
+        assert_eq!(env.targets[0].received().len(), 4);
+    }
+}
+
+/// A waiting request whose route is dropped gets the response that it would get if it arrived then.
+#[tokio::test]
+async fn waiting_request_without_a_route_is_refused() {
+    let (env, held, waiting) = start_with_waiting("POST", "/claim/waiting").await;
+    let mut dropped = config("00000002");
+    dropped["Routes"].as_object_mut().unwrap().remove("claim");
+    apply_config(&env, &dropped).await;
+    assert_eq!(status(&waiting.await.unwrap()), 404);
+    env.targets[0].release(4);
+    for response in held {
+        assert_eq!(status(&response.await.unwrap()), 200);
+    }
+    assert_eq!(env.targets[0].received().len(), 4);
+}
+
+/// A route that leads to its service for a part of the requests only does not move those that wait there.
+#[tokio::test]
+async fn waiting_request_stays_if_its_route_still_leads_to_the_service() {
+    let (env, held, waiting) = start_with_waiting("GET", "/read/waiting").await;
+    let moved = start_moved_target(&env).await;
+    let mut split = moved_config("00000002");
+    let read = split["Routes"]["read"].as_object_mut().unwrap();
+    read.remove("Service");
+    read.insert(
+        "WeightedServices".to_owned(),
+        json!([{"Service": "s", "Weight": 10}, {"Service": "t", "Weight": 90}]),
+    );
+    apply_config(&env, &split).await;
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    env.targets[0].release(5);
+    for response in held {
+        assert_eq!(status(&response.await.unwrap()), 200);
+    }
+    let response = waiting.await.unwrap();
+    assert_eq!((status(&response), body(&response)), (200, "held"), "{response}");
+    assert_eq!(moved.received().len(), 0);
+}
