Request bodies share a memory budget

Cause: a body had a limit of 32 MiB, all bodies together had none. Change: request-memory-bytes (40 MiB) for all of them.

--- a/crates/cli/tests/explain.rs
+++ b/crates/cli/tests/explain.rs
@@ -61,6 +61,11 @@
         ),
         ("[platform]", "[routing]\ncores = 0\n[platform]", "cores: must be above 0"),
         ("[platform]", "[limits]\nquarantine-ms = 10\n[platform]", "quarantine-ms: must be 1000 to 3600000"),
+        (
+            "[platform]",
+            "[limits]\nrequest-memory-bytes = 33554432\n[platform]",
+            "request-memory-bytes: must be at least body-bytes and 8388608: 41943040",
+        ),
         ("[platform]", "[log]\nlevel = loud\n[platform]", "level: must be one of off, error"),
     ];
     for (index, (from, to, message)) in cases.into_iter().enumerate() {
