With few responses, an upper bound of the response time decides in a stop

Cause: the bound of 'A response time counts as measured only after enough responses' was the reserved part of the latency target for up to 50 responses. Change: the estimate times ln 50 / ln (n + 1) after n responses, with the same limits as before; an exponential distribution is assumed beyond the largest sample.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -249,19 +249,17 @@
         self.bind_queued(now, actions);
     }
 
-    /// Returns the time within which 98 of 100 requests of a rank get their response. For a rank with too few responses,
-    /// as after a start, it is at least that of the slowest rank with enough of them; if no rank has enough, it is at least
-    /// the part of the rank's latency target that is reserved for responses at most.
+    /// Returns the time within which 98 of 100 requests of a rank get their response. With few responses, as after a start,
+    /// it is an upper bound, but no more than that of the slowest rank with enough of them; if there is no such rank, no
+    /// more than the part of the latency target that is reserved for responses at most.
     pub fn response_time(&self, rank: RankId) -> Duration {
         let rank = rank.min(self.ranks.len() - 1);
         let estimate = self.ranks[rank].latency_p98;
-        if estimate.is_measured() {
-            return estimate.value();
-        }
         let estimates = self.ranks.iter().map(|rank| rank.latency_p98);
         let slowest = estimates.filter(|estimate| estimate.is_measured()).map(QuantileEstimate::value).max();
         let reserved = self.document.ranks[rank].latency.mul_f64(admit::MAX_RESPONSE_TIME_SHARE);
-        estimate.value().max(slowest.unwrap_or(reserved))
+        let limit = slowest.unwrap_or(reserved);
+        estimate.value().max(estimate.upper_bound().map_or(limit, |bound| bound.min(limit)))
     }
 
     /// Returns the number of requests that are queued or in flight.
--- a/crates/core/src/estimate.rs
+++ b/crates/core/src/estimate.rs
@@ -90,6 +90,15 @@
         Duration::from_secs_f64(self.seconds)
     }
 
+    /// Returns what the quantile may be as far as the samples show, or `None` before the first one. The largest of `n`
+    /// samples is expected near the quantile `n / (n + 1)`; an exponential distribution is assumed beyond it. With
+    /// enough samples, this is the estimate.
+    pub fn upper_bound(&self) -> Option<Duration> {
+        let reached = (f64::from(self.samples) + 1.0).ln();
+        let ratio = -(1.0 - self.quantile).ln() / reached;
+        (self.samples > 0).then(|| self.value().mul_f64(ratio.max(1.0)))
+    }
+
     /// Returns whether there were enough samples for one of them to be expected beyond the quantile. An estimate from
     /// fewer depends on which ones came first.
     pub fn is_measured(self) -> bool {
