Memory budget: module docs, a test of shares without a network

Cause: read as a newcomer; the module named responses only, and the rule for request bodies had tests over sockets alone. Measured: memory_budget passes, one run. Conclusion: no behaviour changed.

--- a/crates/core/src/memory_budget.rs
+++ b/crates/core/src/memory_budget.rs
@@ -1,7 +1,9 @@
 //! Budget of the memory in which bodies are collected before they are passed on.
 //!
-//! A request body states its length, and is of no use before it is complete: its share is reserved as a whole, so that
-//! several bodies do not keep each other from being completed. A response grows as it arrives. Targets in trouble may send responses without end. A response may grow while it is no larger than the
+//! Request bodies: one is of no use before it is complete, and most state their length. Its share is reserved as a whole, so
+//! that several bodies do not keep each other from being completed.
+//!
+//! Responses: targets in trouble may send them without end. A response may grow while it is no larger than the
 //! memory that is left, so that a few endless responses neither exhaust the memory nor keep others from
 //! being collected: with `n` such responses each gets at most `limit / (n + 1)`, and as much is left for
 //! the next one. These are the dynamic thresholds of Choudhury and Hahne, "Dynamic Queue Length Thresholds
--- a/crates/core/tests/memory_budget.rs
+++ b/crates/core/tests/memory_budget.rs
@@ -61,3 +61,19 @@
         }
     }
 }
+
+/// A share that does not fit leaves the budget as it is; large ones leave room to others.
+#[test]
+fn share_is_extended_as_a_whole_or_not_at_all() {
+    let budget = MemoryBudget::new(100);
+    let mut large = budget.open_share();
+    assert!(!large.try_extend(81, 20));
+    assert!(large.try_extend(80, 20));
+    assert_eq!((large.bytes(), budget.used()), (80, 80));
+    let mut small = budget.open_share();
+    assert!(!small.try_extend(1, 20) && small.try_extend(20, 0) && !small.try_extend(1, 0));
+    assert!(!small.try_extend(usize::MAX, 0));
+    assert_eq!((small.bytes(), budget.used()), (20, 100));
+    drop(large);
+    assert_eq!(budget.used(), 20);
+}
