Types of client accounts, warm-up limits, evacuation and key revocation

Cause: the configuration and the platform's bounds of two new deployments contain client accounts with API keys, limits and priorities, limits of cold targets, evacuations and a time within which a removed key must not be accepted. None of it was decoded, and the parts that need it are built side by side.

Change: core::account (accounts, keys that no Debug output contains, a table by key that rejects ambiguous and empty keys with findings), RouteConfig::accounts, RouteSpec::is_public, ServiceSpec::warm_up, NewRequest::account, ranks for the priorities of accounts, three refusal reasons with their statuses, and the bounds. Nothing uses them yet; without accounts a configuration has the same ranks as before.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -19,6 +19,7 @@
 mod shared_slots;
 mod tick;
 
+use crate::account::AccountId;
 use crate::borrow::BorrowScheduler;
 use crate::budget::AttemptBudget;
 use crate::document::ServiceDocument;
@@ -60,6 +61,8 @@
     /// Whether retries and hedges of the request are forbidden here, for example because the caller
     /// retries it itself, so that only one layer retries, or because the route allows one attempt.
     pub is_retry_forbidden: bool,
+    /// Client account of the request; [`NO_ACCOUNT`](crate::account::NO_ACCOUNT) if it has none.
+    pub account: AccountId,
 }
 
 /// An action that the caller of a dispatcher operation must carry out.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,6 +6,7 @@
 //!
 //! | module | contents |
 //! |---|---|
+//! | [`account`] | client accounts: API keys, priority, request limit |
 //! | [`document`] | typed configuration document of a service and its verifier |
 //! | [`estimate`] | estimates of durations and sizes |
 //! | [`event_rate`] | rate of events |
@@ -37,6 +38,7 @@
 //! | [`vm`] | virtual machines as listed by the platform |
 //! | [`overlay`] | neighbour graph for heartbeats and gossip |
 
+pub mod account;
 pub mod borrow;
 pub mod budget;
 pub mod claim;
--- a/crates/core/src/reason.rs
+++ b/crates/core/src/reason.rs
@@ -76,6 +76,12 @@
         DuplicateFinished => "duplicate-finished",
         /// The claim table is full.
         ClaimTableFull => "claim-table-full",
+        /// The API key is missing or belongs to no client account.
+        ApiKeyUnknown => "api-key-unknown",
+        /// The configuration may have changed since this entry VM last read it, so that the API key may have been revoked.
+        ConfigurationOutdated => "configuration-outdated",
+        /// The client account has used up its request limit.
+        AccountLimit => "account-limit",
         /// The deadline cannot be met.
         DeadlineUnreachable => "deadline-unreachable",
         /// The deadline passed while the request was waiting.
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -5,9 +5,10 @@
 //! [`ServiceDocument`]. Its ranks are the distinct policies of the routes, the most urgent first,
 //! followed by one rank for requests that can no longer be answered on time.
 
+use crate::account::ClientAccount;
 use crate::document::{ProbePolicy, RankPolicy, RetryPolicy, ServiceDocument};
 use crate::ids::{RankId, ServiceName};
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
@@ -59,12 +60,14 @@
     pub latency: Duration,
     /// Maximum number of targets to which one request may be sent.
     pub max_attempts: u32,
-    /// Priority; 0 is the most urgent.
+    /// Priority; 0 is the most urgent. The priority of a client account comes before it.
     pub priority: u32,
+    /// Whether callers need no API key, although the configuration has client accounts.
+    pub is_public: bool,
 }
 
 /// Specification of one service.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct ServiceSpec {
     /// Name of the service.
     pub name: ServiceName,
@@ -72,6 +75,17 @@
     pub health_path: String,
     /// Maximum number of connections that one target accepts from all callers together.
     pub max_connections: u32,
+    /// How targets warm up after a start; `None` if they need not be spared.
+    pub warm_up: Option<WarmUpPolicy>,
+}
+
+/// Limit that applies to a target while it is cold.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct WarmUpPolicy {
+    /// Time for which a target is cold after it starts, unless it states another one.
+    pub duration: Duration,
+    /// Requests per second that a cold target tolerates from all entry VMs together.
+    pub per_second: f64,
 }
 
 /// Size limits and timeouts that apply to callers.
@@ -88,7 +102,7 @@
 }
 
 /// One version of the complete configuration.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct RouteConfig {
     /// Version of the configuration.
     pub version: RouteVersion,
@@ -98,6 +112,8 @@
     pub services: Vec<ServiceSpec>,
     /// Limits for callers.
     pub limits: CallerLimits,
+    /// Client accounts; `None` if callers need no API keys.
+    pub accounts: Option<Vec<ClientAccount>>,
 }
 
 /// Service and ranks to which a request is routed.
@@ -109,6 +125,16 @@
     pub rank: RankId,
     /// Rank that the request gets once it can no longer be answered on time.
     pub late_rank: RankId,
+    /// Ranks of requests of client accounts with a priority of their own.
+    account_ranks: Vec<(u32, RankId)>,
+}
+
+impl RouteDestination {
+    /// Returns the rank of a request of a client account with this priority, or with none.
+    pub fn rank_for(&self, priority: Option<u32>) -> RankId {
+        let found = self.account_ranks.iter().find(|(other, _)| Some(*other) == priority);
+        found.map_or(self.rank, |(_, rank)| *rank)
+    }
 }
 
 #[derive(Debug)]
@@ -165,10 +191,11 @@
     /// Builds the table for a configuration. Entry VMs pass different seeds so that they do
     /// not pick weighted destinations in the same order.
     pub fn build(config: &RouteConfig, seed: u32) -> Self {
-        let documents = make_documents(config);
+        let priorities = account_priorities(config);
+        let documents = make_documents(config, &priorities);
         let mut hosts: HashMap<String, Vec<RouteEntry>> = HashMap::new();
         for spec in &config.routes {
-            let destinations = make_destinations(spec, &documents);
+            let destinations = make_destinations(spec, &documents, &priorities);
             if !destinations.is_empty() {
                 let spec_copy = Arc::new(spec.clone());
                 let entry = RouteEntry { spec: spec_copy, destinations, next_position: AtomicU32::new(seed) };
@@ -205,27 +232,51 @@
     }
 }
 
-fn make_destinations(spec: &RouteSpec, documents: &[ServiceDocument]) -> Vec<WeightedDestination> {
+fn make_destinations(
+    spec: &RouteSpec,
+    documents: &[ServiceDocument],
+    priorities: &BTreeSet<u32>,
+) -> Vec<WeightedDestination> {
     let weighted_services = spec.weighted_services.iter().filter(|weighted| weighted.weight > 0);
     let find_document = |service: &str| documents.iter().find(|document| document.name == service);
     let destinations = weighted_services.filter_map(|weighted| {
         let document = find_document(&weighted.service)?;
-        let name = rank_name(spec);
-        let rank = document.ranks.iter().position(|rank| rank.name == name)?;
-        let late_rank = document.ranks.len() - 1;
-        let destination = RouteDestination { service: weighted.service.clone(), rank, late_rank };
+        let find_rank = |priority| {
+            let name = rank_name(spec, priority);
+            document.ranks.iter().position(|rank| rank.name == name)
+        };
+        let account_ranks =
+            priorities_of(spec, priorities).filter_map(|priority| Some((priority, find_rank(priority)?)));
+        let destination = RouteDestination {
+            service: weighted.service.clone(),
+            rank: find_rank(spec.priority)?,
+            late_rank: document.ranks.len() - 1,
+            account_ranks: account_ranks.collect(),
+        };
         Some(WeightedDestination { weight: weighted.weight, destination })
     });
     destinations.collect()
 }
 
-/// Returns the name of a route's rank. Routes of one service with the same policy share a rank.
-fn rank_name(spec: &RouteSpec) -> String {
+/// Returns the name of the rank of a route's requests with this priority. Routes of one service with the same policy share
+/// a rank.
+fn rank_name(spec: &RouteSpec, priority: u32) -> String {
     let kind = if spec.is_idempotent { "i" } else { "n" };
-    format!("p{}-{}ms-{kind}", spec.priority, spec.latency.as_millis())
+    format!("p{priority}-{}ms-{kind}", spec.latency.as_millis())
+}
+
+/// Returns the priorities of client accounts, which come before those of routes.
+fn account_priorities(config: &RouteConfig) -> BTreeSet<u32> {
+    config.accounts.iter().flatten().filter_map(|account| account.priority).collect()
 }
 
-fn make_documents(config: &RouteConfig) -> Vec<ServiceDocument> {
+/// Returns the priorities that client accounts give to requests of a route.
+fn priorities_of<'a>(spec: &RouteSpec, priorities: &'a BTreeSet<u32>) -> impl Iterator<Item = u32> + use<'a> {
+    let is_public = spec.is_public;
+    priorities.iter().copied().filter(move |_| !is_public)
+}
+
+fn make_documents(config: &RouteConfig, priorities: &BTreeSet<u32>) -> Vec<ServiceDocument> {
     let mut routes: BTreeMap<&str, Vec<&RouteSpec>> = BTreeMap::new();
     for spec in &config.routes {
         for weighted in spec.weighted_services.iter().filter(|weighted| weighted.weight > 0) {
@@ -233,17 +284,25 @@
         }
     }
     let find_service = |name: &str| config.services.iter().find(|service| service.name == name);
-    let documents =
-        routes.into_iter().filter_map(|(name, routes)| Some(make_document(find_service(name)?, &routes)));
+    let documents = routes
+        .into_iter()
+        .filter_map(|(name, routes)| Some(make_document(find_service(name)?, &routes, priorities)));
     documents.collect()
 }
 
-fn make_document(service: &ServiceSpec, routes: &[&RouteSpec]) -> ServiceDocument {
+fn make_document(
+    service: &ServiceSpec,
+    routes: &[&RouteSpec],
+    priorities: &BTreeSet<u32>,
+) -> ServiceDocument {
     let mut policies: BTreeMap<(u32, Duration, String), &RouteSpec> = BTreeMap::new();
     for route in routes {
-        policies.entry((route.priority, route.latency, rank_name(route))).or_insert(route);
+        for priority in priorities_of(route, priorities).chain([route.priority]) {
+            policies.entry((priority, route.latency, rank_name(route, priority))).or_insert(route);
+        }
     }
-    let mut ranks: Vec<RankPolicy> = policies.values().map(|route| make_rank(route)).collect();
+    let mut ranks: Vec<RankPolicy> =
+        policies.iter().map(|((_, _, name), route)| make_rank(route, name.clone())).collect();
     if let Some(rank) = ranks.first_mut() {
         rank.kept_share = 0.0;
     }
@@ -271,9 +330,9 @@
     }
 }
 
-fn make_rank(route: &RouteSpec) -> RankPolicy {
+fn make_rank(route: &RouteSpec, name: String) -> RankPolicy {
     RankPolicy {
-        name: rank_name(route),
+        name,
         matches: Vec::new(),
         worth: 1.0,
         latency: route.latency,
--- a/crates/core/tests/dispatch.rs
+++ b/crates/core/tests/dispatch.rs
@@ -112,7 +112,8 @@
         self.next_request += 1;
         let deadline = self.now + self.dispatcher.document().ranks[rank].latency;
         self.ranks.insert(request, (rank, deadline));
-        let new_request = NewRequest { request, rank, deadline, is_idempotent, is_retry_forbidden: false };
+        let new_request =
+            NewRequest { request, rank, deadline, is_idempotent, is_retry_forbidden: false, account: 0 };
         self.dispatcher.submit(new_request, self.now, &mut self.actions);
         self.apply_actions();
         request
@@ -328,6 +329,7 @@
             deadline,
             is_idempotent: *is_idempotent,
             is_retry_forbidden: *is_retry_forbidden,
+            account: 0,
         };
         fleet.dispatcher.submit(new_request, now, &mut fleet.actions);
         let DispatchAction::Start { target, .. } = fleet.actions.remove(0) else {
--- a/crates/core/tests/hold_off.rs
+++ b/crates/core/tests/hold_off.rs
@@ -80,7 +80,14 @@
         let request = self.next_request;
         self.next_request += 1;
         let deadline = self.now + time_left;
-        let new = NewRequest { request, rank: 0, deadline, is_idempotent: true, is_retry_forbidden: false };
+        let new = NewRequest {
+            request,
+            rank: 0,
+            deadline,
+            is_idempotent: true,
+            is_retry_forbidden: false,
+            account: 0,
+        };
         self.dispatcher.submit(new, self.now, &mut self.actions);
         request
     }
--- a/crates/core/tests/rate_limit.rs
+++ b/crates/core/tests/rate_limit.rs
@@ -312,7 +312,14 @@
         let request = self.next_request;
         self.next_request += 1;
         let deadline = self.now + millis(500);
-        let new = NewRequest { request, rank, deadline, is_idempotent: true, is_retry_forbidden: false };
+        let new = NewRequest {
+            request,
+            rank,
+            deadline,
+            is_idempotent: true,
+            is_retry_forbidden: false,
+            account: 0,
+        };
         self.dispatcher.submit(new, self.now, &mut self.actions);
         request
     }
--- a/crates/core/tests/shared.rs
+++ b/crates/core/tests/shared.rs
@@ -50,6 +50,7 @@
         latency: millis(250),
         max_attempts: 2,
         priority,
+        is_public: false,
     }
 }
 
@@ -58,6 +59,7 @@
         name: name.to_owned(),
         health_path: "/health".to_owned(),
         max_connections: 100,
+        warm_up: None,
     };
     RouteConfig {
         version: 1,
@@ -69,6 +71,7 @@
             header_timeout: millis(1000),
             idle_timeout: millis(1000),
         },
+        accounts: None,
     }
 }
 
@@ -143,6 +146,7 @@
             deadline: self.now + millis(250),
             is_idempotent: rank == 0,
             is_retry_forbidden: false,
+            account: 0,
         };
         self.dispatcher.submit(request, self.now, &mut self.actions);
         self.last_request
--- a/crates/core/tests/shared_model.rs
+++ b/crates/core/tests/shared_model.rs
@@ -80,6 +80,7 @@
         latency: Duration::from_millis(250),
         max_attempts: MAX_ATTEMPTS,
         priority,
+        is_public: false,
     };
     RouteConfig {
         version: 1,
@@ -88,6 +89,7 @@
             name: "s".to_owned(),
             health_path: "/health".to_owned(),
             max_connections: 100,
+            warm_up: None,
         }],
         limits: CallerLimits {
             header_bytes: 1000,
@@ -95,6 +97,7 @@
             header_timeout: Duration::from_secs(1),
             idle_timeout: Duration::from_secs(1),
         },
+        accounts: None,
     }
 }
 
@@ -189,7 +192,8 @@
         let record = RequestRecord { is_idempotent, deadline: Some(deadline), ..RequestRecord::default() };
         self.requests.insert(request, record);
         self.first_attempts += 1;
-        let new_request = NewRequest { request, rank, deadline, is_idempotent, is_retry_forbidden: false };
+        let new_request =
+            NewRequest { request, rank, deadline, is_idempotent, is_retry_forbidden: false, account: 0 };
         self.dispatcher.submit(new_request, self.now, &mut self.actions);
     }
 
--- a/crates/node/src/dispatcher_handle.rs
+++ b/crates/node/src/dispatcher_handle.rs
@@ -6,6 +6,7 @@
 //! however the attempt ended.
 
 use crate::metrics::{MetricSet, RankCounters};
+use sniperelay_core::account::AccountId;
 use sniperelay_core::dispatch::{
     AttemptFailure, DispatchAction, DispatchSettings, FailureDecision, NewRequest, ResponseDecision,
     ResponseMetadata, ServiceDispatcher,
@@ -101,10 +102,11 @@
         deadline: Instant,
         is_idempotent: bool,
         is_retry_forbidden: bool,
+        account: AccountId,
     ) -> RequestGuard {
         let request = self.next_request_id.fetch_add(1, Ordering::Relaxed);
         let (sender, signals) = unbounded_channel();
-        let new_request = NewRequest { request, rank, deadline, is_idempotent, is_retry_forbidden };
+        let new_request = NewRequest { request, rank, deadline, is_idempotent, is_retry_forbidden, account };
         let mut inner = self.lock();
         inner.signals.insert(request, sender);
         self.run_operation_locked(inner, |dispatcher, now, actions| {
--- a/crates/node/src/traffic/request_handler.rs
+++ b/crates/node/src/traffic/request_handler.rs
@@ -22,6 +22,7 @@
 use http::request::Parts;
 use http::{HeaderValue, Request, Response, header};
 use hyper::body::{Body, Incoming};
+use sniperelay_core::account::NO_ACCOUNT;
 use sniperelay_core::dispatch::{AttemptFailure, FailureDecision, ResponseDecision};
 use sniperelay_core::execution::ExecutionRecord;
 use sniperelay_core::ids::TargetKey;
@@ -213,6 +214,7 @@
             inbound.on_time_deadline,
             inbound.is_idempotent,
             inbound.is_retried_by_caller,
+            NO_ACCOUNT,
         );
         let timeout = tokio::time::sleep_until(inbound.final_deadline.into());
         tokio::pin!(timeout);
--- a/crates/node/src/traffic/response.rs
+++ b/crates/node/src/traffic/response.rs
@@ -88,9 +88,12 @@
         Reason::KeyExpired | Reason::KeyElsewhere | Reason::DuplicateInFlight | Reason::DuplicateFinished => {
             StatusCode::CONFLICT
         }
+        Reason::ApiKeyUnknown => StatusCode::UNAUTHORIZED,
+        Reason::AccountLimit => StatusCode::TOO_MANY_REQUESTS,
         Reason::ConnectionLost => StatusCode::BAD_GATEWAY,
         Reason::TargetTimeout => StatusCode::GATEWAY_TIMEOUT,
         Reason::ClaimTableFull
+        | Reason::ConfigurationOutdated
         | Reason::DeadlineUnreachable
         | Reason::DeadlinePassed
         | Reason::QueueFull
--- a/crates/relay/src/caller_response.rs
+++ b/crates/relay/src/caller_response.rs
@@ -66,11 +66,13 @@
         Self { reason, outcome: Outcome::Unknown, retry_after: None }
     }
 
-    /// Returns the status of the response. Status 503 guarantees that the request did not run.
+    /// Returns the status of the response. Statuses 503 and 429 guarantee that the request did not run.
     pub fn status(&self) -> StatusCode {
         match (self.outcome, self.reason) {
             (_, RefusalReason::UnknownRank | RefusalReason::UnknownService) => StatusCode::NOT_FOUND,
             (_, RefusalReason::BadRequest) => StatusCode::BAD_REQUEST,
+            (Outcome::NotRun, RefusalReason::ApiKeyUnknown) => StatusCode::UNAUTHORIZED,
+            (Outcome::NotRun, RefusalReason::AccountLimit) => StatusCode::TOO_MANY_REQUESTS,
             (Outcome::NotRun, _) => StatusCode::SERVICE_UNAVAILABLE,
             (_, RefusalReason::TargetTimeout) => StatusCode::GATEWAY_TIMEOUT,
             _ => StatusCode::BAD_GATEWAY,
@@ -85,7 +87,8 @@
         let mut headers = HeaderMap::new();
         headers.insert(relay_headers::REASON, HeaderValue::from_static(refusal.reason.as_str()));
         headers.insert(relay_headers::OUTCOME, HeaderValue::from_static(refusal.outcome.as_str()));
-        if let Some(delay) = refusal.retry_after.filter(|_| status == StatusCode::SERVICE_UNAVAILABLE) {
+        let invites_retry = matches!(status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS);
+        if let Some(delay) = refusal.retry_after.filter(|_| invites_retry) {
             let seconds = format!("{:.3}", delay.as_secs_f64());
             if let Ok(value) = HeaderValue::from_str(&seconds) {
                 headers.insert(header::RETRY_AFTER, value);
--- a/crates/relay/src/request_handler.rs
+++ b/crates/relay/src/request_handler.rs
@@ -23,6 +23,7 @@
 use futures_util::future::{AbortHandle, Abortable, Aborted, BoxFuture, FutureExt};
 use futures_util::stream::FuturesUnordered;
 use http::{HeaderMap, StatusCode};
+use sniperelay_core::account::NO_ACCOUNT;
 use sniperelay_core::dispatch::{AttemptFailure, FailureDecision, ResponseDecision};
 use sniperelay_core::execution::ExecutionRecord;
 use sniperelay_core::ids::{RankId, TargetKey};
@@ -270,8 +271,13 @@
     /// another service before its first attempt.
     async fn submit_and_wait(&mut self, rank: RankId, deadline: Instant) -> Option<Result<CallerResponse>> {
         let dispatcher_handle = self.route.entry.dispatcher_handle.clone();
-        let mut request_guard =
-            dispatcher_handle.submit(rank, deadline, self.outbound.is_idempotent, self.is_single_attempt);
+        let mut request_guard = dispatcher_handle.submit(
+            rank,
+            deadline,
+            self.outbound.is_idempotent,
+            self.is_single_attempt,
+            NO_ACCOUNT,
+        );
         let timeout = tokio::time::sleep_until(self.times.final_deadline.into());
         tokio::pin!(timeout);
         let mut links = self.state.links.subscribe();
--- a/crates/standin/src/bench/decision.rs
+++ b/crates/standin/src/bench/decision.rs
@@ -35,7 +35,14 @@
     for request in 0..REQUEST_COUNT {
         now += Duration::from_micros(10);
         let deadline = now + Duration::from_millis(250);
-        let new = NewRequest { request, rank: 0, deadline, is_idempotent: true, is_retry_forbidden: false };
+        let new = NewRequest {
+            request,
+            rank: 0,
+            deadline,
+            is_idempotent: true,
+            is_retry_forbidden: false,
+            account: 0,
+        };
         dispatcher.submit(new, now, &mut actions);
         running.extend(actions.drain(..).filter_map(|action| match action {
             DispatchAction::Start { request, target, .. } => Some((request, target)),
