A response with a status outside 200 to 599 is no response

Cause: the HTTP library rejects the statuses 000 to 099 as malformed (callers got 502, as for a lost connection), but it accepts 101 without an upgrade and 600 to 999. Both daemons passed these on as answers, and one with the header of a refusal proved that the request had not run.

Change: such a response counts as a lost connection: its outcome is unknown, the connection is closed, an idempotent request may be repeated.

--- a/crates/node/src/traffic/attempt.rs
+++ b/crates/node/src/traffic/attempt.rs
@@ -143,6 +143,14 @@
             return AttemptResult::Failed { failure: AttemptFailure::ConnectionLost, slot };
         }
     }
+    if !headers::is_final_status(response.status()) {
+        log::warn!(
+            "response from {} has the status {}; connection closed",
+            connection.address(),
+            response.status()
+        );
+        return AttemptResult::Failed { failure: AttemptFailure::ConnectionLost, slot };
+    }
     match keep_alive_time(response.headers()) {
         Some(time) => connection.set_max_idle_time(time),
         None if slot.is_none() => connection.forbid_reuse(),
--- a/crates/node/src/traffic/headers.rs
+++ b/crates/node/src/traffic/headers.rs
@@ -1,7 +1,7 @@
 //! Header names, and rules for the headers that are forwarded.
 
 use http::header::{self, HeaderMap, HeaderName, HeaderValue};
-use http::{Method, Version};
+use http::{Method, StatusCode, Version};
 use sniperelay_core::target::LoadReport;
 use std::net::IpAddr;
 use std::time::Duration;
@@ -75,6 +75,12 @@
     header::UPGRADE,
 ];
 
+/// Returns whether a status can be that of the final response to a request: 200 to 599. The HTTP library also accepts the
+/// statuses 101 and 600 to 999; it rejects lower ones as malformed.
+pub fn is_final_status(status: StatusCode) -> bool {
+    (200..=599).contains(&status.as_u16())
+}
+
 /// Removes hop-by-hop headers (RFC 9110, section 7.6.1).
 pub fn strip_hop_by_hop(headers: &mut HeaderMap) {
     let named: Vec<HeaderName> = connection_options(headers).filter_map(|name| name.parse().ok()).collect();
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -21,7 +21,7 @@
 use sniperelay_node::dispatcher_handle::AttemptSlot;
 use sniperelay_node::traffic::body::{RequestBody, full_body};
 use sniperelay_node::traffic::connection_reuse::{NON_IDEMPOTENT_MAX_IDLE, keep_alive_time};
-use sniperelay_node::traffic::headers::strip_hop_by_hop;
+use sniperelay_node::traffic::headers::{is_final_status, strip_hop_by_hop};
 use sniperelay_node::traffic::pool::{PooledConnection, RequestHash};
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
@@ -211,7 +211,7 @@
     let report = platform_headers::read_report(response.headers());
     let is_leaving = platform_headers::is_misdirected(&response);
     let keep_alive = keep_alive_time(response.headers()).unwrap_or(DEFAULT_KEEP_ALIVE);
-    let is_not_executed = platform_headers::is_not_executed(&response);
+    let is_not_executed = is_final_status(response.status()) && platform_headers::is_not_executed(&response);
     let is_own = is_own_response(outbound, &response, connection.is_reused);
     let defect =
         if is_own { find_defect(&response).filter(|_| !is_not_executed) } else { Some(FOREIGN_ANSWER) };
@@ -333,6 +333,9 @@
 /// Returns why a response to this request cannot be accepted as complete.
 fn find_defect(response: &Response<Incoming>) -> Option<&'static str> {
     let headers = response.headers();
+    if !is_final_status(response.status()) {
+        return Some("answer has no valid status");
+    }
     if headers.contains_key(header::CONTENT_ENCODING) {
         return Some("answer is encoded");
     }
