Soak of client accounts, evacuations and cold targets

Cause: the soak had no caller with an API key, no limit of an account, no evacuation and no cold target.

Its checks are made from what callers and targets see, with the bounds that the settings of the processes state.

Not run yet: the parts that it checks are not built.

--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -3,6 +3,7 @@
 use anyhow::{Result, bail};
 use argh::FromArgs;
 use sniperelay_standin::bench;
+use sniperelay_standin::soak::accounts::{AccountPlan, run_account_soak};
 use sniperelay_standin::soak::stops::{StopPlan, run_stop_soak};
 use sniperelay_standin::soak::{ENTRY_VM_COUNT, SoakPlan, run_soak};
 use std::process::ExitCode;
@@ -84,6 +85,10 @@
     /// stops
     #[argh(switch)]
     planned_stops: bool,
+    /// send requests with API keys of client accounts, remove keys, evacuate a failure domain and restart targets cold, and
+    /// check what targets get
+    #[argh(switch)]
+    accounts: bool,
     /// number of entry VM processes, up to 250
     #[argh(option, default = "ENTRY_VM_COUNT")]
     entry_vms: usize,
@@ -101,6 +106,10 @@
             all_hold &= run_planned_stops(args, seed).await?;
             continue;
         }
+        if args.accounts {
+            all_hold &= run_accounts(args, seed).await?;
+            continue;
+        }
         let plan = SoakPlan {
             binary: args.binary.clone(),
             seed,
@@ -168,6 +177,33 @@
     Ok(false)
 }
 
+/// Runs one soak of client accounts. Returns whether all guarantees held.
+async fn run_accounts(args: &SoakArgs, seed: u64) -> Result<bool> {
+    let plan = AccountPlan {
+        binary: args.binary.clone(),
+        seed,
+        entry_vm_count: args.entry_vms,
+        fault_count: args.faults,
+    };
+    let report = run_account_soak(&plan).await?;
+    println!(
+        "seed {seed}: {} requests, {} ran, {} guarantees violated",
+        report.requests,
+        report.arrivals,
+        report.violations.len()
+    );
+    if report.violations.is_empty() {
+        return Ok(true);
+    }
+    println!("  faults: {}", report.faults.join(", "));
+    report.violations.iter().take(20).for_each(|violation| println!("  {violation}"));
+    println!(
+        "  to reproduce: cargo run --release -p sniperelay-standin -- soak --seed {seed} --faults {} --accounts",
+        args.faults
+    );
+    Ok(false)
+}
+
 /// Names of the benchmarks, for error messages.
 const BENCH_NAMES: &str = "policy, latency, decision, claims, whole, config or capacity";
 
--- a/crates/standin/src/soak/caller.rs
+++ b/crates/standin/src/soak/caller.rs
@@ -33,7 +33,7 @@
     }
 
     /// Returns the status code, or 0 if the first line has none.
-    fn status(&self) -> u16 {
+    pub(super) fn status(&self) -> u16 {
         self.first_line.split(' ').nth(1).and_then(|status| status.parse().ok()).unwrap_or(0)
     }
 }
--- a/crates/standin/src/soak/fleet.rs
+++ b/crates/standin/src/soak/fleet.rs
@@ -48,13 +48,22 @@
     ///
     /// Returns an error if a process cannot be started.
     pub fn start(binary: &Path, count: usize, store: SocketAddr) -> Result<Self> {
+        Self::start_with_bounds(binary, count, store, "")
+    }
+
+    /// Same as [`Self::start`], with more platform bounds, as the fields of a JSON object.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a process cannot be started.
+    pub fn start_with_bounds(binary: &Path, count: usize, store: SocketAddr, bounds: &str) -> Result<Self> {
         let directory = std::env::temp_dir().join(format!("sniperelay-soak-{}", std::process::id()));
         std::fs::create_dir_all(&directory)?;
         let mut processes = Vec::new();
         for index in 0..count {
             let addresses = loopback_addresses(index);
             let settings = directory.join(format!("vm{index}.ini"));
-            std::fs::write(&settings, format_settings(index, &addresses, store))?;
+            std::fs::write(&settings, format_settings(index, &addresses, store, bounds))?;
             let child = spawn_process(binary, &settings)?;
             processes.push(EntryVmProcess {
                 settings,
@@ -208,12 +217,13 @@
     (0..6).map(|port| SocketAddr::from(([127, network, index as u8, 1], FIRST_PORT + port))).collect()
 }
 
-fn format_settings(index: usize, addresses: &[SocketAddr], store: SocketAddr) -> String {
+fn format_settings(index: usize, addresses: &[SocketAddr], store: SocketAddr, bounds: &str) -> String {
+    let more = if bounds.is_empty() { String::new() } else { format!(",{bounds}") };
     format!(
         "[entry-vm]\nname = vm{index}\nfailure-domain = z\ncaller-address = {}\nready-address = {}\n\
          lookup-address = {}\npeer-address = {}\ncontrol-address = {}\nmetrics-address = {}\n\
          [platform]\naddress = {store}\ncalls-per-second = 200\n\
-         bounds = {{\"Grace\":\"{}ms\"}}\n[log]\nlevel = warn\njson = yes\n",
+         bounds = {{\"Grace\":\"{}ms\"{more}}}\n[log]\nlevel = warn\njson = yes\n",
         addresses[0],
         addresses[1],
         addresses[2],
--- a/crates/standin/src/soak/mod.rs
+++ b/crates/standin/src/soak/mod.rs
@@ -28,6 +28,8 @@
 //!
 //! | module | job |
 //! |---|---|
+//! | [`accounts`] | soak of client accounts, evacuations and cold targets |
+//! | [`arrivals`] | its targets, its log and its checks |
 //! | [`caller`] | callers, and the log of their requests |
 //! | [`crash`] | a request that crashes targets, if the plan has it |
 //! | [`fleet`] | entry VM processes and signals |
@@ -36,6 +38,8 @@
 //! | [`proxy`] | loopback proxy that injects faults |
 //! | [`target`] | targets that count the runs of each request |
 
+pub mod accounts;
+mod arrivals;
 pub mod caller;
 pub mod crash;
 pub mod fleet;
