Requests run for the client account that holds their API key

Cause: client accounts were decoded but not used. Requests with an unknown key ran, targets received the caller's key, and the account header was whatever the caller sent.

Change: an entry VM resolves the key of each request by the active configuration. A request with no, several or an unknown key is refused with 401 unless its route is public; one that waits follows its key to another account, or is refused, when a later configuration is active. Targets get the name of the account in place of the key. The account's priority selects the rank, and its ID is passed to the dispatcher. A request that is forwarded keeps its key, which the other entry VM resolves again; it carries its minimum version under a new name, so that a build without client accounts does not take it. Without accounts in the configuration, both headers pass as before. Errors about configurations contain no value that may be a key. Early refusals are now counted by reason.

--- a/crates/node/src/traffic/headers.rs
+++ b/crates/node/src/traffic/headers.rs
@@ -33,6 +33,9 @@
 /// Version of the configuration by which a forwarded request was admitted. An entry VM with an older one does not
 /// take the request.
 pub const MIN_VERSION: HeaderName = HeaderName::from_static("sniperelay-min-version");
+/// Takes the place of [`MIN_VERSION`] in a request whose configuration has client accounts. A build that does not resolve
+/// API keys does not take a request without [`MIN_VERSION`].
+pub const ACCOUNT_MIN_VERSION: HeaderName = HeaderName::from_static("sniperelay-account-min-version");
 /// Address of the caller of a forwarded request.
 pub const CALLER: HeaderName = HeaderName::from_static("sniperelay-caller");
 /// Present on the response to a forwarded request that was taken.
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -16,7 +16,7 @@
 use sniperelay_core::dispatch::AttemptFailure;
 use sniperelay_core::memory_budget::MemoryShare;
 use sniperelay_core::rate_limit::LimitChange;
-use sniperelay_hosted::headers::{self as platform_headers, TargetReport};
+use sniperelay_hosted::headers::{self as platform_headers, AccountHeader, TargetReport};
 use sniperelay_node::boot_clock::{self, BootTime};
 use sniperelay_node::dispatcher_handle::AttemptSlot;
 use sniperelay_node::traffic::body::{RequestBody, full_body};
@@ -114,10 +114,11 @@
     NotSent,
 }
 
-/// Runs an attempt. The request is written to a connection at most once; `is_written` is set before that.
+/// Runs an attempt. The target gets `account` as the client account of the request. The request is written to a connection at most once; `is_written` is set before that.
 pub async fn run_attempt(
     state: Arc<RelayState>,
     outbound: Arc<OutboundRequest>,
+    account: AccountHeader,
     slot: AttemptSlot,
     is_written: Arc<AtomicBool>,
 ) -> AttemptResult {
@@ -149,7 +150,7 @@
         if remaining < MIN_REMAINING_TIME {
             return AttemptResult::NotSent;
         }
-        let Some(request) = make_request(&outbound, remaining, &instance) else {
+        let Some(request) = make_request(&outbound, remaining, &instance, account.clone()) else {
             return failed_attempt(AttemptFailure::Connect, "request cannot be written", slot);
         };
         count_limited_send(&state, &slot);
@@ -191,12 +192,13 @@
     outbound: &OutboundRequest,
     remaining: Duration,
     instance: &str,
+    account: AccountHeader,
 ) -> Option<Request<RequestBody>> {
     let body = full_body(outbound.body.content.clone());
     let builder = Request::builder().method(outbound.method.clone()).uri(&outbound.path_and_query);
     let mut request = builder.body(body).ok()?;
     *request.headers_mut() = outbound.headers.clone();
-    platform_headers::set_attempt_headers(request.headers_mut(), remaining, instance);
+    platform_headers::set_attempt_headers(request.headers_mut(), remaining, instance, account);
     Some(request)
 }
 
--- a/crates/relay/src/forwarded_requests.rs
+++ b/crates/relay/src/forwarded_requests.rs
@@ -16,7 +16,8 @@
 use sniperelay_core::reason::RefusalReason;
 use sniperelay_node::lifecycle::LifecyclePhase;
 use sniperelay_node::traffic::headers::{
-    ACCEPTED, ATTEMPTS_LEFT, CALLER, FORWARDED_BY_PEER, MIN_VERSION, NOT_ACCEPTED, REASON, strip_hop_by_hop,
+    ACCEPTED, ACCOUNT_MIN_VERSION, ATTEMPTS_LEFT, CALLER, FORWARDED_BY_PEER, MIN_VERSION, NOT_ACCEPTED,
+    REASON, strip_hop_by_hop,
 };
 use std::net::{IpAddr, SocketAddr};
 use std::str::FromStr;
@@ -67,7 +68,8 @@
 
 fn refusal_reason(state: &RelayState, headers: &HeaderMap) -> Option<&'static str> {
     let version = state.routes.load().as_ref().map_or(0, |routes| routes.config.version);
-    let min_version = headers.get(MIN_VERSION).and_then(|value| value.to_str().ok()?.parse::<u64>().ok());
+    let stated = headers.get(ACCOUNT_MIN_VERSION).or_else(|| headers.get(MIN_VERSION));
+    let min_version = stated.and_then(|value| value.to_str().ok()?.parse::<u64>().ok());
     if state.links.is_isolated() {
         return Some("isolated");
     }
@@ -91,7 +93,7 @@
     let host = host.rsplit_once(':').map_or(host, |(host, _)| host).to_ascii_lowercase();
     let path_and_query = parts.uri.path_and_query()?.as_str().to_owned();
     strip_hop_by_hop(&mut parts.headers);
-    for name in [FORWARDED_BY_PEER, MIN_VERSION, header::CONTENT_LENGTH] {
+    for name in [FORWARDED_BY_PEER, MIN_VERSION, ACCOUNT_MIN_VERSION, header::CONTENT_LENGTH] {
         parts.headers.remove(name);
     }
     Some(RequestHead {
--- a/crates/relay/src/forwarding.rs
+++ b/crates/relay/src/forwarding.rs
@@ -12,16 +12,16 @@
 use crate::attempt::{OutboundRequest, collect_body};
 use crate::caller_response::CallerResponse;
 use crate::shared_state::RelayState;
-use http::{HeaderMap, HeaderValue, Method, Request, Response, header};
+use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, header};
 use hyper::body::Incoming;
 use sniperelay_core::reason::RefusalReason;
-use sniperelay_hosted::headers::{REQUEST_ID, set_attempt_headers};
+use sniperelay_hosted::headers::{AccountHeader, REQUEST_ID, set_forwarding_headers};
 use sniperelay_hosted::registration::EntryVmRecord;
 use sniperelay_node::boot_clock;
 use sniperelay_node::traffic::body::{RequestBody, full_body};
 use sniperelay_node::traffic::headers::{
-    ACCEPTED, ATTEMPTS_LEFT, CALLER, FORWARDED_BY_PEER, MIN_VERSION, NOT_ACCEPTED, OUTCOME, REASON,
-    strip_hop_by_hop,
+    ACCEPTED, ACCOUNT_MIN_VERSION, ATTEMPTS_LEFT, CALLER, FORWARDED_BY_PEER, MIN_VERSION, NOT_ACCEPTED,
+    OUTCOME, REASON, strip_hop_by_hop,
 };
 use sniperelay_node::traffic::pool::PooledConnection;
 use std::collections::HashMap;
@@ -100,6 +100,8 @@
     pub attempts_left: u32,
     /// Version of the configuration by which it was admitted. An entry VM with an older one does not take it.
     pub version: u64,
+    /// What targets get as its client account. The other entry VM resolves the API key itself.
+    pub account_header: &'a AccountHeader,
 }
 
 /// Result of asking one entry VM.
@@ -165,15 +167,18 @@
     let mut encoded = builder.body(full_body(outbound.body.content.clone())).ok()?;
     let headers = encoded.headers_mut();
     *headers = outbound.headers.clone();
-    // No instance is expected: the other entry VM chooses the target.
-    set_attempt_headers(headers, remaining, "");
+    set_forwarding_headers(headers, remaining);
     headers.insert(FORWARDED_BY_PEER, HeaderValue::from_str(&state.settings.entry.name).ok()?);
     headers.insert(ATTEMPTS_LEFT, HeaderValue::from(request.attempts_left));
-    headers.insert(MIN_VERSION, HeaderValue::from(request.version));
+    headers.insert(min_version_header(request.account_header), HeaderValue::from(request.version));
     headers.insert(CALLER, HeaderValue::from_str(&outbound.caller.to_string()).ok()?);
     Some(encoded)
 }
 
+fn min_version_header(account: &AccountHeader) -> HeaderName {
+    if *account == AccountHeader::Unmanaged { MIN_VERSION } else { ACCOUNT_MIN_VERSION }
+}
+
 async fn receive_response(
     state: &RelayState,
     request: &ForwardedRequest<'_>,
--- a/crates/relay/src/request_handler.rs
+++ b/crates/relay/src/request_handler.rs
@@ -23,7 +23,6 @@
 use futures_util::future::{AbortHandle, Abortable, Aborted, BoxFuture, FutureExt};
 use futures_util::stream::FuturesUnordered;
 use http::{HeaderMap, StatusCode};
-use sniperelay_core::account::NO_ACCOUNT;
 use sniperelay_core::dispatch::{AttemptFailure, FailureDecision, ResponseDecision};
 use sniperelay_core::execution::ExecutionRecord;
 use sniperelay_core::ids::{RankId, TargetKey};
@@ -89,7 +88,7 @@
     if state.lifecycle.phase() >= LifecyclePhase::Refusing {
         return Err(refuse_early(state, &head, RefusalReason::Stopping, SHUTDOWN_RETRY_AFTER));
     }
-    let route = find_route(state, &head.host, head.path());
+    let route = find_route(state, &head.host, head.path(), &head.headers);
     let route = route.map_err(|reason| refuse_early(state, &head, reason, DEFAULT_RETRY_AFTER))?;
     let caller_timeout = platform_headers::read_deadline(&head.headers);
     let caller_timeout = caller_timeout.map_err(|error| {
@@ -136,6 +135,7 @@
     retry_after: Duration,
 ) -> RelayRefusal {
     state.metrics.process().early_refusals.fetch_add(1, Ordering::Relaxed);
+    state.metrics.rank("-", "-").count_refusal(reason);
     let kind = DecisionKind::Refused;
     if let Some(suppressed_lines) = state.decisions.admit(kind, reason.as_str(), Instant::now()) {
         let id = request_id(&head.headers);
@@ -276,7 +276,7 @@
             deadline,
             self.outbound.is_idempotent,
             self.is_single_attempt,
-            NO_ACCOUNT,
+            self.route.account_id(),
         );
         let timeout = tokio::time::sleep_until(self.times.final_deadline.into());
         tokio::pin!(timeout);
@@ -482,7 +482,13 @@
         let target = slot.target();
         self.is_last_written = Arc::default();
         let is_written = self.is_last_written.clone();
-        let attempt = run_attempt(self.state.clone(), self.outbound.clone(), slot, is_written);
+        let attempt = run_attempt(
+            self.state.clone(),
+            self.outbound.clone(),
+            self.route.account_header.clone(),
+            slot,
+            is_written,
+        );
         let (handle, registration) = AbortHandle::new_pair();
         self.abort_handles.push((target, handle));
         self.attempts.push(Abortable::new(attempt, registration).boxed());
--- a/crates/relay/src/request_handler/forward.rs
+++ b/crates/relay/src/request_handler/forward.rs
@@ -58,6 +58,7 @@
             host: &self.host,
             attempts_left: if self.is_single_attempt { 1 } else { attempts_left },
             version: self.route.version,
+            account_header: &self.route.account_header,
         };
         let deadline = self.times.final_deadline.into();
         let forwarded = tokio::time::timeout_at(deadline, forward_request(&self.state, &request)).await;
--- a/crates/relay/src/request_handler/request_route.rs
+++ b/crates/relay/src/request_handler/request_route.rs
@@ -1,14 +1,21 @@
 //! The service that serves a request, by the active configuration, and the move to another one.
 //!
-//! Invariant: a request is moved only before its first attempt. Its deadline, its id and its caller stay the same, and the
-//! stricter one of both routes decides whether it may be repeated.
+//! Invariants:
+//!
+//! - A request is moved only before its first attempt. Its deadline, its id and its caller stay the same, and the stricter
+//!   one of both routes decides whether it may be repeated.
+//! - If the configuration has client accounts, a request has the account that holds its API key in the version of its route,
+//!   or its route is public.
 
 use super::{DEFAULT_RETRY_AFTER, RequestHandler, Result};
 use crate::decision_log::DecisionKind;
-use crate::shared_state::RelayState;
+use crate::shared_state::{ActiveRoutes, RelayState};
+use http::HeaderMap;
+use sniperelay_core::account::{AccountId, ClientAccount, NO_ACCOUNT};
 use sniperelay_core::ids::RankId;
 use sniperelay_core::reason::RefusalReason;
 use sniperelay_core::route::{RouteSpec, RouteVersion};
+use sniperelay_hosted::headers::{AccountHeader, read_api_key};
 use sniperelay_node::dispatcher_handle::ServiceEntry;
 use std::sync::Arc;
 
@@ -29,33 +36,76 @@
     pub(super) spec: Arc<RouteSpec>,
     /// Latest version in which the request is known to have this route to this service.
     pub(super) version: RouteVersion,
+    /// Client account whose API key the request carries; `None` without client accounts and on public routes.
+    pub(super) account: Option<Arc<ClientAccount>>,
+    /// What targets get as the client account.
+    pub(super) account_header: AccountHeader,
+}
+
+impl RequestRoute {
+    /// Returns the ID of the client account.
+    pub(super) fn account_id(&self) -> AccountId {
+        self.account.as_ref().map_or(NO_ACCOUNT, |account| account.id())
+    }
+
+    /// Returns whether the request has this account, with the priority that it has now.
+    fn has_account(&self, account: Option<&ClientAccount>) -> bool {
+        let identity = |account: &ClientAccount| (account.id(), account.priority);
+        self.account.as_deref().map(identity) == account.map(identity)
+    }
+}
+
+/// Finds the client account whose API key a request carries. Returns `None` if the request needs none.
+fn find_account(
+    routes: &ActiveRoutes,
+    spec: &RouteSpec,
+    headers: &HeaderMap,
+) -> std::result::Result<Option<Arc<ClientAccount>>, RefusalReason> {
+    let Some(accounts) = routes.accounts.as_ref().filter(|_| !spec.is_public) else { return Ok(None) };
+    let account = read_api_key(headers).and_then(|key| accounts.find(&key).cloned());
+    account.map(Some).ok_or(RefusalReason::ApiKeyUnknown)
 }
 
-/// Finds the route of a request in the active configuration, and chooses one of the services to which it leads.
+/// Finds the route and the client account of a request in the active configuration, and chooses one of the services to
+/// which the route leads.
 pub(super) fn find_route(
     state: &RelayState,
     host: &str,
     path: &str,
+    headers: &HeaderMap,
 ) -> std::result::Result<RequestRoute, RefusalReason> {
     let routes = state.routes.load_full().ok_or(RefusalReason::NoTarget)?;
     let route = routes.table.find(host, path).ok_or(RefusalReason::UnknownRank)?;
+    let account = find_account(&routes, route.spec(), headers)?;
     let destination = route.next_destination();
+    let priority = account.as_ref().and_then(|account| account.priority);
     let entry = state.services.load().get(&destination.service).cloned().ok_or(RefusalReason::NoTarget)?;
     Ok(RequestRoute {
         entry,
-        ranks: RequestRanks { on_time: destination.rank, late: destination.late_rank },
+        ranks: RequestRanks { on_time: destination.rank_for(priority), late: destination.late_rank },
         spec: route.spec().clone(),
         version: routes.config.version,
+        account_header: match &account {
+            Some(account) => AccountHeader::named(&account.name),
+            None if routes.accounts.is_some() => AccountHeader::Absent,
+            None => AccountHeader::Unmanaged,
+        },
+        account,
     })
 }
 
 impl RequestHandler {
-    /// Returns whether the active configuration leads the request to other services only, or nowhere.
+    /// Returns whether the active configuration leads the request to other services only, or nowhere, or has another
+    /// client account for it, or none.
     pub(super) fn is_moved(&mut self) -> bool {
         let Some(routes) = self.state.routes.load_full() else { return false };
         let service = &self.route.entry.document.name;
         let route = routes.table.find(&self.host, self.outbound.path());
-        let is_moved = !route.is_some_and(|route| route.leads_to(service));
+        let has_same_account = |spec: &RouteSpec| {
+            find_account(&routes, spec, &self.outbound.headers)
+                .is_ok_and(|account| self.route.has_account(account.as_deref()))
+        };
+        let is_moved = !route.is_some_and(|route| route.leads_to(service) && has_same_account(route.spec()));
         if !is_moved {
             self.route.version = routes.config.version;
         }
@@ -64,7 +114,7 @@
 
     /// Moves the request, which has had no attempt, to a service to which its route leads now.
     pub(super) fn follow_route(&mut self) -> Result<()> {
-        let route = find_route(&self.state, &self.host, self.outbound.path());
+        let route = find_route(&self.state, &self.host, self.outbound.path(), &self.outbound.headers);
         let route = route.map_err(|reason| self.make_refusal(reason, DEFAULT_RETRY_AFTER))?;
         let (from, to) = (&self.route.entry.document.name, &route.entry.document.name);
         let text = format!("from {from} to {to} by version {:08x}", route.version);
--- a/crates/relay/src/shared_state.rs
+++ b/crates/relay/src/shared_state.rs
@@ -15,6 +15,7 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use placement::OwnCell;
 use sniperelay_config::RelaySettings;
+use sniperelay_core::account::{AccountTable, ClientAccount};
 use sniperelay_core::dispatch::DispatchSettings;
 use sniperelay_core::document::ServiceDocument;
 use sniperelay_core::ids::{IncarnationId, InstanceName, ServiceName};
@@ -50,6 +51,8 @@
     pub config: RouteConfig,
     /// Route table built from the configuration.
     pub table: RouteTable,
+    /// Client accounts of the configuration; `None` if callers need no API keys.
+    pub accounts: Option<AccountTable>,
 }
 
 /// Services by name.
@@ -251,9 +254,10 @@
             return false;
         }
         let table = RouteTable::build(&config, rand::random());
+        let accounts = config.accounts.as_deref().map(build_accounts);
         let version = config.version;
         self.replace_services(table.documents());
-        self.routes.store(Some(Arc::new(ActiveRoutes { config, table })));
+        self.routes.store(Some(Arc::new(ActiveRoutes { config, table, accounts })));
         self.assign_targets();
         self.active_version.send_replace(version);
         true
@@ -482,6 +486,15 @@
 /// Interval between two runs of the dispatchers' periodic work.
 pub const UPKEEP_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Builds the table of client accounts and logs its findings, which contain no API key.
+fn build_accounts(accounts: &[ClientAccount]) -> AccountTable {
+    let (table, findings) = AccountTable::build(accounts);
+    for finding in findings.as_slice() {
+        log::warn!("client account '{}' {}", finding.location.key, finding.message);
+    }
+    table
+}
+
 /// Returns whether a target accepts new requests.
 pub fn is_live(record: &TargetRecord) -> bool {
     record.lifecycle == TargetLifecycle::Live
