A process that starts reads from a reader, not from the store

Cause: a process that starts read all five prefixes from the store, first an older list and then the changes since then, before it followed a reader.

Change: the list of entry VMs is read first, from the store; the other prefixes wait until a reader is followed, which a first check without a hold decides within 0.1 s for each reader, or until none responds. Without the list of entry VMs after 0.3 s, and on an entry VM that is a reader, everything is as before. Earlier builds ignore hold_ms and hold the check as before.

--- a/crates/config/src/relay.rs
+++ b/crates/config/src/relay.rs
@@ -73,6 +73,8 @@
     pub calls_per_second: u32,
     /// Limits set by the platform, in the platform's own format.
     pub bounds: String,
+    /// Whether all entry VMs start for the first time.
+    pub is_first_start: bool,
 }
 
 /// Distribution of hosts and targets over entry VMs.
@@ -182,6 +184,7 @@
         address: section.parsed_required("address", "an address like 10.0.0.1:9000", UNSET_ADDRESS),
         calls_per_second: section.parsed_or("calls-per-second", "a whole number", 20),
         bounds: section.optional("bounds").unwrap_or_default(),
+        is_first_start: section.parsed_or("first-start", "true or false", false),
     };
     if settings.calls_per_second == 0 {
         section.report("calls-per-second", "must be at least 1");
--- a/crates/relay/src/http_api.rs
+++ b/crates/relay/src/http_api.rs
@@ -128,7 +128,8 @@
         pairs.filter(|(key, _)| *key == name).find_map(|(_, value)| value.parse::<u64>().ok())
     };
     if path == LIVENESS_PATH {
-        let can_serve_followers = hold_liveness_check(state).await;
+        let can_serve_followers =
+            hold_liveness_check(state, query_number("hold_ms").map(Duration::from_millis)).await;
         return if can_serve_followers {
             json_response(&state.replica.latest_changes(query_number("since").unwrap_or(0)))
         } else {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -14,6 +14,7 @@
 //! | [`own_registration`] | whether this process registers itself, beside others of its name |
 //! | [`known_versions`] | versions of the objects that this process has read or written |
 //! | [`sync_progress`] | progress of reading the store: revisions, lists that are too old |
+//! | [`start_order`] | order of the first reads of a process that starts |
 //! | [`store_availability`] | outages of the store, as far as this entry VM sees them |
 //! | [`copy_status`] | how current the copies of the store's contents are |
 //! | [`copy_offers`] | offers of copies to entry VMs that start while the store is away |
@@ -72,6 +73,7 @@
 pub mod response_cache;
 pub mod shared_state;
 pub mod shutdown;
+pub mod start_order;
 pub mod startup;
 pub mod store_availability;
 pub mod store_sync;
--- a/crates/relay/src/replication.rs
+++ b/crates/relay/src/replication.rs
@@ -9,6 +9,7 @@
 use crate::change_index::ChangeIndex;
 use crate::copy_status::{CopyTable, CopyTransition};
 use crate::shared_state::RelayState;
+use crate::start_order::StartOrder;
 use crate::store_availability::{CallFailure, StoreAvailability};
 use sniperelay_core::home::{SizedCandidate, choose_homes_by_capacity};
 use sniperelay_core::ids::IncarnationId;
@@ -46,6 +47,13 @@
 const READER_REJECTION_PERIOD: Duration = Duration::from_secs(5);
 /// Pause after neither a reader nor the store responded.
 const UNAVAILABLE_PAUSE: Duration = Duration::from_millis(500);
+/// Time that a process that starts waits for the list of entry VMs, as for any first list.
+const FIRST_LIST_WINDOW: Duration = Duration::from_millis(300);
+/// Time within which readers are found when all entry VMs start for the first time: twice that in which they register and
+/// read each other's registrations.
+const FIRST_START_TIME: Duration = Duration::from_secs(3);
+/// Interval between two checks for readers during that time.
+const FIRST_START_INTERVAL: Duration = Duration::from_millis(100);
 /// Prefix without objects. Listing it is the cheapest call, so it serves as a liveness check.
 const LIVENESS_PREFIX: &str = "sniperelay-pulse/";
 /// Put in front of a prefix to list the local replica of an entry VM, reader or not, however old its
@@ -118,6 +126,7 @@
     /// Readers that are not followed, each with the end of that time.
     rejected_readers: Mutex<BTreeMap<SocketAddr, BootTime>>,
     availability: Mutex<StoreAvailability>,
+    start_order: StartOrder,
 }
 
 impl Default for StoreReplica {
@@ -138,6 +147,7 @@
             copies: Arc::default(),
             rejected_readers: Mutex::default(),
             availability: Mutex::default(),
+            start_order: StartOrder::default(),
         }
     }
 }
@@ -157,6 +167,11 @@
         *self.source.borrow()
     }
 
+    /// Returns the order of the first reads of this process.
+    pub fn start_order(&self) -> &StartOrder {
+        &self.start_order
+    }
+
     /// Returns the counters of the reads from readers.
     pub fn reader_calls(&self) -> &Arc<CallCounters> {
         &self.reader_calls
@@ -445,13 +460,13 @@
     Some(list)
 }
 
-/// Handles a follower's liveness check: waits for `LIVENESS_CHECK_HOLD` and returns whether this
-/// entry VM could serve followers before and after the wait.
-pub async fn hold_liveness_check(state: &RelayState) -> bool {
+/// Handles a follower's liveness check: waits for `hold`, or for `LIVENESS_CHECK_HOLD` if the follower states no time, and
+/// returns whether this entry VM could serve followers before and after the wait.
+pub async fn hold_liveness_check(state: &RelayState, hold: Option<Duration>) -> bool {
     if !state.replica.can_serve_followers() {
         return false;
     }
-    tokio::time::sleep(LIVENESS_CHECK_HOLD).await;
+    tokio::time::sleep(hold.unwrap_or(LIVENESS_CHECK_HOLD).min(LIVENESS_CHECK_HOLD)).await;
     state.replica.can_serve_followers()
 }
 
@@ -461,6 +476,8 @@
     let mut reader_index = state.incarnation as usize;
     let mut failures = 0;
     let mut stated = StatedChange::default();
+    choose_first_source(&state, &mut stated).await;
+    state.replica.start_order.record_source();
     loop {
         log_copy_transitions(&state);
         let mut readers = choose_readers(&state);
@@ -478,7 +495,8 @@
             tokio::time::sleep(STORE_CHECK_INTERVAL).await;
             continue;
         }
-        if try_follow_reader(&state, &readers[reader_index % readers.len()], &mut stated).await {
+        let reader = &readers[reader_index % readers.len()];
+        if try_follow_reader(&state, reader, &mut stated, REGULAR_CHECK).await {
             state.replica.is_store_unavailable.store(false, Ordering::Relaxed);
             failures = 0;
             continue;
@@ -506,6 +524,47 @@
     }
 }
 
+/// Follows a reader as soon as the entry VMs are known, so that a process that starts need not read the store. Returns
+/// without one if this entry VM is a reader itself, if no reader responds, or if the entry VMs do not become known.
+async fn choose_first_source(state: &RelayState, stated: &mut StatedChange) {
+    if tokio::time::timeout(FIRST_LIST_WINDOW, state.replica.start_order.wait_for_entry_vms()).await.is_err()
+    {
+        return;
+    }
+    if !state.settings.platform.is_first_start {
+        follow_any_reader(state, stated).await;
+        return;
+    }
+    // The readers start as well: they are known when all entry VMs have registered, and follow a little later.
+    let follow = async {
+        loop {
+            tokio::time::sleep(FIRST_START_INTERVAL).await;
+            let is_settled = state.is_membership_settled.load(Ordering::Relaxed);
+            if is_settled && follow_any_reader(state, stated).await {
+                return;
+            }
+        }
+    };
+    if tokio::time::timeout(FIRST_START_TIME, follow).await.is_err() {
+        log::info!("no reader has been found since the first start; reading the store");
+    }
+}
+
+/// Follows the first reader that responds. Returns true also if this entry VM is a reader itself.
+async fn follow_any_reader(state: &RelayState, stated: &mut StatedChange) -> bool {
+    let readers = choose_readers(state);
+    if readers.iter().any(|reader| reader.name == state.settings.entry.name) {
+        return true;
+    }
+    let first = state.incarnation as usize % readers.len().max(1);
+    for reader in readers.iter().cycle().skip(first).take(readers.len()) {
+        if try_follow_reader(state, reader, stated, FIRST_CHECK).await {
+            return true;
+        }
+    }
+    false
+}
+
 /// Logs copies that have become out of date, or current again, since the last call.
 fn log_copy_transitions(state: &RelayState) {
     let source = state.replica.source();
@@ -540,13 +599,18 @@
 ///
 /// `stated` is the latest change that the reader has stated in an earlier check; the response contains the changes
 /// after it.
-async fn try_follow_reader(state: &RelayState, reader: &EntryVmRecord, stated: &mut StatedChange) -> bool {
+async fn try_follow_reader(
+    state: &RelayState,
+    reader: &EntryVmRecord,
+    stated: &mut StatedChange,
+    times: CheckTimes,
+) -> bool {
     let address = reader.peer_address;
     let is_followed = matches!(state.replica.source(), StoreSource::Reader(followed) if followed == address);
     let since = stated.revision_of(reader.incarnation);
     let check = make_entry_vm_client(address);
-    let path = format!("{LIVENESS_PREFIX}?since={since}");
-    let response = tokio::time::timeout(LIVENESS_CHECK_HOLD + LIVENESS_CHECK_MARGIN, check.list(&path)).await;
+    let path = format!("{LIVENESS_PREFIX}?since={since}&hold_ms={}", times.hold.as_millis());
+    let response = tokio::time::timeout(times.timeout, check.list(&path)).await;
     let Ok(Ok(list)) = response else { return false };
     state.replica.record_reader_contact();
     // A reader of an earlier version states nothing; its followers rely on the responses to their watches.
@@ -562,6 +626,22 @@
     true
 }
 
+/// Times of a liveness check.
+#[derive(Debug, Clone, Copy)]
+struct CheckTimes {
+    /// Time for which the reader delays its response.
+    hold: Duration,
+    /// Timeout for the response.
+    timeout: Duration,
+}
+
+const REGULAR_CHECK: CheckTimes = CheckTimes {
+    hold: LIVENESS_CHECK_HOLD,
+    timeout: LIVENESS_CHECK_HOLD.saturating_add(LIVENESS_CHECK_MARGIN),
+};
+/// A process that starts waits for no reader for longer than a third of the time after which it asks other entry VMs.
+const FIRST_CHECK: CheckTimes = CheckTimes { hold: Duration::ZERO, timeout: Duration::from_millis(100) };
+
 /// Latest change that a reader has stated.
 #[derive(Debug, Default)]
 struct StatedChange {
--- a/crates/relay/src/store_sync.rs
+++ b/crates/relay/src/store_sync.rs
@@ -348,6 +348,9 @@
 
     /// Waits for changes. May return an empty list.
     pub(crate) async fn next_changes(&mut self) -> Vec<StoreChange> {
+        if self.prefix != ENTRY_VM_PREFIX {
+            self.state.replica.start_order().wait_for_source().await;
+        }
         if std::mem::take(&mut self.is_coalescing) {
             tokio::time::sleep(self.coalesce_pause()).await;
         }
@@ -770,6 +773,9 @@
             );
         }
         publish_entry_vms(&state, &vms);
+        if watcher.progress.has_read() {
+            state.replica.start_order().record_entry_vms();
+        }
         if is_first_read {
             is_first_read = false;
             tokio::time::sleep(REGISTRATION_PERIOD).await;
