An entry VM is ready when its services use the targets, not when they are listed

Cause: is_ready was true as soon as the first configuration and the list of targets were stored, and targets were assigned to the services after that.

Change: the readiness follows the first assignment of targets under a configuration.

--- a/crates/relay/src/shared_state.rs
+++ b/crates/relay/src/shared_state.rs
@@ -126,6 +126,8 @@
     pub has_targets: AtomicBool,
     /// Whether the evacuations of failure domains have been read, or need not be.
     pub has_evacuations: AtomicBool,
+    /// Whether targets have been assigned to the services of a configuration.
+    has_assigned_targets: AtomicBool,
     targets: Mutex<TargetLists>,
     leaving_reports: Mutex<LeavingReports>,
     /// Shares of the limits that this entry VM owns.
@@ -184,6 +186,7 @@
             forwarded_in_flight: AtomicUsize::new(0),
             is_membership_settled: AtomicBool::new(false),
             has_targets: AtomicBool::new(false),
+            has_assigned_targets: AtomicBool::new(false),
             targets: Mutex::default(),
             leaving_reports: Mutex::default(),
             limit_ledger: Mutex::default(),
@@ -239,11 +242,10 @@
         self.has_copies() && self.lifecycle.phase() == LifecyclePhase::Serving
     }
 
-    /// Returns whether this entry VM has read the configuration, the targets and the evacuations.
+    /// Returns whether this entry VM has read the configuration, the targets and the evacuations, and its services use
+    /// them.
     pub fn has_copies(&self) -> bool {
-        self.routes.load().is_some()
-            && self.has_targets.load(Ordering::Relaxed)
-            && self.has_evacuations.load(Ordering::Relaxed)
+        self.has_assigned_targets.load(Ordering::Acquire) && self.has_evacuations.load(Ordering::Acquire)
     }
 
     /// Locks and returns the names of neighbours that do not respond to liveness checks.
@@ -317,10 +319,10 @@
         let vms = self.entry_vms.load();
         let has_changed =
             self.lock_targets().set_evacuated(domains, &vms, &self.settings.entry.listen_ports());
-        self.has_evacuations.store(true, Ordering::Relaxed);
         if has_changed {
             self.assign_targets();
         }
+        self.has_evacuations.store(true, Ordering::Release);
     }
 
     /// Replaces the list of entry VMs.
@@ -351,6 +353,7 @@
     /// Assigns to each service the targets that this entry VM serves. Must be called after every
     /// change of targets, entry VMs or routes.
     pub fn assign_targets(&self) {
+        let has_copies = self.routes.load().is_some() && self.has_targets.load(Ordering::Relaxed);
         let targets = self.targets();
         let cells = self.own_cells(&targets);
         self.for_each_service(|entry| {
@@ -371,6 +374,9 @@
                 cell.map(|cell| &cell.targets),
             );
         });
+        if has_copies {
+            self.has_assigned_targets.store(true, Ordering::Release);
+        }
     }
 
     /// Returns the time at which a registered instance has started, in milliseconds since the Unix epoch.
