Targets are filled only as far as they complete more

Cause: targets that slow down when they are nearly full complete fewer requests with all slots taken than with one free.

Change: core::concurrency measures the work on requests by the number of requests at their target, and the dispatcher fills targets up to the number at which they complete most. A lower number is tried when the targets are full and it has not been measured.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -23,6 +23,7 @@
 use crate::account::AccountId;
 use crate::borrow::BorrowScheduler;
 use crate::budget::AttemptBudget;
+use crate::concurrency::{ConcurrencyLimit, WorkLevels};
 use crate::document::ServiceDocument;
 use crate::estimate::{MeanEstimate, QuantileEstimate, SizeEstimate};
 use crate::event_rate::EventRate;
@@ -135,6 +136,8 @@
     latency_p98: QuantileEstimate,
     /// Median time until the response starts, scaled to the target's usual speed.
     usual_latency: QuantileEstimate,
+    /// Work on requests by the number of requests at their target.
+    work_levels: WorkLevels,
     /// Mean size of a response body.
     response_bytes: SizeEstimate,
     /// Mean time for which a request holds a slot.
@@ -152,6 +155,8 @@
     started: Instant,
     /// Reading of the target's work counter when the attempt started.
     work_at_start: Option<WorkReading>,
+    /// Number of requests at the target when the attempt started, this one included.
+    level: u32,
 }
 
 /// An admitted request, which is queued or has attempts in flight.
@@ -180,6 +185,7 @@
     fair_shares: FairShareScheduler,
     retry_budget: AttemptBudget,
     hedge_budget: AttemptBudget,
+    concurrency: ConcurrencyLimit,
     /// Rank and queue key of each queued request.
     queued_keys: HashMap<RequestId, (RankId, QueuedKey)>,
     requests: HashMap<RequestId, RequestState>,
@@ -210,6 +216,7 @@
             fair_shares: FairShareScheduler::new(document.ranks.iter().map(|rank| rank.kept_share).collect()),
             retry_budget: AttemptBudget::new(document.retry.retry_share),
             hedge_budget: AttemptBudget::new(document.retry.hedge_share),
+            concurrency: ConcurrencyLimit::default(),
             queued_keys: HashMap::new(),
             requests: HashMap::new(),
             borrow_scheduler: BorrowScheduler::default(),
@@ -313,6 +320,7 @@
         self.ranks[rank].latency_p90 = old.latency_p90;
         self.ranks[rank].latency_p98 = old.latency_p98;
         self.ranks[rank].usual_latency = old.usual_latency;
+        self.ranks[rank].work_levels = old.work_levels.clone();
         self.ranks[rank].response_bytes = old.response_bytes;
         self.ranks[rank].hold_time = old.hold_time;
     }
@@ -342,6 +350,7 @@
             latency_p90: QuantileEstimate::new(0.9, initial),
             latency_p98: QuantileEstimate::new(0.98, initial),
             usual_latency: QuantileEstimate::new(0.5, initial),
+            work_levels: WorkLevels::default(),
             response_bytes: SizeEstimate::default(),
             hold_time: MeanEstimate::new(initial),
             arrival_rate: EventRate::new(ARRIVAL_RATE_BUCKET),
--- a/crates/core/src/dispatch/attempt.rs
+++ b/crates/core/src/dispatch/attempt.rs
@@ -86,7 +86,7 @@
             return ResponseDecision::Discard;
         };
         let latency = now.saturating_duration_since(attempt.started);
-        let work = self.work_done(attempt, now).map(|done| done.estimate);
+        let (work, level) = (self.work_done(attempt, now).map(|done| done.estimate), attempt.level);
         self.remove_queued_attempt(request);
         let Some(state) = self.requests.get_mut(&request) else { return ResponseDecision::Discard };
         let is_first = !std::mem::replace(&mut state.has_response, true);
@@ -109,14 +109,26 @@
             rank.latency_p50.record(latency);
             if let Some(work) = work {
                 rank.usual_latency.record(work);
+                rank.work_levels.record(level, work);
             }
             rank.latency_p90.record(latency);
             rank.latency_p98.record(latency);
             self.targets.record_response(target, relative_latency, metadata.report, now);
+            self.update_concurrency(now);
         }
         if is_first { ResponseDecision::Deliver } else { ResponseDecision::Discard }
     }
 
+    /// Fills targets with shared slots only as far as they complete more with each further request.
+    fn update_concurrency(&mut self, now: Instant) {
+        if self.settings.policy == PickPolicy::SharedSlots {
+            let levels = self.ranks.iter_mut().map(|rank| &mut rank.work_levels);
+            if let Some(limit) = self.concurrency.update(levels, self.targets.max_owned_slots(), now) {
+                self.targets.set_concurrency_limit(limit);
+            }
+        }
+    }
+
     /// Records a failed attempt, releases its slot, and queues a retry if one is allowed.
     pub fn attempt_failed(
         &mut self,
--- a/crates/core/src/dispatch/bind.rs
+++ b/crates/core/src/dispatch/bind.rs
@@ -147,8 +147,9 @@
     ) {
         let Some(target_state) = self.targets.get(target) else { return };
         let (address, work_at_start) = (target_state.address, target_state.work_reading(now));
+        let level = (target_state.in_flight + 1).saturating_add(target_state.foreign_in_flight());
         let Some(state) = self.requests.get_mut(&queued.request) else { return };
-        state.attempts.push(AttemptState { target, started: now, work_at_start });
+        state.attempts.push(AttemptState { target, started: now, work_at_start, level });
         state.attempt_count += 1;
         let retry = state.retry.take();
         self.targets.start_request(target);
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,6 +7,7 @@
 //! | module | contents |
 //! |---|---|
 //! | [`account`] | client accounts: API keys, priority, request limit |
+//! | [`concurrency`] | number of requests at which a target completes most work |
 //! | [`document`] | typed configuration document of a service and its verifier |
 //! | [`estimate`] | estimates of durations and sizes |
 //! | [`evacuation`] | failure domains whose targets get no requests, by order of the operator |
@@ -43,6 +44,7 @@
 pub mod borrow;
 pub mod budget;
 pub mod claim;
+pub mod concurrency;
 pub mod digest;
 pub mod dispatch;
 pub mod document;
--- a/crates/core/src/target.rs
+++ b/crates/core/src/target.rs
@@ -75,6 +75,8 @@
     excluded_count: usize,
     /// Whether targets that fill an empty table begin with their ramp-up.
     must_ramp: bool,
+    /// Number of requests, from all entry VMs, up to which each target is filled.
+    concurrency_limit: u32,
     /// Mean of the reported slowdowns; 1.0 is the usual speed.
     average_slowdown: f64,
 }
@@ -93,6 +95,7 @@
             retained_limits: HashMap::new(),
             excluded_count: 0,
             must_ramp: false,
+            concurrency_limit: u32::MAX,
             average_slowdown: 1.0,
         }
     }
@@ -202,6 +205,7 @@
             last_probe_at: None,
             total_slots: self.settings.slots,
             owned_slots: spec.owned_slots,
+            concurrency_limit: self.concurrency_limit,
             ramp_limit,
             ramp_since: None,
             is_on_trial: false,
@@ -332,6 +336,21 @@
         self.targets.values().any(|target| target.owned_slots > 0)
     }
 
+    /// Returns the largest number of slots that this entry VM may use at one target.
+    pub fn max_owned_slots(&self) -> u32 {
+        self.targets.values().map(|target| target.owned_slots).max().unwrap_or(0)
+    }
+
+    /// Sets the number of requests, from all entry VMs, up to which each target is filled.
+    pub fn set_concurrency_limit(&mut self, limit: u32) {
+        self.concurrency_limit = limit;
+        let keys: Vec<TargetKey> = self.targets.keys().collect();
+        for key in keys {
+            self.targets[key].concurrency_limit = limit;
+            self.update_lists(key);
+        }
+    }
+
     /// Records that a request was sent to a target.
     pub fn start_request(&mut self, key: TargetKey) {
         if let Some(target) = self.targets.get_mut(key) {
--- a/crates/core/src/target/state.rs
+++ b/crates/core/src/target/state.rs
@@ -147,6 +147,8 @@
     /// Number of slots of the target, of which each belongs to one entry VM; 0 if its slots are shared.
     pub(super) total_slots: u32,
     pub(super) owned_slots: u32,
+    /// Number of requests, from all entry VMs, up to which the target is filled.
+    pub(super) concurrency_limit: u32,
     /// Upper bound of the limit while the target ramps up.
     pub(super) ramp_limit: f64,
     /// Time of the first response since the ramp-up began.
@@ -179,7 +181,7 @@
     /// it owns or has borrowed, without those that it has lent and those that other entry VMs use beyond
     /// their own share.
     pub fn limit(&self) -> u32 {
-        let granted = self.owned_slots.saturating_add(self.borrowed.len() as u32);
+        let granted = self.owned_slots.saturating_add(self.borrowed.len() as u32).min(self.concurrency_limit);
         let foreign_share = self.total_slots.saturating_sub(granted);
         let foreign_excess = self.foreign_in_flight.saturating_sub(foreign_share);
         let used = foreign_excess.saturating_add(self.lent.len() as u32);
