API keys are accepted only while the configuration is proven to be current

Cause: an entry VM that is cut off from the store, was frozen, or has started from a copy of a peer accepted keys that a later configuration had removed, for as long as it lasted. The confirmation of a copy is no proof that the copy was current: it counts the time of the receipt and takes stale responses.

Change: core::key_fence admits a request with a key only while the configuration in force was proven to be current within the platform's bound for revoked keys, and refuses a key that nobody holds with 401 only while that proof is younger than the bound for new configurations; otherwise the answer is 503 at once. config_proof keeps the proof: the boot time at which the store was asked by a call whose response is up to date, which counts once the configuration that it read is in force. Entry VMs that read the store poll it for that at a fifth of the bound; their followers get the proof, with its age, in the responses to their liveness checks, and poll only without it. The proof is checked at the admission, when a later configuration is active, and when a request is handed to a target; an entry VM without one does not take forwarded requests. A gauge and log lines show it. Nothing changes without strict revocation or without accounts.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,6 +7,7 @@
 //! | module | contents |
 //! |---|---|
 //! | [`account`] | client accounts: API keys, priority, request limit |
+//! | [`key_fence`] | acceptance of API keys by the age of the configuration |
 //! | [`document`] | typed configuration document of a service and its verifier |
 //! | [`estimate`] | estimates of durations and sizes |
 //! | [`evacuation`] | failure domains whose targets get no requests, by order of the operator |
@@ -56,6 +57,7 @@
 pub mod finding;
 pub mod home;
 pub mod ids;
+pub mod key_fence;
 pub mod leaving;
 pub mod limit_ledger;
 pub mod member;
--- a/crates/relay/src/forwarded_requests.rs
+++ b/crates/relay/src/forwarded_requests.rs
@@ -114,7 +114,7 @@
 fn encode_response(method: &Method, response: CallerResponse) -> ApiResponse {
     let reason = response.headers.get(REASON).map(HeaderValue::as_bytes);
     let is_not_taken = response.status == StatusCode::SERVICE_UNAVAILABLE
-        && [RefusalReason::Isolated, RefusalReason::Stopping]
+        && [RefusalReason::Isolated, RefusalReason::Stopping, RefusalReason::ConfigurationOutdated]
             .iter()
             .any(|not_taken| reason == Some(not_taken.as_str().as_bytes()));
     let mut encoded =
@@ -124,7 +124,8 @@
     if let Some(length) = response.declared_length {
         encoded.headers_mut().insert(header::CONTENT_LENGTH, length);
     }
-    let (name, value) = if is_not_taken { (NOT_ACCEPTED, "isolated or stopping") } else { (ACCEPTED, "1") };
+    let (name, value) =
+        if is_not_taken { (NOT_ACCEPTED, "isolated, stopping or outdated") } else { (ACCEPTED, "1") };
     encoded.headers_mut().insert(name, HeaderValue::from_static(value));
     encoded
 }
--- a/crates/relay/src/http_api.rs
+++ b/crates/relay/src/http_api.rs
@@ -18,6 +18,7 @@
 use sniperelay_hosted::lookup::{
     CONTENT_TYPE, LOOKUP_PATH, READY_PATH, encode_lookup_response, parse_lookup_query,
 };
+use sniperelay_node::boot_clock;
 use sniperelay_node::traffic::headers::FORWARDED_BY_PEER;
 use sniperelay_platform::content_coding::DEFLATE_CODING;
 use std::convert::Infallible;
@@ -128,10 +129,14 @@
         pairs.filter(|(key, _)| *key == name).find_map(|(_, value)| value.parse::<u64>().ok())
     };
     if path == LIVENESS_PATH {
+        let received_at = boot_clock::now();
         let can_serve_followers =
             hold_liveness_check(state, query_number("hold_ms").map(Duration::from_millis)).await;
         return if can_serve_followers {
-            json_response(&state.replica.latest_changes(query_number("since").unwrap_or(0)))
+            let mut changes = state.replica.latest_changes(query_number("since").unwrap_or(0));
+            let statement = state.config_proof.state_proof(received_at);
+            changes.items.extend(statement.map(|statement| statement.encode()));
+            json_response(&changes)
         } else {
             text_response(StatusCode::SERVICE_UNAVAILABLE, "not a reader")
         };
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -17,9 +17,11 @@
 //! | [`start_order`] | order of the first reads of a process that starts |
 //! | [`store_availability`] | outages of the store, as far as this entry VM sees them |
 //! | [`copy_status`] | how current the copies of the store's contents are |
+//! | [`config_proof`] | proof that the configuration is current, on which API keys depend |
 //! | [`copy_offers`] | offers of copies to entry VMs that start while the store is away |
 //! | [`change_index`] | latest changes of the store's objects, for followers |
 //! | [`replication`] | replication of the store's contents from readers to followers |
+//! | `proof_poller` | polls of the store that prove the configuration |
 //! | [`response_cache`] | encoded replication responses, shared by all followers |
 //! | [`content_coding`] | compression of responses |
 //! | [`evacuations`] | evacuations of failure domains, as the operator orders them |
@@ -49,6 +51,7 @@
 pub mod caller_connection;
 pub mod caller_response;
 pub mod change_index;
+pub mod config_proof;
 pub mod connection_end;
 pub mod content_coding;
 pub mod copy_offers;
@@ -66,6 +69,7 @@
 pub mod limit_claims;
 pub mod load_probe;
 pub mod own_registration;
+mod proof_poller;
 pub mod replication;
 pub mod request_body;
 pub mod request_handler;
--- a/crates/relay/src/replication.rs
+++ b/crates/relay/src/replication.rs
@@ -7,6 +7,7 @@
 //! the store gave them. A follower never returns to a revision before the one it has reached.
 
 use crate::change_index::ChangeIndex;
+use crate::config_proof::ProofStatement;
 use crate::copy_status::{CopyTable, CopyTransition};
 use crate::shared_state::RelayState;
 use crate::start_order::StartOrder;
@@ -480,6 +481,7 @@
     state.replica.start_order.record_source();
     loop {
         log_copy_transitions(&state);
+        log_key_refusals(&state);
         let mut readers = choose_readers(&state);
         let count = readers.len();
         readers.retain(|reader| reader.name != state.settings.entry.name);
@@ -580,6 +582,22 @@
     }
 }
 
+/// Logs whether requests with API keys are refused since the last call, or not any more.
+fn log_key_refusals(state: &RelayState) {
+    if !state.needs_config_proof() {
+        return;
+    }
+    let now = boot_clock::now();
+    let age_ms = state.config_proof.age(now).map_or(-1, |age| age.as_millis() as i64);
+    match state.config_proof.take_transition(now) {
+        Some(true) => {
+            log::warn!(age_ms; "requests with API keys are refused: the configuration is not proven to be current");
+        }
+        Some(false) => log::info!(age_ms; "requests with API keys are accepted again"),
+        None => {}
+    }
+}
+
 /// Chooses the readers: the entry VMs with the highest capacity, spread over failure domains.
 /// Unresponsive entry VMs are not chosen.
 fn choose_readers(state: &RelayState) -> Vec<EntryVmRecord> {
@@ -610,9 +628,13 @@
     let since = stated.revision_of(reader.incarnation);
     let check = make_entry_vm_client(address);
     let path = format!("{LIVENESS_PREFIX}?since={since}&hold_ms={}", times.hold.as_millis());
+    let sent_at = boot_clock::now();
     let response = tokio::time::timeout(times.timeout, check.list(&path)).await;
     let Ok(Ok(list)) = response else { return false };
     state.replica.record_reader_contact();
+    if let Some(statement) = ProofStatement::find(&list.items) {
+        state.config_proof.record_reading(statement.to_reading(sent_at));
+    }
     // A reader of an earlier version states nothing; its followers rely on the responses to their watches.
     if list.revision > 0 {
         let changes = list.items.iter().map(|item| (item.key.as_str(), item.version));
--- a/crates/relay/src/request_handler.rs
+++ b/crates/relay/src/request_handler.rs
@@ -37,7 +37,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
-use request_route::{RequestRoute, find_route};
+use request_route::{RequestRoute, find_route, route_retry_after};
 
 type Result<T> = std::result::Result<T, RelayRefusal>;
 type AttemptFuture = BoxFuture<'static, std::result::Result<AttemptResult, Aborted>>;
@@ -89,7 +89,8 @@
         return Err(refuse_early(state, &head, RefusalReason::Stopping, SHUTDOWN_RETRY_AFTER));
     }
     let route = find_route(state, &head.host, head.path(), &head.headers);
-    let route = route.map_err(|reason| refuse_early(state, &head, reason, DEFAULT_RETRY_AFTER))?;
+    let route =
+        route.map_err(|reason| refuse_early(state, &head, reason, route_retry_after(state, reason)))?;
     let caller_timeout = platform_headers::read_deadline(&head.headers);
     let caller_timeout = caller_timeout.map_err(|error| {
         log::debug!("request refused: invalid deadline: {error}");
@@ -437,6 +438,11 @@
                     let is_final = !self.execution.has_attempt_in_flight();
                     return is_final.then(|| Err(self.make_refusal(RefusalReason::Quarantined, retry_after)));
                 }
+                if let Some(refusal) = self.revocation_refusal() {
+                    drop(slot);
+                    let is_final = !self.execution.has_attempt_in_flight();
+                    return is_final.then_some(Err(refusal));
+                }
                 if self.is_too_late_to_start() {
                     drop(slot);
                     return self.stop_refusal().map(Err);
--- a/crates/relay/src/request_handler/request_route.rs
+++ b/crates/relay/src/request_handler/request_route.rs
@@ -8,16 +8,21 @@
 //!   or its route is public.
 
 use super::{DEFAULT_RETRY_AFTER, RequestHandler, Result};
+use crate::caller_response::RelayRefusal;
+use crate::config_proof::KeyCheck;
 use crate::decision_log::DecisionKind;
 use crate::shared_state::{ActiveRoutes, RelayState};
 use http::HeaderMap;
-use sniperelay_core::account::{AccountId, ClientAccount, NO_ACCOUNT};
+use sniperelay_core::account::{AccountId, ApiKey, ClientAccount, NO_ACCOUNT};
 use sniperelay_core::ids::RankId;
+use sniperelay_core::key_fence::retry_after_outdated;
 use sniperelay_core::reason::RefusalReason;
 use sniperelay_core::route::{RouteSpec, RouteVersion};
 use sniperelay_hosted::headers::{AccountHeader, read_api_key};
+use sniperelay_node::boot_clock;
 use sniperelay_node::dispatcher_handle::ServiceEntry;
 use std::sync::Arc;
+use std::time::Duration;
 
 /// Ranks under which a request is submitted.
 #[derive(Debug, Clone, Copy)]
@@ -55,15 +60,18 @@
     }
 }
 
-/// Finds the client account whose API key a request carries. Returns `None` if the request needs none.
+/// Finds the client account whose API key a request carries. Returns `None` if the request needs none. `check` must have
+/// begun before `routes` was read.
 fn find_account(
+    check: KeyCheck,
     routes: &ActiveRoutes,
     spec: &RouteSpec,
     headers: &HeaderMap,
 ) -> std::result::Result<Option<Arc<ClientAccount>>, RefusalReason> {
     let Some(accounts) = routes.accounts.as_ref().filter(|_| !spec.is_public) else { return Ok(None) };
     let account = read_api_key(headers).and_then(|key| accounts.find(&key).cloned());
-    account.map(Some).ok_or(RefusalReason::ApiKeyUnknown)
+    check.judge(account.is_some())?;
+    Ok(account)
 }
 
 /// Finds the route and the client account of a request in the active configuration, and chooses one of the services to
@@ -74,9 +82,10 @@
     path: &str,
     headers: &HeaderMap,
 ) -> std::result::Result<RequestRoute, RefusalReason> {
+    let check = state.config_proof.begin_check(boot_clock::now());
     let routes = state.routes.load_full().ok_or(RefusalReason::NoTarget)?;
     let route = routes.table.find(host, path).ok_or(RefusalReason::UnknownRank)?;
-    let account = find_account(&routes, route.spec(), headers)?;
+    let account = find_account(check, &routes, route.spec(), headers)?;
     let destination = route.next_destination();
     let priority = account.as_ref().and_then(|account| account.priority);
     let entry = state.services.load().get(&destination.service).cloned().ok_or(RefusalReason::NoTarget)?;
@@ -94,15 +103,38 @@
     })
 }
 
+/// Returns the time after which a caller may retry a request whose route or account was not found.
+pub(super) fn route_retry_after(state: &RelayState, reason: RefusalReason) -> Duration {
+    match reason {
+        RefusalReason::ConfigurationOutdated => retry_after_outdated(state.replica.is_store_unavailable()),
+        _ => DEFAULT_RETRY_AFTER,
+    }
+}
+
 impl RequestHandler {
+    /// Returns the refusal of a request whose API key may have been revoked since the request was admitted, immediately
+    /// before it is handed to a target.
+    pub(super) fn revocation_refusal(&self) -> Option<RelayRefusal> {
+        let account = self.route.account.as_ref()?;
+        let check = self.state.config_proof.begin_check(boot_clock::now());
+        let routes = self.state.routes.load_full()?;
+        let accounts = routes.accounts.as_ref()?;
+        let holds_key = |key: &ApiKey| accounts.find(key).is_some_and(|holder| holder.id() == account.id());
+        let is_known = routes.config.version == self.route.version
+            || read_api_key(&self.outbound.headers).as_ref().is_some_and(holds_key);
+        let reason = check.judge(is_known).err()?;
+        Some(self.make_refusal(reason, route_retry_after(&self.state, reason)))
+    }
+
     /// Returns whether the active configuration leads the request to other services only, or nowhere, or has another
     /// client account for it, or none.
     pub(super) fn is_moved(&mut self) -> bool {
+        let check = self.state.config_proof.begin_check(boot_clock::now());
         let Some(routes) = self.state.routes.load_full() else { return false };
         let service = &self.route.entry.document.name;
         let route = routes.table.find(&self.host, self.outbound.path());
         let has_same_account = |spec: &RouteSpec| {
-            find_account(&routes, spec, &self.outbound.headers)
+            find_account(check, &routes, spec, &self.outbound.headers)
                 .is_ok_and(|account| self.route.has_account(account.as_deref()))
         };
         let is_moved = !route.is_some_and(|route| route.leads_to(service) && has_same_account(route.spec()));
@@ -115,7 +147,8 @@
     /// Moves the request, which has had no attempt, to a service to which its route leads now.
     pub(super) fn follow_route(&mut self) -> Result<()> {
         let route = find_route(&self.state, &self.host, self.outbound.path(), &self.outbound.headers);
-        let route = route.map_err(|reason| self.make_refusal(reason, DEFAULT_RETRY_AFTER))?;
+        let route =
+            route.map_err(|reason| self.make_refusal(reason, route_retry_after(&self.state, reason)))?;
         let (from, to) = (&self.route.entry.document.name, &route.entry.document.name);
         let text = format!("from {from} to {to} by version {:08x}", route.version);
         self.log_decision(DecisionKind::Moved, &text);
--- a/crates/relay/src/shared_state.rs
+++ b/crates/relay/src/shared_state.rs
@@ -4,6 +4,7 @@
 mod target_lists;
 mod unrouted_services;
 
+use crate::config_proof::ConfigProof;
 use crate::copy_offers::CopyOffers;
 use crate::crash_quarantine::CrashQuarantine;
 use crate::decision_log::DecisionLog;
@@ -19,6 +20,7 @@
 use sniperelay_core::dispatch::DispatchSettings;
 use sniperelay_core::document::ServiceDocument;
 use sniperelay_core::ids::{DomainName, IncarnationId, InstanceName, ServiceName};
+use sniperelay_core::key_fence::KeyFence;
 use sniperelay_core::leaving::LeavingReports;
 use sniperelay_core::limit_ledger::LimitLedger;
 use sniperelay_core::memory_budget::MemoryBudget;
@@ -27,6 +29,7 @@
 use sniperelay_core::target::{SharedTarget, TargetLifecycle, TargetSpec};
 use sniperelay_hosted::bounds::PlatformBounds;
 use sniperelay_hosted::registration::{EntryVmRecord, TargetRecord};
+use sniperelay_hosted::routes::CONFIG_PREFIX;
 use sniperelay_hosted::store::ObjectStore;
 use sniperelay_node::boot_clock::{self, BootTime};
 use sniperelay_node::dispatcher_handle::{DispatcherHandle, OutgoingPeerMessage, ServiceEntry};
@@ -105,6 +108,8 @@
     pub response_memory: Arc<MemoryBudget>,
     /// Local copy of the store's contents, which followers read.
     pub replica: StoreReplica,
+    /// Proof that the configuration is current.
+    pub config_proof: Arc<ConfigProof>,
     /// Offers of copies by other entry VMs.
     pub offers: CopyOffers,
     /// Encoded responses to followers.
@@ -156,6 +161,7 @@
     ) -> anyhow::Result<Self> {
         let store = ObjectStore::new(settings.platform.address, settings.platform.calls_per_second);
         let (peers, _) = tokio::sync::mpsc::unbounded_channel();
+        let fence = bounds.key_revocation.map(|revocation| KeyFence::new(revocation, bounds.config_apply));
         let state = Self {
             has_evacuations: AtomicBool::new(bounds.evacuation.is_none()),
             bounds,
@@ -177,6 +183,7 @@
             request_memory: MemoryBudget::new(settings.limits.request_memory_bytes),
             response_memory: MemoryBudget::new(settings.limits.response_memory_bytes),
             replica: StoreReplica::default(),
+            config_proof: Arc::new(ConfigProof::new(fence)),
             offers: CopyOffers::default(),
             response_cache: ResponseCache::default(),
             decisions: DecisionLog::default(),
@@ -195,7 +202,13 @@
         };
         state.metrics.export_call_counters(state.store.counters());
         let copies = state.replica.copies().clone();
-        let read_copies = move || copies.gauges(boot_clock::now());
+        let proof = state.config_proof.clone();
+        let read_copies = move || {
+            let now = boot_clock::now();
+            let proof_age =
+                proof.age(now).map(|age| ([CONFIG_PREFIX, "proof_age_ms"], age.as_millis() as u64));
+            copies.gauges(now).into_iter().chain(proof_age).collect()
+        };
         state.metrics.export_gauge("sniperelay_copy", ["prefix", "name"], read_copies);
         let own = state.own_record();
         state.entry_vms.store(Arc::new(BTreeMap::from([(own.name.clone(), own)])));
@@ -242,6 +255,12 @@
         self.has_copies() && self.lifecycle.phase() == LifecyclePhase::Serving
     }
 
+    /// Returns whether requests are refused without a proof that the configuration is current.
+    pub fn needs_config_proof(&self) -> bool {
+        let has_accounts = self.routes.load().as_ref().is_some_and(|routes| routes.accounts.is_some());
+        has_accounts && self.config_proof.fence().is_some()
+    }
+
     /// Returns whether this entry VM has read the configuration, the targets and the evacuations, and its services use
     /// them.
     pub fn has_copies(&self) -> bool {
--- a/crates/relay/src/store_sync.rs
+++ b/crates/relay/src/store_sync.rs
@@ -7,9 +7,11 @@
 //! the previous one. Objects are listed again only if the store no longer has the changes since that
 //! revision.
 
+use crate::config_proof::ConfigReading;
 use crate::copy_offers::CopyOffer;
 use crate::known_versions::{KnownVersions, ListChanges};
 use crate::own_registration::{FoundRegistration, OwnRegistration};
+use crate::proof_poller::ProofPoller;
 use crate::replication::{StoreSource, fetch_newest_snapshot, make_reader_client};
 use crate::shared_state::{EntryVmMap, RelayState, TargetMap};
 use crate::sync_progress::{NextRead, ReadOutcome, SyncProgress};
@@ -97,6 +99,8 @@
             let version = config.version;
             let routes = config.routes.len();
             let is_new = state.apply_config(config);
+            let in_force = state.routes.load().as_ref().map_or(version, |routes| routes.config.version);
+            state.config_proof.record_in_force(object.version, in_force);
             log::info!(version, routes, revision = object.version, is_new; "configuration received");
         }
         Err(error) => {
@@ -483,7 +487,14 @@
     async fn call_store(&mut self) -> Result<WatcherOutcome> {
         match self.progress.next_read() {
             NextRead::Watch(revision) => self.watch_store(revision).await,
-            read => Ok(self.apply_store_list(list_store(&self.state, self.prefix, read).await?)),
+            read => {
+                let asked_at = boot_clock::now();
+                let outcome = self.apply_store_list(list_store(&self.state, self.prefix, read).await?);
+                if read == NextRead::FreshList && matches!(outcome, ReadOutcome::Read(_)) {
+                    self.record_reading(asked_at);
+                }
+                Ok(outcome)
+            }
         }
     }
 
@@ -505,17 +516,38 @@
         let poll = |since, latest_change| {
             poll_store(&self.state, self.prefix, since, accepts_stale.then_some(latest_change))
         };
-        let events = tokio::select! {
-            events = self.state.store.watch(self.prefix, since, wait) => events?,
-            events = find_missed_changes(&self.state, self.prefix, since, poll) => events?,
+        let asked_at = boot_clock::now();
+        let state = self.state.clone();
+        let poller = ProofPoller::new(&state);
+        let proof = poller.find_changes(self.config_object_version(), since);
+        let (events, asked_at) = tokio::select! {
+            events = self.state.store.watch(self.prefix, since, wait) => (events?, Some(asked_at)),
+            events = find_missed_changes(&self.state, self.prefix, since, poll) => (events?, None),
+            events = proof, if is_current => events.map(|(events, asked_at)| (events, Some(asked_at)))?,
             Ok(()) = self.source.changed() => return Ok(ReadOutcome::SourceChanged),
         };
         let revision = events.revision;
         let changes = self.apply_events(events);
+        if let Some(asked_at) = asked_at {
+            self.record_reading(asked_at);
+        }
         self.state.replica.record_store_contact(revision);
         Ok(ReadOutcome::Read(changes))
     }
 
+    /// Returns the version of the configuration's object; `None` if this watcher does not read it, or there is none.
+    fn config_object_version(&self) -> Option<u64> {
+        self.known_versions.get(CONFIG_KEY).filter(|_| self.prefix == CONFIG_PREFIX)
+    }
+
+    /// Records that an up-to-date response to a call that was sent at `asked_at` has been applied.
+    fn record_reading(&self, asked_at: BootTime) {
+        if let Some(object_version) = self.config_object_version() {
+            let reading = ConfigReading { object_version, config_version: 0, read_at: asked_at };
+            self.state.config_proof.record_reading(reading);
+        }
+    }
+
     /// Applies a snapshot of another entry VM. It takes effect at once, and may be out of date until the store or a
     /// reader confirms it.
     fn apply_snapshot(&mut self, list: ObjectList) -> WatcherOutcome {
@@ -535,8 +567,18 @@
         // A list of the store takes effect with the changes since then, also if there are none.
         let wait = if self.is_caught_up() { MAX_READER_WATCH_WAIT } else { Duration::ZERO };
         let mut watch = pin!(reader.watch(self.prefix, revision, wait));
+        let since = self.state.replica.copies().revision(self.prefix).max(revision);
+        let state = self.state.clone();
+        let poller = ProofPoller::new(&state);
+        let proof = poller.find_changes(self.config_object_version(), since);
         let events = tokio::select! {
             events = &mut watch => Some(events),
+            events = proof, if self.is_caught_up() => {
+                let (events, asked_at) = events?;
+                let changes = self.apply_events(events);
+                self.record_reading(asked_at);
+                return Ok(ReadOutcome::Read(changes));
+            }
             events = find_missed_changes(&self.state, self.prefix, revision, poll) => Some(events),
             Ok(()) = self.source.changed() => finish_transfer(reader, watch).await,
         };
