--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,6 +8,7 @@
 //! |---|---|
 //! | [`account`] | client accounts: API keys, priority, request limit |
 //! | [`concurrency`] | number of requests at which a target completes most work |
+//! | [`key_fence`] | acceptance of API keys by the age of the configuration |
 //! | [`document`] | typed configuration document of a service and its verifier |
 //! | [`estimate`] | estimates of durations and sizes |
 //! | [`evacuation`] | failure domains whose targets get no requests, by order of the operator |
@@ -58,6 +59,7 @@
 pub mod finding;
 pub mod home;
 pub mod ids;
+pub mod key_fence;
 pub mod leaving;
 pub mod limit_ledger;
 pub mod member;
