Spare cold targets, over all entry VMs together

Cause: a target that has just started, or turned cold, tolerates a low rate of requests from all entry VMs together and crashes above it. Only its registration's time left was read, as a guess that it is slower.

Change: for services with a warm-up policy, each target is warm, cold, or lost, which counts as cold until a health response or an entry shows otherwise. Lost connections, failed probes, ejections, new starts and targets that join make it so; probes read the time left. The homes of a target's cells send to it meanwhile, each with an interval between two requests such that twice as many, while views of the fleet differ, stay within the bound of one second. Nothing is exchanged. Retries and hedges avoid cold targets; where all are cold, requests without room are refused at once with the time until there is room. Without a policy nothing changes.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -14,6 +14,7 @@
 mod admit;
 mod attempt;
 mod bind;
+mod cold;
 mod evacuated;
 mod limits;
 mod loan;
@@ -40,6 +41,7 @@
 use std::time::{Duration, Instant};
 
 pub use attempt::{AttemptFailure, FailureDecision, ResponseDecision, ResponseMetadata};
+pub use cold::ColdTargetReport;
 pub use limits::DueClaim;
 pub use shared_slots::ServiceStats;
 
@@ -191,6 +193,8 @@
     max_report_age: Option<Duration>,
     /// Whether all targets are in evacuated failure domains.
     is_evacuated: bool,
+    /// Number of requests that found no target because cold ones are withheld, since the last report.
+    withheld_count: u64,
     rng: SmallRng,
 }
 
@@ -217,6 +221,7 @@
             last_request_at: None,
             max_report_age: None,
             is_evacuated: false,
+            withheld_count: 0,
             rng,
             document,
             settings,
--- a/crates/core/src/dispatch/admit.rs
+++ b/crates/core/src/dispatch/admit.rs
@@ -22,6 +22,7 @@
     pub fn submit(&mut self, mut request: NewRequest, now: Instant, actions: &mut Vec<DispatchAction>) {
         request.rank = request.rank.min(self.ranks.len() - 1);
         self.ranks[request.rank].arrival_rate.record(now);
+        self.count_withheld();
         if let Err(reason) = self.check_admission(&request, now) {
             let retry_after = self.retry_after(request.rank, now);
             actions.push(DispatchAction::Refuse { request: request.request, reason, retry_after });
@@ -66,7 +67,8 @@
         }
         let reserved_time = self.reserved_response_time(request.rank);
         let response_at = now + self.predicted_wait(request.rank, now) + reserved_time;
-        if self.is_backlogged(request.rank, now) && response_at > request.deadline {
+        let is_paced = limited_wait.is_some() && self.targets.has_cold();
+        if !is_paced && self.is_backlogged(request.rank, now) && response_at > request.deadline {
             return Err(RefusalReason::DeadlineUnreachable);
         }
         Ok(())
@@ -107,10 +109,12 @@
     /// Returns the delay after which a refused request is likely to be admitted.
     pub(super) fn retry_after(&mut self, rank: RankId, now: Instant) -> Duration {
         let pause = self.remaining_pause(now);
-        let limited_wait = self.limited_wait(rank, now).unwrap_or_default();
-        let evacuated_wait = self.evacuated_wait();
-        let wait = self.predicted_wait(rank, now).max(MIN_RETRY_AFTER);
-        wait.max(pause).max(limited_wait).max(evacuated_wait)
+        let limited_wait = self.limited_wait(rank, now);
+        // The rate at which cold targets take requests is known, and too low to be measured in time.
+        let is_paced = limited_wait.is_some() && self.targets.has_cold();
+        let predicted_wait = if is_paced { Duration::ZERO } else { self.predicted_wait(rank, now) };
+        let wait = predicted_wait.max(limited_wait.unwrap_or_default());
+        wait.max(MIN_RETRY_AFTER).max(pause).max(self.evacuated_wait())
     }
 
     /// Returns the time until the first target accepts requests again if all have asked for a pause.
--- a/crates/core/src/dispatch/attempt.rs
+++ b/crates/core/src/dispatch/attempt.rs
@@ -30,6 +30,11 @@
         matches!(self, Self::Connect | Self::Refused)
     }
 
+    /// Returns whether the target may have restarted.
+    fn may_show_restart(self) -> bool {
+        matches!(self, Self::Connect | Self::ConnectionLost)
+    }
+
     fn retry_reason(self) -> RetryReason {
         match self {
             Self::Connect => RetryReason::ConnectFailed,
@@ -127,6 +132,9 @@
         actions: &mut Vec<DispatchAction>,
     ) -> FailureDecision {
         self.targets.record_failure(target, now);
+        if failure.may_show_restart() {
+            self.targets.record_loss(target, now);
+        }
         let is_known = self.release_attempt(request, target);
         let decision =
             if is_known { self.decide_retry(request, target, failure, now) } else { FailureDecision::Final };
--- a/crates/core/src/dispatch/shared_slots.rs
+++ b/crates/core/src/dispatch/shared_slots.rs
@@ -180,6 +180,8 @@
         let remote_penalty = REMOTE_PENALTY + self.ranks[rank].response_bytes.value() / REMOTE_PENALTY_BYTES;
         let free = self.targets.free_lists().iter().flatten();
         let candidates = free.filter_map(|key| self.targets.get(*key).map(|target| (*key, target)));
+        let avoids_cold = self.avoids_cold(queued);
+        let candidates = candidates.filter(|(_, target)| !(avoids_cold && target.is_cold()));
         let untried = candidates.filter(|(key, _)| !self.was_tried(queued, *key));
         let scored = untried.map(|(key, target)| {
             let slowdown = self.expected_slowdown(target, now);
--- a/crates/core/src/target.rs
+++ b/crates/core/src/target.rs
@@ -8,8 +8,10 @@
 //! for all others, so the cost of picking a target does not depend on the number of targets. The
 //! entry of a target in the lists is updated on every change of that target.
 
+mod cold;
 mod limits;
 mod state;
+mod warm_up;
 
 use crate::ids::{DomainName, InstanceName, TargetKey};
 use crate::rate_limit::TargetLimit;
@@ -23,6 +25,7 @@
 pub use state::{
     LoadReport, SharedReport, SharedTarget, SlotLoan, TargetLifecycle, TargetSpec, TargetState, WorkReading,
 };
+pub use warm_up::{ColdLimit, WarmUpBudget, WarmUpChange};
 
 /// Maximum age of a load report before it is discarded.
 const REPORT_LIFETIME: Duration = Duration::from_millis(100);
@@ -69,6 +72,10 @@
     timer_list: Vec<TargetKey>,
     /// Targets that state a limit, and some that no longer do.
     limited_list: Vec<TargetKey>,
+    /// Cold targets, and some that no longer are.
+    cold_list: Vec<TargetKey>,
+    /// Changes of targets that turn cold or warm, until they are taken.
+    warm_up_changes: Vec<(TargetKey, WarmUpChange)>,
     /// Limits of instances that are not in the table at present. They still apply if an instance returns.
     retained_limits: HashMap<InstanceName, TargetLimit>,
     /// Number of current ejections and suspensions.
@@ -90,6 +97,8 @@
             free_lists,
             timer_list: Vec::new(),
             limited_list: Vec::new(),
+            cold_list: Vec::new(),
+            warm_up_changes: Vec::new(),
             retained_limits: HashMap::new(),
             excluded_count: 0,
             must_ramp: false,
@@ -134,7 +143,7 @@
             let state = &mut self.targets[key];
             state.instance.clone_from(&target.instance);
             state.total_slots = 0;
-            state.warm_up_until = (!target.warm_up.is_zero()).then(|| now + target.warm_up);
+            self.apply_warm_up_entry(key, target, now);
             self.restore_limit(key);
         }
         self.remove_old_limits(now);
@@ -176,6 +185,9 @@
             let Some(target) = self.targets.get_mut(*key) else { continue };
             if target.needs_report(age, now) {
                 target.last_probe_at = Some(now);
+                if let Some(warm_up) = &mut target.warm_up {
+                    warm_up.record_check();
+                }
                 probed.push(*key);
             }
         }
@@ -199,6 +211,8 @@
             slowdown: None,
             work_meter: None,
             warm_up_until: None,
+            warm_up: None,
+            has_joined: !starts_at_full_limit,
             last_probe_at: None,
             total_slots: self.settings.slots,
             owned_slots: spec.owned_slots,
@@ -339,6 +353,9 @@
             if let Some(limit) = &mut target.rate_limit {
                 limit.take_token();
             }
+            if let Some(warm_up) = &mut target.warm_up {
+                warm_up.record_send();
+            }
             self.update_lists(key);
         }
     }
@@ -366,6 +383,9 @@
             target.relative_latency = target.current_relative_latency(now);
         }
         target.last_response_at = Some(now);
+        if let Some(warm_up) = &mut target.warm_up {
+            warm_up.record_response(now);
+        }
         target.consecutive_failures = 0;
         if target.consecutive_broken_bodies == 0 {
             target.ejections = 0;
@@ -429,6 +449,7 @@
             target.ejected_until = Some(now + duration.min(MAX_EJECTION));
             target.ejections += 1;
             self.excluded_count += 1;
+            self.record_loss(key, now);
         }
     }
 
@@ -525,6 +546,7 @@
                 self.tick_target(key, now);
             }
         }
+        self.trim_cold_list();
     }
 
     /// Returns whether any report, loan, ejection, suspension or pause will expire.
@@ -560,6 +582,7 @@
         if let Some(limit) = &mut target.rate_limit {
             limit.refill(now);
         }
+        self.tick_warm_up(key, now);
         self.update_lists(key);
     }
 
--- a/crates/core/src/target/limits.rs
+++ b/crates/core/src/target/limits.rs
@@ -8,7 +8,7 @@
 /// Time for which the limit of an instance that is not in the table is kept.
 const RETAINED_LIMIT_LIFETIME: Duration = Duration::from_secs(60);
 
-/// Capacity of a service whose usable targets all state limits, for one entry VM.
+/// Capacity of a service whose usable targets all state limits or are cold, for one entry VM.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct LimitedCapacity {
     /// Sum of this entry VM's shares, in requests per second.
@@ -96,20 +96,17 @@
         self.take_limited(|limit| limit.take_due_recheck(now))
     }
 
-    /// Returns the capacity of the service if all usable targets state limits; `None` if one does not, if none
-    /// is usable, or while a first share is awaited.
+    /// Returns the capacity of the service if all usable targets state limits or are cold; `None` if one neither does
+    /// nor is, if none is usable, or while a first share, or the first sign of life of a lost target, is awaited.
     pub fn limited_capacity(&self, now: Instant) -> Option<LimitedCapacity> {
-        if !self.has_limits() {
+        if !self.has_limits() && !self.has_cold() {
             return None;
         }
         let mut usable = self.targets.values().filter(|target| target.is_usable()).peekable();
         usable.peek()?;
         usable.try_fold(LimitedCapacity { per_second: 0.0, tokens: 0.0 }, |sum, target| {
-            let limit = target.rate_limit.filter(TargetLimit::is_active)?;
-            Some(LimitedCapacity {
-                per_second: sum.per_second + limit.share_rate(now)?,
-                tokens: sum.tokens + limit.tokens().floor(),
-            })
+            let (per_second, tokens) = target.limited_capacity(now)?;
+            Some(LimitedCapacity { per_second: sum.per_second + per_second, tokens: sum.tokens + tokens })
         })
     }
 
@@ -161,3 +158,24 @@
         self.update_lists(key);
     }
 }
+
+impl TargetState {
+    /// Returns the rate at which this entry VM may send to a target that states a limit or is cold, in requests per second,
+    /// and the number of requests that it may send now. Of two limits the lower one holds.
+    fn limited_capacity(&self, now: Instant) -> Option<(f64, f64)> {
+        let limit = self.rate_limit.filter(TargetLimit::is_active);
+        let cold = self.warm_up.as_ref().filter(|warm_up| warm_up.is_cold());
+        let stated = match limit {
+            Some(limit) => Some((limit.share_rate(now)?, limit.tokens().floor())),
+            None => None,
+        };
+        let cold = match cold {
+            Some(warm_up) => Some(warm_up.capacity(now)?),
+            None => None,
+        };
+        match (stated, cold) {
+            (Some(stated), Some(cold)) => Some((stated.0.min(cold.0), stated.1.min(cold.1))),
+            (stated, cold) => stated.or(cold),
+        }
+    }
+}
--- a/crates/core/src/target/state.rs
+++ b/crates/core/src/target/state.rs
@@ -1,5 +1,6 @@
 //! State of one target, from the point of view of one entry VM.
 
+use super::warm_up::{ColdLimit, WarmUpState};
 use crate::ids::{DomainName, InstanceName};
 use crate::rate_limit::{LimitObservation, TargetLimit};
 use std::net::SocketAddr;
@@ -47,6 +48,8 @@
     pub instance: InstanceName,
     /// Remaining time for which the target is slow after its start.
     pub warm_up: Duration,
+    /// How the target is treated while it is cold; `None` if its service has no warm-up policy.
+    pub cold_limit: Option<ColdLimit>,
 }
 
 /// Load that a target reported with a response.
@@ -142,6 +145,10 @@
     pub(super) slowdown: Option<(f64, Instant)>,
     pub(super) work_meter: Option<WorkMeter>,
     pub(super) warm_up_until: Option<Instant>,
+    /// Whether the target is cold, if its service has a warm-up policy.
+    pub(super) warm_up: Option<WarmUpState>,
+    /// Whether the target has joined a table that had targets before.
+    pub(super) has_joined: bool,
     /// Time at which a report was last requested from the target.
     pub(super) last_probe_at: Option<Instant>,
     /// Number of slots of the target, of which each belongs to one entry VM; 0 if its slots are shared.
@@ -251,8 +258,11 @@
     /// Returns the expected slowdown: the weighted mean of the last report and `average`, the mean of
     /// the service's reports. The weight of the last report decays with its age.
     pub fn expected_slowdown(&self, average: f64, now: Instant) -> f64 {
-        let warm_up =
-            if self.warm_up_until.is_some_and(|until| now < until) { WARM_UP_SLOWDOWN } else { 1.0 };
+        let warm_up = if self.is_cold() || self.warm_up_until.is_some_and(|until| now < until) {
+            WARM_UP_SLOWDOWN
+        } else {
+            1.0
+        };
         let Some((slowdown, reported)) = self.slowdown else { return average * warm_up };
         let age = now.saturating_duration_since(reported).as_secs_f64();
         let weight = (-age / SLOWDOWN_TIME_CONSTANT.as_secs_f64()).exp();
@@ -292,11 +302,15 @@
     }
 
     /// Returns whether a probe is due: the target is usable and states no limit, which probes would use up,
-    /// and both its last report and its last probe are at least `age` old.
+    /// and both its last report and its last probe are at least `age` old. A target that may be cold is also probed with a
+    /// recent report.
     pub fn needs_report(&self, age: Duration, now: Instant) -> bool {
         let is_old = |at: Instant| now.saturating_duration_since(at) >= age;
         let is_stale = self.slowdown.is_none_or(|(_, reported)| is_old(reported));
-        is_stale && self.last_probe_at.is_none_or(is_old) && self.is_usable() && !self.is_limited()
+        let warm_up = self.warm_up.as_ref().filter(|warm_up| warm_up.wants_reading(now));
+        let is_wanted = is_stale || warm_up.is_some();
+        let is_due = self.last_probe_at.is_none_or(is_old) || warm_up.is_some_and(WarmUpState::is_urgent);
+        is_wanted && is_due && self.is_usable() && !self.is_limited()
     }
 
     /// Returns the age of the last reported slowdown.
@@ -322,11 +336,18 @@
             || self.suspended_until.is_some()
             || self.held_until.is_some()
             || self.is_limited()
+            || self.is_cold()
+    }
+
+    /// Returns whether the target is cold, or counts as cold.
+    pub fn is_cold(&self) -> bool {
+        self.warm_up.as_ref().is_some_and(WarmUpState::is_cold)
     }
 
     /// Returns whether another request may be sent to the target now.
     pub fn has_free_slot(&self) -> bool {
         let may_send = self.rate_limit.is_none_or(|limit| limit.has_token());
+        let may_send = may_send && self.warm_up.as_ref().is_none_or(WarmUpState::may_send);
         self.is_usable() && may_send && self.in_flight < self.limit()
     }
 }
--- a/crates/core/tests/evacuation.rs
+++ b/crates/core/tests/evacuation.rs
@@ -94,6 +94,7 @@
             },
             instance: format!("i{index}"),
             warm_up: Duration::ZERO,
+            cold_limit: None,
         };
         let targets: Vec<SharedTarget> = (0..count).map(target).collect();
         self.dispatcher.replace_shared_targets(&targets, self.now, &mut self.actions);
--- a/crates/core/tests/hold_off.rs
+++ b/crates/core/tests/hold_off.rs
@@ -64,6 +64,7 @@
             },
             instance: format!("i{index}"),
             warm_up: Duration::ZERO,
+            cold_limit: None,
         };
         let targets: Vec<SharedTarget> = (0..target_count).map(target).collect();
         let (now, mut actions) = (Instant::now(), Vec::new());
--- a/crates/core/tests/rate_limit.rs
+++ b/crates/core/tests/rate_limit.rs
@@ -294,6 +294,7 @@
             },
             instance: (*instance).to_owned(),
             warm_up: Duration::ZERO,
+            cold_limit: None,
         };
         let targets: Vec<SharedTarget> = instances.iter().enumerate().map(target).collect();
         self.dispatcher.replace_shared_targets(&targets, self.now, &mut self.actions);
--- a/crates/core/tests/shared.rs
+++ b/crates/core/tests/shared.rs
@@ -34,7 +34,7 @@
         lifecycle: TargetLifecycle::Live,
         owned_slots: 4,
     };
-    SharedTarget { spec, instance: instance.to_owned(), warm_up: Duration::ZERO }
+    SharedTarget { spec, instance: instance.to_owned(), warm_up: Duration::ZERO, cold_limit: None }
 }
 
 fn route(name: &str, prefix: &str, weights: &[(&str, u32)], priority: u32) -> RouteSpec {
--- a/crates/core/tests/shared_model.rs
+++ b/crates/core/tests/shared_model.rs
@@ -65,6 +65,7 @@
         },
         instance: format!("i{index}-{generation}"),
         warm_up: Duration::ZERO,
+        cold_limit: None,
     };
     (0..TARGETS).filter(|index| is_set(present, *index)).map(target).collect()
 }
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -133,12 +133,20 @@
     pub requests_discarded: AtomicU64,
     /// Returns of the store from an older copy, counted for each kind of object.
     pub store_returns: AtomicU64,
+    /// Targets that have turned cold.
+    pub targets_turned_cold: AtomicU64,
+    /// Targets with which contact was lost, so that they count as cold until a health response shows how they are.
+    pub targets_lost: AtomicU64,
+    /// Targets that have turned warm.
+    pub targets_turned_warm: AtomicU64,
+    /// Requests that found no target because cold ones were spared.
+    pub requests_withheld: AtomicU64,
     /// Evacuations of failure domains that have begun.
     pub evacuations: AtomicU64,
 }
 
 impl ProcessCounters {
-    fn named(&self) -> [(&'static str, &AtomicU64); 34] {
+    fn named(&self) -> [(&'static str, &AtomicU64); 38] {
         [
             ("lookups", &self.lookups),
             ("probe_calls", &self.probe_calls),
@@ -174,6 +182,10 @@
             ("requests_discarded", &self.requests_discarded),
             ("store_returns", &self.store_returns),
             ("evacuations", &self.evacuations),
+            ("targets_turned_cold", &self.targets_turned_cold),
+            ("targets_lost", &self.targets_lost),
+            ("targets_turned_warm", &self.targets_turned_warm),
+            ("requests_withheld", &self.requests_withheld),
         ]
     }
 }
--- a/crates/relay/src/decision_log.rs
+++ b/crates/relay/src/decision_log.rs
@@ -36,6 +36,8 @@
     Unanswered,
     /// A target states another limit than before.
     LimitChanged,
+    /// A target has turned cold or warm.
+    WarmUpChanged,
 }
 
 impl DecisionKind {
@@ -50,6 +52,7 @@
             Self::OnTime => "answered",
             Self::Unanswered => "unanswered",
             Self::LimitChanged => "limit changed",
+            Self::WarmUpChanged => "warm-up changed",
         }
     }
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -41,6 +41,7 @@
 //! | [`forwarded_requests`] | requests that another entry VM has forwarded |
 //! | [`isolation_reports`] | exchange of reports about isolated entry VMs |
 //! | [`load_probe`] | probes for targets' load reports |
+//! | `cold_targets` | log lines and counters about cold targets |
 //! | [`decision_log`] | log lines about decisions on requests |
 //! | [`http_api`] | lookups, readiness checks, metrics and replication to followers |
 
@@ -49,6 +50,7 @@
 pub mod caller_connection;
 pub mod caller_response;
 pub mod change_index;
+mod cold_targets;
 pub mod connection_end;
 pub mod content_coding;
 pub mod copy_offers;
--- a/crates/relay/src/shared_state.rs
+++ b/crates/relay/src/shared_state.rs
@@ -1,5 +1,6 @@
 //! State shared by all tasks: routes, services, entry VMs and the phase of the process.
 
+mod cold_limits;
 mod placement;
 mod target_lists;
 mod unrouted_services;
@@ -13,6 +14,7 @@
 use crate::target_checks::TargetLinks;
 use crate::unaware_vms::UnawareVms;
 use arc_swap::{ArcSwap, ArcSwapOption};
+use cold_limits::ColdPolicies;
 use placement::OwnCell;
 use sniperelay_config::RelaySettings;
 use sniperelay_core::account::{AccountTable, ClientAccount};
@@ -24,7 +26,7 @@
 use sniperelay_core::memory_budget::MemoryBudget;
 use sniperelay_core::pick::PickPolicy;
 use sniperelay_core::route::{RouteConfig, RouteTable, RouteVersion};
-use sniperelay_core::target::{SharedTarget, TargetLifecycle, TargetSpec};
+use sniperelay_core::target::{ColdLimit, SharedTarget, TargetLifecycle, TargetSpec};
 use sniperelay_hosted::bounds::PlatformBounds;
 use sniperelay_hosted::registration::{EntryVmRecord, TargetRecord};
 use sniperelay_hosted::store::ObjectStore;
@@ -355,7 +357,8 @@
     pub fn assign_targets(&self) {
         let has_copies = self.routes.load().is_some() && self.has_targets.load(Ordering::Relaxed);
         let targets = self.targets();
-        let cells = self.own_cells(&targets);
+        let policies = self.cold_policies();
+        let cells = self.own_cells(&targets, &policies);
         self.for_each_service(|entry| {
             let service = &entry.document.name;
             let cell = cells.get(service);
@@ -367,18 +370,26 @@
                 dispatcher.set_attempt_budget_capacity(capacity);
                 dispatcher.set_evacuated(is_evacuated, now, actions);
             });
-            self.update_service_targets(
-                service,
-                &entry.dispatcher_handle,
-                &targets,
-                cell.map(|cell| &cell.targets),
-            );
+            self.update_service_targets(service, &entry.dispatcher_handle, &targets, cell, &policies);
         });
         if has_copies {
             self.has_assigned_targets.store(true, Ordering::Release);
         }
     }
 
+    /// Records that the list of entry VMs has been read completely. Before, this entry VM sends nothing to cold targets.
+    pub fn settle_membership(&self) {
+        if !self.is_membership_settled.swap(true, Ordering::Relaxed) && !self.cold_policies().is_empty() {
+            self.assign_targets();
+        }
+    }
+
+    fn cold_policies(&self) -> ColdPolicies {
+        let routes = self.routes.load();
+        let services = routes.as_ref().map_or(&[][..], |routes| &routes.config.services);
+        ColdPolicies::new(services, self.bounds.warm_up_tolerance)
+    }
+
     /// Returns the time at which a registered instance has started, in milliseconds since the Unix epoch.
     pub fn started_millis(&self, instance: &InstanceName) -> Option<u64> {
         self.targets().values().find(|record| record.instance == *instance)?.started_millis
@@ -441,16 +452,21 @@
         service: &str,
         dispatcher_handle: &Arc<DispatcherHandle>,
         targets: &TargetMap,
-        cell: Option<&HashSet<SocketAddr>>,
+        cell: Option<&OwnCell>,
+        policies: &ColdPolicies,
     ) {
-        let is_own = |target: &&TargetRecord| cell.is_none_or(|cell| cell.contains(&target.address));
+        let is_own = |target: &&TargetRecord| cell.is_none_or(|cell| cell.targets.contains(&target.address));
+        let sender_cell = cell.filter(|_| self.is_membership_settled.load(Ordering::Relaxed));
         let own = targets.values().filter(|target| target.service == service).filter(is_own);
         let mut targets_by_address: BTreeMap<SocketAddr, (u64, SharedTarget)> = BTreeMap::new();
         for record in own {
             let started = record.started_millis.unwrap_or(0);
             // If two instances have the same address, only the one that started later can still exist.
             if targets_by_address.get(&record.address).is_none_or(|(other, _)| *other <= started) {
-                targets_by_address.insert(record.address, (started, self.make_target(record)));
+                targets_by_address.insert(
+                    record.address,
+                    (started, self.make_target(record, policies.limit_of(record, sender_cell))),
+                );
             }
         }
         self.exclude_leaving(service, targets, targets_by_address.values_mut().map(|(_, target)| target));
@@ -485,7 +501,7 @@
         }
     }
 
-    fn make_target(&self, record: &TargetRecord) -> SharedTarget {
+    fn make_target(&self, record: &TargetRecord, cold_limit: Option<ColdLimit>) -> SharedTarget {
         let usable_slots = (f64::from(record.slots) * self.settings.routing.slot_fill).round();
         SharedTarget {
             spec: TargetSpec {
@@ -496,6 +512,7 @@
             },
             instance: record.instance.clone(),
             warm_up: record.warm_up,
+            cold_limit,
         }
     }
 
--- a/crates/relay/src/shared_state/placement.rs
+++ b/crates/relay/src/shared_state/placement.rs
@@ -4,6 +4,7 @@
 //! All of this is computed from the shared lists of entry VMs, targets and routes, so that entry VMs with the same
 //! lists agree.
 
+use super::cold_limits::ColdPolicies;
 use super::{RelayState, TargetMap, is_live};
 use rand::seq::IndexedRandom;
 use sniperelay_core::home::{
@@ -26,6 +27,10 @@
     pub(super) host_count: usize,
     /// Total number of homes of these hosts.
     pub(super) home_count: usize,
+    /// Targets to which this entry VM may send while they are cold.
+    pub(super) cold_targets: HashSet<SocketAddr>,
+    /// Maximum number of entry VMs that may send to a cold target.
+    pub(super) cold_sender_count: usize,
 }
 
 /// Share of the platform's limit on the rate of load probes that is used.
@@ -175,26 +180,43 @@
 
     /// Returns the targets that this entry VM serves, by service. If this entry VM serves all targets of
     /// a service, there is no entry for the service.
-    pub(super) fn own_cells(&self, targets: &TargetMap) -> HashMap<ServiceName, OwnCell> {
+    pub(super) fn own_cells(
+        &self,
+        targets: &TargetMap,
+        policies: &ColdPolicies,
+    ) -> HashMap<ServiceName, OwnCell> {
         let Some(routes) = self.routes.load_full() else { return HashMap::new() };
         let own = self.own_home_id();
         let mut cells: HashMap<ServiceName, OwnCell> = HashMap::new();
         let mut counts: HashMap<ServiceName, (usize, usize)> = HashMap::new();
-        for host in routes.table.hosts() {
+        let mut sender_counts: HashMap<ServiceName, usize> = HashMap::new();
+        // In the same order everywhere, as the first hosts send to cold targets.
+        let mut hosts: Vec<&str> = routes.table.hosts().collect();
+        hosts.sort_unstable();
+        for host in hosts {
             let homes = self.choose_host_homes(host, targets);
             for service in routes.table.services_of(host) {
                 let count = counts.entry(service.clone()).or_default();
+                let may_send_to_cold = count.0 < policies.max_hosts(service);
                 *count = (count.0 + 1, count.1 + homes.len());
+                if may_send_to_cold {
+                    *sender_counts.entry(service.clone()).or_default() += homes.len().min(HOMES_PER_CELL);
+                }
                 let live = targets.values().filter(|target| target.service == *service && is_live(target));
                 let live_targets: Vec<(SocketAddr, String)> =
                     live.map(|target| (target.address, target.domain.clone())).collect();
                 if let Some(cell) = cell_targets(own, &homes, &live_targets) {
-                    cells.entry(service.clone()).or_default().targets.extend(cell);
+                    let own_cell = cells.entry(service.clone()).or_default();
+                    if may_send_to_cold {
+                        own_cell.cold_targets.extend(&cell);
+                    }
+                    own_cell.targets.extend(cell);
                 }
             }
         }
         for (service, cell) in &mut cells {
             (cell.host_count, cell.home_count) = counts[service];
+            cell.cold_sender_count = sender_counts.get(service).copied().unwrap_or(0);
         }
         cells
     }
--- a/crates/relay/src/store_sync.rs
+++ b/crates/relay/src/store_sync.rs
@@ -780,7 +780,7 @@
             is_first_read = false;
             tokio::time::sleep(REGISTRATION_PERIOD).await;
         } else if watcher.is_caught_up() {
-            state.is_membership_settled.store(true, Ordering::Relaxed);
+            state.settle_membership();
         }
     }
 }
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -49,6 +49,8 @@
     pub endless_bytes: AtomicUsize,
     /// Connections accepted.
     pub connections: AtomicUsize,
+    /// Time that health responses state until the target is warm, in milliseconds; 0 if they state none.
+    pub warm_up_ms: AtomicUsize,
     /// Response to health checks; a valid one if there is none.
     health_action: Option<ScriptedAction>,
 }
@@ -78,6 +80,7 @@
             early_closes: AtomicUsize::new(0),
             endless_bytes: AtomicUsize::new(0),
             connections: AtomicUsize::new(0),
+            warm_up_ms: AtomicUsize::new(0),
             health_action,
         });
         let server = target.clone();
@@ -111,7 +114,13 @@
                 if let Some(ScriptedAction::Endless(first, repeated, pause)) = &self.health_action {
                     return self.write_endless(&mut stream, first, repeated, *pause).await;
                 }
-                let response = "HTTP/1.1 200 OK\r\nX-Instance-Id: i\r\nX-Instance-Load: 0,0,4,100\r\nContent-Length: 0\r\n\r\n";
+                let warm_up = match self.warm_up_ms.load(Ordering::Relaxed) {
+                    0 => String::new(),
+                    left => format!("X-Warmup-Ms: {left}\r\n"),
+                };
+                let response = format!(
+                    "HTTP/1.1 200 OK\r\nX-Instance-Id: i\r\nX-Instance-Load: 0,0,4,100\r\n{warm_up}Content-Length: 0\r\n\r\n"
+                );
                 if stream.write_all(response.as_bytes()).await.is_err() {
                     return;
                 }
