Make room for new callers at the connection limit instead of cutting them

Cause: at 3,000 caller connections, a default that follows from neither the descriptors nor the memory of the VM, a new connection was closed unread, with a warning for each. Its caller opens another one at once, so that the limit made load; all accounts paid for the one with most connections.

Change: core::connection_table decides, by holder (the client account of the first request, or the address). At the limit a connection is provisional until the head of its first request has been read. Idle connections end first, those of the holder furthest beyond its share before others, the longest idle first. Where nothing is idle, a holder within its share is served in a reserve, and others hear 503 connection-limit with Retry-After; no body is stored for them. Closing unread is the last resort, when the reserve is used up. The lines are rate-limited. The limit follows from the settings keys descriptors and memory-mb (3,047 of 4,100 descriptors, 6,244 of 8,192); caller-connections goes before them; without the keys it is 3,000 as before. Above three quarters of the limit, responses state no Keep-Alive time. The test of the deploy template fills in the two new placeholders.

With the former cut in place of the provisional state, four tests of connection_room and request_that_crosses_the_end_for_another_connection_is_not_read fail. Each taken out alone fails its test: the largest holder first, own idle connections, the room beyond the limit, the protection of connections in use, the bound of the reserve, the return of the excess, the resumption, the wake-up, the account as holder.

--- a/crates/cli/tests/explain.rs
+++ b/crates/cli/tests/explain.rs
@@ -96,9 +96,12 @@
         ("{{Bounds}}", "{\"Grace\":\"6s\",\"BudgetSlack\":\"60\"}"),
         ("{{Limits.CpuShare}}", "0.2"),
         ("{{Limits.LinkMbps}}", "1000.0"),
+        ("{{Limits.MaxFds}}", "4100"),
+        ("{{Limits.MemoryMb}}", "260"),
     ];
     let filled = values.iter().fold(template.to_owned(), |text, (name, value)| text.replace(name, value));
     assert!(!filled.contains("{{"), "{filled}");
     let settings = sniperelay_config::parse_relay_settings("entry-vm.ini", &filled).unwrap();
     assert_eq!((settings.routing.capacity(), settings.entry.peer_address.port()), (120, 4));
+    assert_eq!(settings.limits.caller_connections, 3047);
 }
--- a/crates/config/src/relay.rs
+++ b/crates/config/src/relay.rs
@@ -20,6 +20,22 @@
 /// Minimum memory for responses, in bytes: a few of the read buffers of target connections.
 const MIN_RESPONSE_MEMORY_BYTES: usize = 1024 * 1024;
 
+/// Maximum number of caller connections if neither it nor the descriptors are stated.
+const DEFAULT_CALLER_CONNECTIONS: usize = 3000;
+/// Descriptors that the platform reserves for files.
+const FILE_DESCRIPTORS: usize = 200;
+/// Divisor of the other descriptors: this part is for targets, other entry VMs, the store and listeners.
+const OWN_DESCRIPTOR_DIVISOR: usize = 6;
+/// Divisor of the memory: this part is for caller connections.
+const CONNECTION_MEMORY_DIVISOR: usize = 3;
+/// Memory of a caller connection, in bytes: its read buffer of 8 KB, and as much again for its tasks and for what has been
+/// received and not yet read.
+const CONNECTION_BYTES: usize = 16 * 1024;
+/// Divisor of the caller connections: this part is the reserve for those that are ending or are refused.
+const CONNECTION_RESERVE_DIVISOR: usize = 16;
+/// Minimum reserve, so that at least two connections can end and two be refused at the same time.
+const MIN_CONNECTION_RESERVE: usize = 4;
+
 /// Limits of the duration of a first quarantine. Crashes become known everywhere within about a second; the longest
 /// quarantine takes an hour.
 const FIRST_QUARANTINE_LIMITS: RangeInclusive<Duration> = Duration::from_secs(1)..=Duration::from_secs(3600);
@@ -109,6 +125,9 @@
 pub struct RelayLimitSettings {
     /// Maximum number of caller connections.
     pub caller_connections: usize,
+    /// Number of further caller connections: those that are ending, and those that are read in order to refuse their
+    /// requests.
+    pub connection_reserve: usize,
     /// Maximum size of a request body, in bytes, even if the configuration allows more.
     pub body_bytes: usize,
     /// Memory for the request bodies that are being received or are kept until their requests end, in bytes.
@@ -222,8 +241,10 @@
 }
 
 fn read_limits(section: SectionReader<'_>) -> RelayLimitSettings {
+    let (caller_connections, connection_reserve) = read_caller_connections(&section);
     let settings = RelayLimitSettings {
-        caller_connections: section.parsed_or("caller-connections", "a whole number", 3000),
+        caller_connections,
+        connection_reserve,
         body_bytes: section.parsed_or("body-bytes", "a whole number", DEFAULT_BODY_BYTES),
         request_memory_bytes: section.parsed_or(
             "request-memory-bytes",
@@ -252,3 +273,39 @@
     section.report_unknown_keys();
     settings
 }
+
+/// Returns the maximum number of caller connections and the reserve. A stated number goes before what the descriptors and the
+/// memory of the VM allow.
+fn read_caller_connections(section: &SectionReader<'_>) -> (usize, usize) {
+    let stated: Option<usize> = section.parsed("caller-connections", "a whole number");
+    let by_descriptors = read_vm_limit(section, "descriptors").map(connections_by_descriptors);
+    let by_memory = read_vm_limit(section, "memory-mb").map(connections_by_memory);
+    if let Some(stated) = stated {
+        return (stated, (stated / CONNECTION_RESERVE_DIVISOR).max(MIN_CONNECTION_RESERVE));
+    }
+    let Some(all) = by_descriptors.into_iter().chain(by_memory).min() else {
+        let reserve = DEFAULT_CALLER_CONNECTIONS / CONNECTION_RESERVE_DIVISOR;
+        return (DEFAULT_CALLER_CONNECTIONS, reserve);
+    };
+    let reserve = (all / CONNECTION_RESERVE_DIVISOR).max(MIN_CONNECTION_RESERVE);
+    let connections = all.saturating_sub(reserve);
+    if connections == 0 {
+        section.report("descriptors", "and memory-mb leave no room for callers");
+    }
+    (connections.max(1), reserve)
+}
+
+/// Reads a limit of the VM. A template leaves the value empty if the platform states none.
+fn read_vm_limit(section: &SectionReader<'_>, key: &'static str) -> Option<usize> {
+    section.optional(key).filter(|text| !text.is_empty())?;
+    section.parsed(key, "a whole number")
+}
+
+fn connections_by_descriptors(descriptors: usize) -> usize {
+    let sockets = descriptors.saturating_sub(FILE_DESCRIPTORS);
+    sockets - sockets / OWN_DESCRIPTOR_DIVISOR
+}
+
+fn connections_by_memory(megabytes: usize) -> usize {
+    megabytes.saturating_mul(1024 * 1024) / CONNECTION_MEMORY_DIVISOR / CONNECTION_BYTES
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -13,6 +13,7 @@
 //! | [`event_rate`] | rate of events |
 //! | [`finding`] | findings of a verifier, with their location |
 //! | [`reason`] | outcomes, refusal reasons and retry reasons |
+//! | [`connection_table`] | caller connections: which are admitted, and which end for others |
 //! | [`claim`] | idempotency keys that are bound to one process incarnation |
 //! | [`fair_share`] | fair sharing of slot time between ranks |
 //! | [`queue`] | bounded request queue of one rank |
@@ -43,6 +44,7 @@
 pub mod borrow;
 pub mod budget;
 pub mod claim;
+pub mod connection_table;
 pub mod digest;
 pub mod dispatch;
 pub mod document;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -127,6 +127,12 @@
     pub isolations: AtomicU64,
     /// Caller connections closed because they were idle for too long.
     pub connections_timed_out: AtomicU64,
+    /// Idle caller connections closed because others needed their places.
+    pub connections_ended: AtomicU64,
+    /// Caller connections closed at the limit, after a refusal of their first request.
+    pub connections_refused: AtomicU64,
+    /// Caller connections closed unread at the limit.
+    pub connections_cut: AtomicU64,
     /// Requests in flight when their caller's connection ended.
     pub requests_cancelled: AtomicU64,
     /// Requests whose bytes arrived after this process had closed their connection.
@@ -138,7 +144,7 @@
 }
 
 impl ProcessCounters {
-    fn named(&self) -> [(&'static str, &AtomicU64); 34] {
+    fn named(&self) -> [(&'static str, &AtomicU64); 37] {
         [
             ("lookups", &self.lookups),
             ("probe_calls", &self.probe_calls),
@@ -170,6 +176,9 @@
             ("forwarded_requests_taken", &self.forwarded_requests_taken),
             ("isolations", &self.isolations),
             ("connections_timed_out", &self.connections_timed_out),
+            ("connections_ended", &self.connections_ended),
+            ("connections_refused", &self.connections_refused),
+            ("connections_cut", &self.connections_cut),
             ("requests_cancelled", &self.requests_cancelled),
             ("requests_discarded", &self.requests_discarded),
             ("store_returns", &self.store_returns),
@@ -197,10 +206,16 @@
     pub request_memory_bytes: AtomicU64,
     /// Memory of the responses that are being received or delivered, in bytes.
     pub response_memory_bytes: AtomicU64,
+    /// Open caller connections, the idle ones included.
+    pub caller_connections: AtomicU64,
+    /// Idle caller connections.
+    pub idle_connections: AtomicU64,
+    /// Caller connections that are ending.
+    pub ending_connections: AtomicU64,
 }
 
 impl LocalViewGauges {
-    fn named(&self) -> [(&'static str, &AtomicU64); 8] {
+    fn named(&self) -> [(&'static str, &AtomicU64); 11] {
         [
             ("configuration_version", &self.configuration_version),
             ("targets", &self.targets),
@@ -210,6 +225,9 @@
             ("store_age_ms", &self.store_age_ms),
             ("request_memory_bytes", &self.request_memory_bytes),
             ("response_memory_bytes", &self.response_memory_bytes),
+            ("caller_connections", &self.caller_connections),
+            ("idle_connections", &self.idle_connections),
+            ("ending_connections", &self.ending_connections),
         ]
     }
 }
--- a/crates/relay/src/caller_connection.rs
+++ b/crates/relay/src/caller_connection.rs
@@ -9,15 +9,17 @@
 use crate::body_memory::{BodyMemory, StoredBody};
 use crate::caller_response::{CallerResponse, ConnectionReuse, RelayRefusal};
 use crate::connection_end::{ConnectionEnd, MAX_LATE_BYTES, report_cancelled, report_late_bytes};
+use crate::connection_room::ConnectionPlace;
 use crate::request_body::BodyReader;
 use crate::request_handler::{RequestOrigin, SHUTDOWN_RETRY_AFTER, handle_request};
 use crate::request_head::{BodyFraming, RequestError, RequestHead, parse_head};
 use crate::shared_state::{ConnectionGuard, RelayState};
 use bytes::BytesMut;
 use http::{HeaderValue, Method};
+use sniperelay_core::connection_table::{ConnectionHolder, RECENT_USE};
 use sniperelay_core::reason::RefusalReason;
 use sniperelay_core::route::CallerLimits;
-use sniperelay_hosted::headers::{REQUEST_ID, read_deadline};
+use sniperelay_hosted::headers::{REQUEST_ID, read_api_key, read_deadline};
 use sniperelay_node::lifecycle::LifecyclePhase;
 use sniperelay_node::traffic::caller_connection::{FIRST_REQUEST_GRACE, take_backlog};
 use socket2::SockRef;
@@ -47,6 +49,8 @@
 const DEFAULT_CALLER_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time after which a caller may retry a request whose body finds no room: a large body arrives within seconds.
 const NO_ROOM_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Time after which a caller may retry a request that is refused at the limit of connections: other requests end by then.
+const CONNECTION_RETRY_AFTER: Duration = Duration::from_millis(200);
 /// Pause after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// Number of buffered bytes from which no more bytes are read from a connection until earlier requests
@@ -83,7 +87,7 @@
     }
 }
 
-/// Starts to serve a connection, unless the connection limit is reached. The connection counts as open
+/// Starts to serve a connection, unless there is no room for it. The connection counts as open
 /// from here on, so that a shutdown does not end before its task has run.
 fn start_connection(
     state: &Arc<RelayState>,
@@ -91,25 +95,16 @@
     caller: IpAddr,
     drain: &watch::Receiver<bool>,
 ) {
-    if state.connections.load(Ordering::Relaxed) >= state.settings.limits.caller_connections {
-        log::warn!("connection limit reached; closed a new caller connection");
-        return;
-    }
+    let Some(place) = state.connection_room.accept(caller, &state.decisions) else { return };
     let guard = ConnectionGuard::open(state);
-    tokio::spawn(serve_connection(state.clone(), stream, caller, drain.clone(), guard));
+    let connection = CallerConnection::new(state.clone(), stream, caller, drain.clone(), place);
+    tokio::spawn(serve_connection(connection, guard));
 }
 
-async fn serve_connection(
-    state: Arc<RelayState>,
-    stream: TcpStream,
-    caller: IpAddr,
-    drain: watch::Receiver<bool>,
-    _guard: ConnectionGuard,
-) {
-    if let Err(error) = stream.set_nodelay(true) {
+async fn serve_connection(mut connection: CallerConnection, _guard: ConnectionGuard) {
+    if let Err(error) = connection.stream.set_nodelay(true) {
         log::debug!("cannot set TCP_NODELAY on a caller connection: {error}");
     }
-    let mut connection = CallerConnection::new(state, stream, caller, drain);
     let end = connection.serve().await.unwrap_or_else(|error| {
         log::debug!("caller connection ended: {error}");
         ConnectionEnd::Failed
@@ -147,6 +142,8 @@
     Response(CallerResponse),
     TimedOut,
     Draining,
+    /// Another connection needs the place of this one.
+    MakingRoom,
     /// The process ends soon, and the rest of a request has not arrived.
     Ending,
 }
@@ -171,11 +168,20 @@
     stated_idle_timeout: Duration,
     /// Whether a request has been received.
     has_request: bool,
+    /// Whether no request has begun, and the connection has not been counted as idle for that.
+    awaits_first_request: bool,
     opened_at: Instant,
+    place: ConnectionPlace,
 }
 
 impl CallerConnection {
-    fn new(state: Arc<RelayState>, stream: TcpStream, caller: IpAddr, drain: watch::Receiver<bool>) -> Self {
+    fn new(
+        state: Arc<RelayState>,
+        stream: TcpStream,
+        caller: IpAddr,
+        drain: watch::Receiver<bool>,
+        place: ConnectionPlace,
+    ) -> Self {
         Self {
             state,
             stream,
@@ -188,7 +194,9 @@
             waiting_since: Instant::now(),
             stated_idle_timeout: Duration::ZERO,
             has_request: false,
+            awaits_first_request: true,
             opened_at: Instant::now(),
+            place,
         }
     }
 
@@ -210,12 +218,21 @@
                 // The runtime learns of received bytes only when it polls for events. On a VM that is
                 // short of CPU time, a request may have arrived unnoticed while the timeout expired or
                 // the shutdown began.
-                ConnectionEvent::TimedOut | ConnectionEvent::Draining
+                ConnectionEvent::TimedOut | ConnectionEvent::Draining | ConnectionEvent::MakingRoom
                     if self.is_between_requests() && has_unread_bytes(&self.stream) =>
                 {
+                    self.place.resume();
                     self.waiting_since = Instant::now();
                     tokio::task::yield_now().await;
                 }
+                ConnectionEvent::MakingRoom => return Ok(ConnectionEnd::MadeRoom),
+                ConnectionEvent::TimedOut if self.awaits_first_request => {
+                    self.awaits_first_request = false;
+                    if self.place.is_provisional() {
+                        return Ok(ConnectionEnd::MadeRoom);
+                    }
+                    self.place.set_idle();
+                }
                 // The configuration may have raised the timeout meanwhile.
                 ConnectionEvent::TimedOut if Instant::now() < self.read_expiry() => {}
                 ConnectionEvent::TimedOut if self.is_between_requests() => {
@@ -241,7 +258,7 @@
         let is_idle = self.running.is_empty();
         let has_room = self.running.len() < MAX_PIPELINED_REQUESTS && self.buffer.len() < MAX_BUFFERED_BYTES;
         let may_read = self.error.is_none() && has_room;
-        let expiry = self.read_expiry();
+        let expiry = self.next_expiry();
         let is_between = is_idle && self.is_between_requests();
         let ending = self.state.stop_deadline.wait_until_too_late(|| Duration::ZERO);
         let grace = if self.has_request { Duration::ZERO } else { FIRST_REQUEST_GRACE };
@@ -259,6 +276,7 @@
             read = self.stream.read_buf(&mut self.buffer), if may_read => read.map(ConnectionEvent::Read),
             () = tokio::time::sleep_until(expiry), if is_idle => Ok(ConnectionEvent::TimedOut),
             () = draining, if is_between => Ok(ConnectionEvent::Draining),
+            () = self.place.wait_for_end(), if is_between => Ok(ConnectionEvent::MakingRoom),
             () = ending, if is_idle && !is_between => Ok(ConnectionEvent::Ending),
         }
     }
@@ -290,6 +308,12 @@
         large.map_or(expiry, |partial| expiry.min(partial.expires_at))
     }
 
+    /// Returns the time at which the connection counts as idle without having had a request, or [`Self::read_expiry`].
+    fn next_expiry(&self) -> Instant {
+        let expiry = self.read_expiry();
+        if self.awaits_first_request { expiry.min(self.opened_at + RECENT_USE) } else { expiry }
+    }
+
     fn is_between_requests(&self) -> bool {
         self.buffer.is_empty() && self.partial.is_none()
     }
@@ -336,6 +360,10 @@
         let limits = self.limits();
         if self.partial.is_none() {
             let Some(head) = parse_head(&mut self.buffer, limits.header_bytes)? else { return Ok(None) };
+            self.awaits_first_request = false;
+            if !self.place.begin_request(self.holder_of(&head), &self.state.decisions) {
+                return Err(RequestError::ConnectionLimit);
+            }
             let body = BodyReader::new(head.framing, limits.body_bytes)?;
             let own_limit = self.state.settings.limits.body_bytes;
             if matches!(head.framing, BodyFraming::Length(length) if length > own_limit) {
@@ -362,6 +390,15 @@
         Ok(taken.map(|partial| (partial.head, partial.memory.store(partial.body.into_content().freeze()))))
     }
 
+    /// Returns whose connection it is by the API key of a request.
+    fn holder_of(&self, head: &RequestHead) -> ConnectionHolder {
+        let routes = self.state.routes.load();
+        let accounts = routes.as_ref().and_then(|routes| routes.accounts.as_ref());
+        let account = accounts.and_then(|accounts| accounts.find(&read_api_key(&head.headers)?));
+        account
+            .map_or(ConnectionHolder::Address(self.caller), |account| ConnectionHolder::Account(account.id()))
+    }
+
     /// Returns the time for which the caller waits for a response to a request.
     fn caller_timeout(&self, head: &RequestHead) -> Duration {
         let routes = self.state.routes.load();
@@ -408,21 +445,35 @@
         let Some(request) = self.running.pop_front() else { return Ok(true) };
         let is_stopping = self.state.lifecycle.phase() != LifecyclePhase::Serving;
         let close_connection = request.wants_close || (is_stopping && self.running.is_empty());
-        let reuse = if close_connection {
-            ConnectionReuse::Closed
-        } else {
-            self.stated_idle_timeout = self.limits().idle_timeout;
-            ConnectionReuse::within(self.stated_idle_timeout)
-        };
+        let reuse = if close_connection { ConnectionReuse::Closed } else { self.state_idle_timeout() };
         self.write_response(&request.method, response, reuse).await?;
         self.waiting_since = Instant::now();
+        if self.running.is_empty() && self.is_between_requests() {
+            self.place.set_idle();
+        }
         Ok(close_connection)
     }
 
+    /// Returns what to state about the reuse of this connection: no time if it may have to end earlier.
+    fn state_idle_timeout(&mut self) -> ConnectionReuse {
+        if self.state.connection_room.is_nearly_full() {
+            return ConnectionReuse::Idle { seconds: 0 };
+        }
+        self.stated_idle_timeout = self.limits().idle_timeout;
+        ConnectionReuse::within(self.stated_idle_timeout)
+    }
+
     async fn send_error(&mut self) -> std::io::Result<()> {
         let Some(error) = self.error else { return Ok(()) };
-        log::info!("request rejected before it was completely read: {error:?}");
+        if error != RequestError::ConnectionLimit {
+            log::info!("request rejected before it was completely read: {error:?}");
+        }
         let response = match error {
+            RequestError::ConnectionLimit => {
+                self.state.metrics.process().early_refusals.fetch_add(1, Ordering::Relaxed);
+                let refusal = RelayRefusal::not_run(RefusalReason::ConnectionLimit, CONNECTION_RETRY_AFTER);
+                CallerResponse::from_refusal(&refusal)
+            }
             RequestError::NoRoom => {
                 self.state.metrics.process().early_refusals.fetch_add(1, Ordering::Relaxed);
                 let refusal = RelayRefusal::not_run(RefusalReason::NoMemory, NO_ROOM_RETRY_AFTER);
@@ -466,9 +517,13 @@
         if end == ConnectionEnd::IdleTimeout {
             self.state.metrics.process().connections_timed_out.fetch_add(1, Ordering::Relaxed);
         }
+        if end == ConnectionEnd::MadeRoom {
+            self.place.report_end(&self.state.decisions);
+        }
         if end == ConnectionEnd::Failed {
             return;
         }
+        self.place.set_ending();
         if let Err(error) = self.stream.shutdown().await {
             log::debug!("cannot shut down a caller connection: {error}");
             return;
--- a/crates/relay/src/connection_end.rs
+++ b/crates/relay/src/connection_end.rs
@@ -22,6 +22,8 @@
     CallerClosed,
     /// No request was sent within the idle timeout.
     IdleTimeout,
+    /// It was idle, and others need its place.
+    MadeRoom,
     /// This process is shutting down.
     ShuttingDown,
     /// Reading or writing failed.
@@ -40,6 +42,7 @@
             Self::Responded => "responded",
             Self::CallerClosed => "caller-closed",
             Self::IdleTimeout => "idle-timeout",
+            Self::MadeRoom => "made-room",
             Self::ShuttingDown => "shutting-down",
             Self::Failed => "failed",
         }
--- a/crates/relay/src/decision_log.rs
+++ b/crates/relay/src/decision_log.rs
@@ -36,6 +36,8 @@
     Unanswered,
     /// A target states another limit than before.
     LimitChanged,
+    /// The limit of caller connections is reached.
+    ConnectionLimit,
 }
 
 impl DecisionKind {
@@ -50,6 +52,7 @@
             Self::OnTime => "answered",
             Self::Unanswered => "unanswered",
             Self::LimitChanged => "limit changed",
+            Self::ConnectionLimit => "connection limit reached",
         }
     }
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -25,6 +25,7 @@
 //! | [`evacuations`] | evacuations of failure domains, as the operator orders them |
 //! | [`failure_detector`] | liveness checks of neighbours; removal of failed entry VMs |
 //! | [`caller_connection`] | caller connections: reading, pipelining, ordered responses |
+//! | [`connection_room`] | places of caller connections, near and at their limit |
 //! | [`connection_end`] | how caller connections end, and requests that got no response on them |
 //! | [`crash_quarantine`] | quarantine of requests under which targets crash |
 //! | [`crash_reports`] | exchange of crash reports between entry VMs |
@@ -50,6 +51,7 @@
 pub mod caller_response;
 pub mod change_index;
 pub mod connection_end;
+pub mod connection_room;
 pub mod content_coding;
 pub mod copy_offers;
 pub mod copy_status;
--- a/crates/relay/src/request_head.rs
+++ b/crates/relay/src/request_head.rs
@@ -24,6 +24,8 @@
     BodyTooLarge,
     /// The body is within the configured limit but exceeds the limit of this process.
     NoRoom,
+    /// Too many caller connections are open.
+    ConnectionLimit,
 }
 
 impl RequestError {
@@ -33,7 +35,7 @@
             Self::Malformed => StatusCode::BAD_REQUEST,
             Self::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-            Self::NoRoom => StatusCode::SERVICE_UNAVAILABLE,
+            Self::NoRoom | Self::ConnectionLimit => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
 }
--- a/crates/relay/src/shared_state.rs
+++ b/crates/relay/src/shared_state.rs
@@ -4,6 +4,7 @@
 mod target_lists;
 mod unrouted_services;
 
+use crate::connection_room::ConnectionRoom;
 use crate::copy_offers::CopyOffers;
 use crate::crash_quarantine::CrashQuarantine;
 use crate::decision_log::DecisionLog;
@@ -16,6 +17,7 @@
 use placement::OwnCell;
 use sniperelay_config::RelaySettings;
 use sniperelay_core::account::{AccountTable, ClientAccount};
+use sniperelay_core::connection_table::ConnectionLimits;
 use sniperelay_core::dispatch::DispatchSettings;
 use sniperelay_core::document::ServiceDocument;
 use sniperelay_core::ids::{DomainName, IncarnationId, InstanceName, ServiceName};
@@ -113,8 +115,10 @@
     pub decisions: DecisionLog,
     /// Requests under which targets have crashed.
     pub quarantine: CrashQuarantine,
-    /// Number of open caller connections.
+    /// Number of open caller connections and forwarded requests.
     pub connections: AtomicUsize,
+    /// Room for caller connections.
+    pub connection_room: Arc<ConnectionRoom>,
     /// Other entry VMs as recipients of requests that this one cannot serve.
     pub peers_for_forwarding: ForwardingPeers,
     /// Number of requests in flight that other entry VMs have forwarded.
@@ -156,6 +160,12 @@
     ) -> anyhow::Result<Self> {
         let store = ObjectStore::new(settings.platform.address, settings.platform.calls_per_second);
         let (peers, _) = tokio::sync::mpsc::unbounded_channel();
+        let metrics = MetricSet::new()?;
+        let connection_limits = ConnectionLimits {
+            open: settings.limits.caller_connections,
+            reserve: settings.limits.connection_reserve,
+        };
+        let connection_room = ConnectionRoom::new(connection_limits, metrics.process().clone());
         let state = Self {
             has_evacuations: AtomicBool::new(bounds.evacuation.is_none()),
             bounds,
@@ -171,7 +181,7 @@
             unaware_vms: UnawareVms::default(),
             lifecycle,
             stop_deadline: StopDeadline::default(),
-            metrics: MetricSet::new()?,
+            metrics,
             pool: TargetPool::default(),
             links: TargetLinks::default(),
             request_memory: MemoryBudget::new(settings.limits.request_memory_bytes),
@@ -182,6 +192,7 @@
             decisions: DecisionLog::default(),
             quarantine: CrashQuarantine::new(settings.limits.first_quarantine),
             connections: AtomicUsize::new(0),
+            connection_room,
             peers_for_forwarding: ForwardingPeers::default(),
             forwarded_in_flight: AtomicUsize::new(0),
             is_membership_settled: AtomicBool::new(false),
@@ -217,6 +228,10 @@
         set(&gauges.entry_vms, self.entry_vms.load().len() as u64);
         set(&gauges.request_memory_bytes, self.request_memory.used() as u64);
         set(&gauges.response_memory_bytes, self.response_memory.used() as u64);
+        let connections = self.connection_room.counts();
+        set(&gauges.caller_connections, connections.open as u64);
+        set(&gauges.idle_connections, connections.idle as u64);
+        set(&gauges.ending_connections, connections.ending as u64);
         set(&gauges.is_isolated, u64::from(self.links.is_isolated()));
         set(&gauges.is_reader, u64::from(self.replica.is_reader()));
         set(&gauges.store_age_ms, self.replica.contact_age().map_or(u64::MAX, |age| age.as_millis() as u64));
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -290,21 +290,30 @@
 impl TestEnv {
     /// Starts targets with the given scripts and an entry VM, and waits until the entry VM is ready.
     pub async fn start(scripts: Vec<Vec<ScriptedAction>>) -> Self {
+        Self::start_configured(scripts, "").await
+    }
+
+    /// Same as [`Self::start`], with `more` sections of settings.
+    pub async fn start_configured(scripts: Vec<Vec<ScriptedAction>>, more: &str) -> Self {
         let mut targets = Vec::new();
         for script in scripts {
             targets.push(ScriptedTarget::start(script).await);
         }
-        Self::start_with_targets(targets).await
+        Self::start_relay(targets, more).await
     }
 
     /// Starts an entry VM with running targets, and waits until the entry VM is ready.
     pub async fn start_with_targets(targets: Vec<Arc<ScriptedTarget>>) -> Self {
+        Self::start_relay(targets, "").await
+    }
+
+    async fn start_relay(targets: Vec<Arc<ScriptedTarget>>, more: &str) -> Self {
         let store = PlatformStandin::start().await.unwrap();
         for (index, target) in targets.iter().enumerate() {
             store.put(&format!("servers/i{index}"), registration(target.address, "ready").to_string());
         }
         store.put("config/main", config("00000001").to_string());
-        let relay = start_relay(store.address());
+        let relay = start_configured_relay("vm", store.address(), "", more);
         let env = Self { store, relay, targets };
         env.wait_until(|state| state.is_ready()).await;
         env
--- a/crates/relay/tests/connection_end.rs
+++ b/crates/relay/tests/connection_end.rs
@@ -99,6 +99,16 @@
     assert_not_read(env.relay.state(), caller).await;
 }
 
+/// Guards against the same loss when an idle connection ends for a new one.
+#[tokio::test]
+async fn request_that_crosses_the_end_for_another_connection_is_not_read() {
+    let script = vec![vec![ScriptedAction::Respond(sealed_response("ok"))]];
+    let env = TestEnv::start_configured(script, "[limits]\ncaller-connections = 1\n").await;
+    let (caller, _) = use_once(&env).await;
+    let (_other, _) = use_once(&env).await;
+    assert_not_read(env.relay.state(), caller).await;
+}
+
 /// Guards against the same loss at the end of a planned stop.
 #[tokio::test]
 async fn request_that_crosses_the_end_of_a_planned_stop_is_not_read() {
