--- a/crates/relay/src/decision_log.rs
+++ b/crates/relay/src/decision_log.rs
@@ -38,6 +38,8 @@
     LimitChanged,
     /// A target has turned cold or warm.
     WarmUpChanged,
+    /// The limit of caller connections is reached.
+    ConnectionLimit,
 }
 
 impl DecisionKind {
@@ -53,6 +55,7 @@
             Self::Unanswered => "unanswered",
             Self::LimitChanged => "limit changed",
             Self::WarmUpChanged => "warm-up changed",
+            Self::ConnectionLimit => "connection limit reached",
         }
     }
 }
