Homes, cells and lookups with homes in each failure domain

Cause: homes of a host are chosen by capacity over all failure domains, often two VMs in two domains, and a lookup names all of them to every caller, so that most traffic between callers, entry VMs and targets crosses domains.

Change: core::domain_homes chooses the largest VMs of each domain as its homes, keeps cells inside a domain, divides the targets of other domains as overflow targets among few homes, and names to a caller the homes of its domain and one in each further domain whose loss is tolerated. Nothing uses it yet.

--- a/crates/core/src/home.rs
+++ b/crates/core/src/home.rs
@@ -201,6 +201,6 @@
     hash_with_seed(name, 0)
 }
 
-fn hash_with_seed(text: &str, seed: u64) -> u64 {
+pub(crate) fn hash_with_seed(text: &str, seed: u64) -> u64 {
     xxh3_64_with_seed(text.as_bytes(), seed)
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -31,6 +31,7 @@
 //! | [`probe_schedule`] | wall-clock schedule that keeps probes within their budget |
 //! | [`ids`] | identifier types |
 //! | [`home`] | assignment of services and targets to entry VMs |
+//! | [`domain_homes`] | homes, cells and lookups where each failure domain has homes of its own |
 //! | [`borrow`] | short-term loans of slots between entry VMs |
 //! | [`digest`] | bucketed digests for anti-entropy |
 //! | [`edit`] | state machine for one configuration edit against the platform |
@@ -46,6 +47,7 @@
 pub mod digest;
 pub mod dispatch;
 pub mod document;
+pub mod domain_homes;
 pub mod edit;
 pub mod edition;
 pub mod estimate;
