Requests leave the failure domain when waiting at home costs more

Cause: a home that has the targets of its own failure domain only refuses requests at a local surplus while targets elsewhere are free; one that has all targets sends most requests across.

Change: a dispatcher can have overflow targets. After its own targets have been tried, the request at the front of a queue leaves if the predicted wait is above the cost of hop and bytes, with a higher threshold to begin. Overflow targets take a bounded share, keep a slot free and need a report; they are probed only while a request might leave, and are counted neither as own slots nor among the targets of which some may be excluded. Without costs and overflow targets every choice is as before.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -17,6 +17,7 @@
 mod evacuated;
 mod limits;
 mod loan;
+mod overflow;
 mod shared_slots;
 mod tick;
 
@@ -24,6 +25,7 @@
 use crate::borrow::BorrowScheduler;
 use crate::budget::AttemptBudget;
 use crate::document::ServiceDocument;
+use crate::domain_overflow::TransferEstimate;
 use crate::estimate::{MeanEstimate, QuantileEstimate, SizeEstimate};
 use crate::event_rate::EventRate;
 use crate::fair_share::FairShareScheduler;
@@ -32,6 +34,7 @@
 use crate::queue::RankQueue;
 use crate::reason::{RefusalReason, RetryReason};
 use crate::target::{TargetSettings, TargetSpec, TargetTable, WorkReading};
+use overflow::OverflowState;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use std::collections::HashMap;
@@ -41,6 +44,7 @@
 
 pub use attempt::{AttemptFailure, FailureDecision, ResponseDecision, ResponseMetadata};
 pub use limits::DueClaim;
+pub use overflow::LeavingTotals;
 pub use shared_slots::ServiceStats;
 
 /// Bucket length of the rate at which requests of a rank are started.
@@ -137,6 +141,8 @@
     usual_latency: QuantileEstimate,
     /// Mean size of a response body.
     response_bytes: SizeEstimate,
+    /// Mean size of a request body and its response body.
+    transfer: TransferEstimate,
     /// Mean time for which a request holds a slot.
     hold_time: MeanEstimate,
     /// Rate at which requests of the rank arrive, including those that are refused.
@@ -191,6 +197,7 @@
     max_report_age: Option<Duration>,
     /// Whether all targets are in evacuated failure domains.
     is_evacuated: bool,
+    overflow: OverflowState,
     rng: SmallRng,
 }
 
@@ -217,6 +224,7 @@
             last_request_at: None,
             max_report_age: None,
             is_evacuated: false,
+            overflow: OverflowState::default(),
             rng,
             document,
             settings,
@@ -314,6 +322,7 @@
         self.ranks[rank].latency_p98 = old.latency_p98;
         self.ranks[rank].usual_latency = old.usual_latency;
         self.ranks[rank].response_bytes = old.response_bytes;
+        self.ranks[rank].transfer = old.transfer;
         self.ranks[rank].hold_time = old.hold_time;
     }
 
@@ -343,6 +352,7 @@
             latency_p98: QuantileEstimate::new(0.98, initial),
             usual_latency: QuantileEstimate::new(0.5, initial),
             response_bytes: SizeEstimate::default(),
+            transfer: TransferEstimate::default(),
             hold_time: MeanEstimate::new(initial),
             arrival_rate: EventRate::new(ARRIVAL_RATE_BUCKET),
             drain_rate: EventRate::new(DRAIN_RATE_BUCKET),
--- a/crates/core/src/dispatch/bind.rs
+++ b/crates/core/src/dispatch/bind.rs
@@ -12,7 +12,8 @@
     /// Starts queued requests while there are free slots.
     pub(super) fn bind_queued(&mut self, now: Instant, actions: &mut Vec<DispatchAction>) {
         if self.settings.policy == PickPolicy::SharedSlots {
-            return self.bind_shared(now, actions);
+            self.bind_shared(now, actions);
+            return self.bind_overflow(now, actions);
         }
         while self.has_free_target() {
             let Some(rank) = self.next_rank() else { return };
@@ -153,6 +154,7 @@
         let retry = state.retry.take();
         self.targets.start_request(target);
         self.ranks[rank].drain_rate.record(now);
+        self.record_overflow_start();
         let cost = self.ranks[rank].hold_time.value();
         let ranks = &self.ranks;
         self.fair_shares.charge(rank, cost, |other| !ranks[other].queue.is_empty());
--- a/crates/core/src/dispatch/shared_slots.rs
+++ b/crates/core/src/dispatch/shared_slots.rs
@@ -126,6 +126,7 @@
         let Some(max_age) = self.max_report_age.filter(|_| has_recent_requests) else { return Vec::new() };
         let mut probed = self.targets.take_due_probes(max_age, now);
         probed.extend(self.targets.take_due_probes_of(&self.overdue_targets(now), OVERDUE_REPORT_AGE, now));
+        probed.extend(self.take_overflow_probes(max_age, now));
         probed
     }
 
@@ -267,7 +268,8 @@
     /// another request.
     fn has_room_for_hedges(&self) -> bool {
         let free = self.targets.free_lists().iter().map(Vec::len).sum::<usize>();
-        self.queued_keys.is_empty() && free as f64 >= HEDGE_FREE_TARGET_SHARE * self.targets.len() as f64
+        self.queued_keys.is_empty()
+            && free as f64 >= HEDGE_FREE_TARGET_SHARE * self.targets.own_count() as f64
     }
 
     /// Returns the work done on an attempt. Without reports, the target is assumed to run at its
@@ -278,11 +280,11 @@
         self.work_done(attempt, now).unwrap_or(as_usual)
     }
 
-    fn was_tried(&self, queued: &QueuedRequest, target: TargetKey) -> bool {
+    pub(super) fn was_tried(&self, queued: &QueuedRequest, target: TargetKey) -> bool {
         queued.avoid == Some(target) || self.has_attempt_at(queued, target)
     }
 
-    fn expected_slowdown(&self, target: &TargetState, now: Instant) -> f64 {
+    pub(super) fn expected_slowdown(&self, target: &TargetState, now: Instant) -> f64 {
         target.expected_slowdown(self.targets.average_slowdown(), now)
             * target.current_relative_latency(now).max(MIN_RELATIVE_LATENCY)
     }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -32,6 +32,7 @@
 //! | [`ids`] | identifier types |
 //! | [`home`] | assignment of services and targets to entry VMs |
 //! | [`domain_homes`] | homes, cells and lookups where each failure domain has homes of its own |
+//! | [`domain_overflow`] | whether a request leaves its failure domain |
 //! | [`borrow`] | short-term loans of slots between entry VMs |
 //! | [`digest`] | bucketed digests for anti-entropy |
 //! | [`edit`] | state machine for one configuration edit against the platform |
@@ -48,6 +49,7 @@
 pub mod dispatch;
 pub mod document;
 pub mod domain_homes;
+pub mod domain_overflow;
 pub mod edit;
 pub mod edition;
 pub mod estimate;
--- a/crates/core/src/target.rs
+++ b/crates/core/src/target.rs
@@ -6,15 +6,17 @@
 //!
 //! Targets with free slots are kept in two index lists, one for the local failure domain and one
 //! for all others, so the cost of picking a target does not depend on the number of targets. The
-//! entry of a target in the lists is updated on every change of that target.
+//! entry of a target in the lists is updated on every change of that target. Overflow targets, which
+//! are used only while leaving the failure domain pays, are in a list of their own.
 
 mod limits;
+mod overflow;
 mod state;
 
 use crate::ids::{DomainName, InstanceName, TargetKey};
 use crate::rate_limit::TargetLimit;
 use slotmap::SlotMap;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -65,6 +67,10 @@
     by_address: HashMap<SocketAddr, TargetKey>,
     /// Targets with a free slot: index 0 for the local failure domain, index 1 for all others.
     free_lists: [Vec<TargetKey>; 2],
+    /// Overflow targets with a free slot.
+    free_overflow: Vec<TargetKey>,
+    /// Addresses of the overflow targets.
+    overflow_addresses: HashSet<SocketAddr>,
     /// Targets with a report, loan, ejection or suspension that will expire.
     timer_list: Vec<TargetKey>,
     /// Targets that state a limit, and some that no longer do.
@@ -88,6 +94,8 @@
             targets: SlotMap::with_key(),
             by_address: HashMap::new(),
             free_lists,
+            free_overflow: Vec::new(),
+            overflow_addresses: HashSet::new(),
             timer_list: Vec::new(),
             limited_list: Vec::new(),
             retained_limits: HashMap::new(),
@@ -162,11 +170,12 @@
         self.update_lists(key);
     }
 
-    /// Returns the usable targets whose last report and last probe are both at least `age` old, and
-    /// marks them as probed at `now`.
+    /// Returns the usable targets, except for overflow targets, whose last report and last probe are both at least
+    /// `age` old, and marks them as probed at `now`.
     pub fn take_due_probes(&mut self, age: Duration, now: Instant) -> Vec<TargetKey> {
-        let all: Vec<TargetKey> = self.targets.keys().collect();
-        self.take_due_probes_of(&all, age, now)
+        let own = self.targets.iter().filter(|(_, target)| !target.is_overflow).map(|(key, _)| key);
+        let own: Vec<TargetKey> = own.collect();
+        self.take_due_probes_of(&own, age, now)
     }
 
     /// Same as [`Self::take_due_probes`], restricted to the targets in `keys`.
@@ -193,6 +202,7 @@
             address: spec.address,
             lifecycle: spec.lifecycle,
             is_local: spec.domain == self.settings.local_domain,
+            is_overflow: self.overflow_addresses.contains(&spec.address),
             in_flight: 0,
             relative_latency: 1.0,
             instance: InstanceName::new(),
@@ -226,6 +236,7 @@
     }
 
     fn update_target(&mut self, key: TargetKey, spec: &TargetSpec) {
+        self.update_overflow(key);
         let target = &mut self.targets[key];
         let has_returned =
             target.lifecycle == TargetLifecycle::Leaving && spec.lifecycle == TargetLifecycle::Live;
@@ -321,9 +332,9 @@
         &self.free_lists
     }
 
-    /// Returns the total number of slots that this entry VM may use at all usable targets.
+    /// Returns the total number of slots that this entry VM may use at all usable targets, except for overflow targets.
     pub fn usable_slots(&self) -> u32 {
-        let usable = self.targets.values().filter(|target| target.is_usable());
+        let usable = self.targets.values().filter(|target| target.is_usable() && !target.is_overflow);
         usable.fold(0, |total, target| total.saturating_add(target.limit()))
     }
 
@@ -566,7 +577,7 @@
     /// Returns whether another target may be ejected or suspended. At most a third of the targets may
     /// be excluded in this way at the same time.
     fn may_exclude(&self) -> bool {
-        (self.excluded_count + 1) * 3 <= self.targets.len()
+        (self.excluded_count + 1) * 3 <= self.excludable_count()
     }
 
     fn update_lists(&mut self, key: TargetKey) {
@@ -592,13 +603,13 @@
     }
 
     fn add_to_free_list(&mut self, key: TargetKey) {
-        let list = &mut self.free_lists[usize::from(!self.targets[key].is_local)];
+        let list = free_list_for(&mut self.free_lists, &mut self.free_overflow, &self.targets[key]);
         self.targets[key].free_list_index = Some(list.len());
         list.push(key);
     }
 
     fn remove_from_free_list(&mut self, key: TargetKey, index: usize) {
-        let list = &mut self.free_lists[usize::from(!self.targets[key].is_local)];
+        let list = free_list_for(&mut self.free_lists, &mut self.free_overflow, &self.targets[key]);
         list.swap_remove(index);
         if let Some(moved) = list.get(index) {
             self.targets[*moved].free_list_index = Some(index);
@@ -606,3 +617,12 @@
         self.targets[key].free_list_index = None;
     }
 }
+
+/// Returns the list in which a target is while it has a free slot.
+fn free_list_for<'a>(
+    free_lists: &'a mut [Vec<TargetKey>; 2],
+    free_overflow: &'a mut Vec<TargetKey>,
+    target: &TargetState,
+) -> &'a mut Vec<TargetKey> {
+    if target.is_overflow { free_overflow } else { &mut free_lists[usize::from(!target.is_local)] }
+}
--- a/crates/core/src/target/state.rs
+++ b/crates/core/src/target/state.rs
@@ -131,6 +131,8 @@
     pub lifecycle: TargetLifecycle,
     /// Whether the target is in this entry VM's failure domain.
     pub is_local: bool,
+    /// Whether the target is used only while leaving the failure domain pays.
+    pub is_overflow: bool,
     /// Number of requests in flight from this entry VM.
     pub in_flight: u32,
     /// Moving average of the latency of responses relative to the usual latency of their rank; 1.0
@@ -299,6 +301,11 @@
         is_stale && self.last_probe_at.is_none_or(is_old) && self.is_usable() && !self.is_limited()
     }
 
+    /// Returns whether the target is slow after its start.
+    pub fn is_warming_up(&self, now: Instant) -> bool {
+        self.warm_up_until.is_some_and(|until| now < until)
+    }
+
     /// Returns the age of the last reported slowdown.
     pub fn slowdown_age(&self, now: Instant) -> Option<Duration> {
         self.slowdown.map(|(_, reported)| now.saturating_duration_since(reported))
