Setting for tolerated domain losses: homes per domain, lookups by domain, overflow

Cause: the parts of the core were not used.

Change: tolerated-domain-losses in [routing], 0 by default, switches on homes per domain, lookups by the caller's domain, and overflow; the platform's template fills it in from what the platform states, so that it is 0 on the earlier deployments. Keys for the hop and for the bytes that a response in time is worth; counters of departures by reason and of bytes between domains; log lines at the beginning and end of departures. The template test fills in the new placeholder.

--- a/crates/cli/tests/explain.rs
+++ b/crates/cli/tests/explain.rs
@@ -60,6 +60,17 @@
             "slot-fill-percent: must be 10 to 100",
         ),
         ("[platform]", "[routing]\ncores = 0\n[platform]", "cores: must be above 0"),
+        (
+            "[platform]",
+            "[routing]\ntolerated-domain-losses = -1\n[platform]",
+            "tolerated-domain-losses: '-1' is not a whole number",
+        ),
+        ("[platform]", "[routing]\ndomain-hop-ms = 2000\n[platform]", "domain-hop-ms: must be 0 to 1000"),
+        (
+            "[platform]",
+            "[routing]\nlate-response-bytes = 0\n[platform]",
+            "late-response-bytes: must be at least 1",
+        ),
         ("[platform]", "[limits]\nquarantine-ms = 10\n[platform]", "quarantine-ms: must be 1000 to 3600000"),
         (
             "[platform]",
@@ -96,6 +107,7 @@
         ("{{Bounds}}", "{\"Grace\":\"6s\",\"BudgetSlack\":\"60\"}"),
         ("{{Limits.CpuShare}}", "0.2"),
         ("{{Limits.LinkMbps}}", "1000.0"),
+        ("{{Tolerate.Zones}}", "1"),
     ];
     let filled = values.iter().fold(template.to_owned(), |text, (name, value)| text.replace(name, value));
     assert!(!filled.contains("{{"), "{filled}");
--- a/crates/config/src/relay.rs
+++ b/crates/config/src/relay.rs
@@ -3,6 +3,7 @@
 
 use crate::reader::{IniSource, Result, SectionReader};
 use crate::settings::{LogSettings, UNSET_ADDRESS, read_log};
+use sniperelay_core::domain_overflow::LeavingCosts;
 use sniperelay_core::quarantine::DEFAULT_FIRST_QUARANTINE;
 use std::net::SocketAddr;
 use std::ops::RangeInclusive;
@@ -20,6 +21,14 @@
 /// Minimum memory for responses, in bytes: a few of the read buffers of target connections.
 const MIN_RESPONSE_MEMORY_BYTES: usize = 1024 * 1024;
 
+/// Default time of a message between failure domains, one way, in milliseconds.
+const DEFAULT_HOP_MS: f64 = 1.0;
+/// Maximum time of a message between failure domains, one way, in milliseconds: that between regions.
+const MAX_HOP_MS: f64 = 1000.0;
+/// Default number of bytes between failure domains that are worth as much as one response in time: the response size
+/// whose transfer the choice of a target rates as one usual latency.
+const DEFAULT_LATE_RESPONSE_BYTES: f64 = 30_000.0;
+
 /// Limits of the duration of a first quarantine. Crashes become known everywhere within about a second; the longest
 /// quarantine takes an hour.
 const FIRST_QUARANTINE_LIMITS: RangeInclusive<Duration> = Duration::from_secs(1)..=Duration::from_secs(3600);
@@ -93,6 +102,11 @@
     /// Maximum fraction of a target's slots to fill, 0 to 1. Some targets slow down when nearly
     /// full.
     pub slot_fill: f64,
+    /// Number of failure domains whose loss the deployment has to bear at once. From 1, each failure domain has homes
+    /// of its own, and requests leave it only if that pays.
+    pub tolerated_domain_losses: usize,
+    /// What leaving the failure domain costs.
+    pub leaving_costs: LeavingCosts,
 }
 
 impl RelayRoutingSettings {
@@ -104,6 +118,13 @@
     }
 }
 
+impl RelayRoutingSettings {
+    /// Returns whether each failure domain has homes of its own.
+    pub fn has_domain_homes(&self) -> bool {
+        self.tolerated_domain_losses > 0
+    }
+}
+
 /// Limits that protect the process itself.
 #[derive(Debug, Clone)]
 pub struct RelayLimitSettings {
@@ -201,6 +222,8 @@
         slots_per_core: section.parsed_or("slots-per-core", "a number", 600.0),
         slots_per_mbps: section.parsed_or("slots-per-mbps", "a number", 3.0),
         slot_fill: section.percent_or("slot-fill-percent", 0.9),
+        tolerated_domain_losses: section.parsed_or("tolerated-domain-losses", "a whole number", 0),
+        leaving_costs: read_leaving_costs(&section),
     };
     if settings.homes_per_host == 0 {
         section.report("homes-per-host", "must be at least 1");
@@ -221,6 +244,20 @@
     settings
 }
 
+/// Reads what leaving the failure domain costs. The hop has a fraction of a millisecond.
+fn read_leaving_costs(section: &SectionReader<'_>) -> LeavingCosts {
+    let hop_ms = section.parsed_or("domain-hop-ms", "a number of milliseconds", DEFAULT_HOP_MS);
+    if !(0.0..=MAX_HOP_MS).contains(&hop_ms) {
+        section.report("domain-hop-ms", format!("must be 0 to {MAX_HOP_MS}"));
+    }
+    let late_response_bytes =
+        section.parsed_or("late-response-bytes", "a number of bytes", DEFAULT_LATE_RESPONSE_BYTES);
+    if !(late_response_bytes.is_finite() && late_response_bytes >= 1.0) {
+        section.report("late-response-bytes", "must be at least 1");
+    }
+    LeavingCosts { hop: Duration::from_secs_f64(hop_ms.clamp(0.0, MAX_HOP_MS) / 1000.0), late_response_bytes }
+}
+
 fn read_limits(section: SectionReader<'_>) -> RelayLimitSettings {
     let settings = RelayLimitSettings {
         caller_connections: section.parsed_or("caller-connections", "a whole number", 3000),
--- a/crates/node/src/dispatcher_handle.rs
+++ b/crates/node/src/dispatcher_handle.rs
@@ -283,6 +283,13 @@
         self.handle.run_operation(|dispatcher, _, _| dispatcher.record_response_size(self.request, bytes));
     }
 
+    /// Records the sizes of the request body and of the complete response body, in bytes.
+    pub fn record_transfer(&self, request_bytes: usize, response_bytes: usize) {
+        self.handle.run_operation(|dispatcher, _, _| {
+            dispatcher.record_transfer(self.request, self.target, request_bytes, response_bytes);
+        });
+    }
+
     /// Records the start of a response and returns whether to deliver it. The slot remains in use until
     /// it is dropped.
     pub fn record_response(&self, report: Option<LoadReport>, is_error: bool) -> ResponseDecision {
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -135,10 +135,18 @@
     pub store_returns: AtomicU64,
     /// Evacuations of failure domains that have begun.
     pub evacuations: AtomicU64,
+    /// Requests that have left the failure domain because of the expected wait there.
+    pub left_domain_by_wait: AtomicU64,
+    /// Requests that have left the failure domain because no target in it was usable.
+    pub left_domain_without_target: AtomicU64,
+    /// Bytes of request bodies sent to targets in other failure domains.
+    pub cross_domain_request_bytes: AtomicU64,
+    /// Bytes of response bodies received from targets in other failure domains.
+    pub cross_domain_response_bytes: AtomicU64,
 }
 
 impl ProcessCounters {
-    fn named(&self) -> [(&'static str, &AtomicU64); 34] {
+    fn named(&self) -> [(&'static str, &AtomicU64); 38] {
         [
             ("lookups", &self.lookups),
             ("probe_calls", &self.probe_calls),
@@ -174,6 +182,10 @@
             ("requests_discarded", &self.requests_discarded),
             ("store_returns", &self.store_returns),
             ("evacuations", &self.evacuations),
+            ("left_domain_by_wait", &self.left_domain_by_wait),
+            ("left_domain_without_target", &self.left_domain_without_target),
+            ("cross_domain_request_bytes", &self.cross_domain_request_bytes),
+            ("cross_domain_response_bytes", &self.cross_domain_response_bytes),
         ]
     }
 }
--- a/crates/relay/src/http_api.rs
+++ b/crates/relay/src/http_api.rs
@@ -21,7 +21,7 @@
 use sniperelay_node::traffic::headers::FORWARDED_BY_PEER;
 use sniperelay_platform::content_coding::DEFLATE_CODING;
 use std::convert::Infallible;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -95,7 +95,7 @@
     }
     match request.uri().path() {
         READY_PATH => handle_ready(state),
-        LOOKUP_PATH => handle_lookup(state, query),
+        LOOKUP_PATH => handle_lookup(state, query, peer.ip()),
         METRICS_PATH => handle_metrics(state),
         path => {
             let accepted = ContentCoding::negotiate(request.headers());
@@ -197,7 +197,7 @@
     text_response(if state.is_ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "")
 }
 
-fn handle_lookup(state: &RelayState, query: &str) -> ApiResponse {
+fn handle_lookup(state: &RelayState, query: &str, caller: IpAddr) -> ApiResponse {
     let Some(lookup) = parse_lookup_query(query) else {
         return text_response(StatusCode::BAD_REQUEST, "the query does not contain a host");
     };
@@ -206,7 +206,7 @@
         // Without a configuration the homes are unknown; the caller must query another entry VM.
         return text_response(StatusCode::SERVICE_UNAVAILABLE, "no configuration has been received yet");
     }
-    let homes = state.homes_for(&lookup.host);
+    let homes = state.homes_for_caller(&lookup.host, lookup.domain.as_deref(), caller);
     if homes.is_empty() {
         return text_response(StatusCode::SERVICE_UNAVAILABLE, "no entry VM is available for this host");
     }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -42,6 +42,7 @@
 //! | [`isolation_reports`] | exchange of reports about isolated entry VMs |
 //! | [`load_probe`] | probes for targets' load reports |
 //! | [`decision_log`] | log lines about decisions on requests |
+//! | `domain_departures` | log lines and metrics about requests that leave the failure domain |
 //! | [`http_api`] | lookups, readiness checks, metrics and replication to followers |
 
 pub mod attempt;
@@ -56,6 +57,7 @@
 pub mod crash_quarantine;
 pub mod crash_reports;
 pub mod decision_log;
+mod domain_departures;
 pub mod evacuations;
 pub mod failure_detector;
 pub mod forwarded_requests;
--- a/crates/relay/src/load_probe.rs
+++ b/crates/relay/src/load_probe.rs
@@ -6,6 +6,7 @@
 //! ignored: it may be wrong either way.
 
 use crate::attempt::log_limit_change;
+use crate::domain_departures::log_leaving_change;
 use crate::shared_state::RelayState;
 use bytes::Bytes;
 use http::{Request, header};
@@ -38,6 +39,7 @@
             continue;
         }
         for entry in state.services.load().values() {
+            log_leaving_change(entry);
             let targets_to_probe = entry
                 .dispatcher_handle
                 .run_operation(|dispatcher, now, _| dispatcher.take_targets_to_probe(now));
--- a/crates/relay/src/request_handler.rs
+++ b/crates/relay/src/request_handler.rs
@@ -579,6 +579,7 @@
         self.execution.record_response();
         record_completion(&self.state, &self.outbound);
         slot.record_response_size(response.body.len());
+        slot.record_transfer(self.outbound.body.content.len(), response.body.len());
         if slot.record_response(None, false) == ResponseDecision::Discard {
             return None;
         }
--- a/crates/relay/src/shared_state.rs
+++ b/crates/relay/src/shared_state.rs
@@ -7,6 +7,7 @@
 use crate::copy_offers::CopyOffers;
 use crate::crash_quarantine::CrashQuarantine;
 use crate::decision_log::DecisionLog;
+use crate::domain_departures::export_leaving_totals;
 use crate::forwarding::ForwardingPeers;
 use crate::replication::StoreReplica;
 use crate::response_cache::ResponseCache;
@@ -207,6 +208,8 @@
         let (calls, process) = (self.store.counters(), self.metrics.process());
         process.platform_calls.store(calls.attempted(), Ordering::Relaxed);
         process.platform_failures.store(calls.failed(), Ordering::Relaxed);
+        let services = self.services.load();
+        export_leaving_totals(process, services.values().map(|entry| entry.dispatcher_handle.as_ref()));
         let gauges = self.metrics.local_view();
         let set = |gauge: &AtomicU64, value: u64| gauge.store(value, Ordering::Relaxed);
         set(
@@ -359,7 +362,7 @@
         self.for_each_service(|entry| {
             let service = &entry.document.name;
             let cell = cells.get(service);
-            let max_report_age = cell.map(|cell| self.max_report_age(cell.host_count));
+            let max_report_age = cell.map(|cell| self.max_report_age(cell.prober_count));
             let capacity = self.attempt_budget_capacity(cell);
             let is_evacuated = self.lock_targets().is_evacuated(service);
             entry.dispatcher_handle.run_operation(|dispatcher, now, actions| {
@@ -367,12 +370,7 @@
                 dispatcher.set_attempt_budget_capacity(capacity);
                 dispatcher.set_evacuated(is_evacuated, now, actions);
             });
-            self.update_service_targets(
-                service,
-                &entry.dispatcher_handle,
-                &targets,
-                cell.map(|cell| &cell.targets),
-            );
+            self.update_service_targets(service, &entry.dispatcher_handle, &targets, cell);
         });
         if has_copies {
             self.has_assigned_targets.store(true, Ordering::Release);
@@ -433,7 +431,12 @@
             policy: PickPolicy::SharedSlots,
             seed: rand::random(),
         };
-        DispatcherHandle::new(document, settings, self.incarnation, self.peers.clone())
+        let dispatcher_handle =
+            DispatcherHandle::new(document, settings, self.incarnation, self.peers.clone());
+        let routing = &self.settings.routing;
+        let costs = routing.has_domain_homes().then_some(routing.leaving_costs);
+        dispatcher_handle.run_operation(|dispatcher, _, _| dispatcher.set_leaving_costs(costs));
+        dispatcher_handle
     }
 
     fn update_service_targets(
@@ -441,9 +444,12 @@
         service: &str,
         dispatcher_handle: &Arc<DispatcherHandle>,
         targets: &TargetMap,
-        cell: Option<&HashSet<SocketAddr>>,
+        cell: Option<&OwnCell>,
     ) {
-        let is_own = |target: &&TargetRecord| cell.is_none_or(|cell| cell.contains(&target.address));
+        let is_overflow = |address: &SocketAddr| cell.is_some_and(|cell| cell.overflow.contains(address));
+        let is_own = |target: &&TargetRecord| {
+            cell.is_none_or(|cell| cell.targets.contains(&target.address)) || is_overflow(&target.address)
+        };
         let own = targets.values().filter(|target| target.service == service).filter(is_own);
         let mut targets_by_address: BTreeMap<SocketAddr, (u64, SharedTarget)> = BTreeMap::new();
         for record in own {
@@ -454,10 +460,11 @@
             }
         }
         self.exclude_leaving(service, targets, targets_by_address.values_mut().map(|(_, target)| target));
-        let shared_targets: Vec<SharedTarget> =
-            targets_by_address.into_values().map(|(_, target)| target).collect();
+        let shared_targets = targets_by_address.into_values().map(|(_, target)| target);
+        let (overflow, own): (Vec<SharedTarget>, Vec<SharedTarget>) =
+            shared_targets.partition(|target| is_overflow(&target.spec.address));
         dispatcher_handle.run_operation(|dispatcher, now, actions| {
-            dispatcher.replace_shared_targets(&shared_targets, now, actions)
+            dispatcher.replace_with_overflow(&own, &overflow, now, actions)
         });
     }
 
--- a/crates/relay/src/shared_state/placement.rs
+++ b/crates/relay/src/shared_state/placement.rs
@@ -6,15 +6,18 @@
 
 use super::{RelayState, TargetMap, is_live};
 use rand::seq::IndexedRandom;
+use sniperelay_core::domain_homes::{
+    DomainCell, DomainSlots, choose_domain_homes, domain_cell, homes_for_caller,
+};
 use sniperelay_core::home::{
     HOMES_PER_CELL, HomeCandidate, LimitOwners, SizedCandidate, cell_targets, choose_homes_by_capacity,
 };
 use sniperelay_core::ids::{IncarnationId, ServiceName};
 use sniperelay_core::limit_ledger::MembershipView;
-use sniperelay_hosted::registration::EntryVmRecord;
+use sniperelay_hosted::registration::{EntryVmRecord, TargetRecord};
 use sniperelay_node::lifecycle::LifecyclePhase;
 use std::collections::{HashMap, HashSet};
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -22,6 +25,10 @@
 #[derive(Debug, Default)]
 pub(super) struct OwnCell {
     pub(super) targets: HashSet<SocketAddr>,
+    /// Targets in other failure domains that may take requests of this entry VM.
+    pub(super) overflow: HashSet<SocketAddr>,
+    /// Number of homes that may probe the same target, over all hosts.
+    pub(super) prober_count: usize,
     /// Number of hosts with routes to the service. Each host has its own cells.
     pub(super) host_count: usize,
     /// Total number of homes of these hosts.
@@ -50,11 +57,28 @@
     /// over all homes in all failure domains, so that each cell of homes gets its share of them. At most
     /// `MAX_LOOKUP_ADDRESSES` addresses are returned.
     pub fn homes_for(&self, host: &str) -> Vec<SocketAddr> {
+        self.addresses_of(&self.choose_host_homes(host, &self.targets()))
+    }
+
+    /// Returns the addresses of the entry VMs that a lookup by `caller` in the failure domain `domain` names. Where each
+    /// domain has homes of its own, these are the homes of that domain and one home for each further domain whose loss
+    /// is tolerated; otherwise all homes.
+    pub fn homes_for_caller(&self, host: &str, domain: Option<&str>, caller: IpAddr) -> Vec<SocketAddr> {
+        if !self.settings.routing.has_domain_homes() {
+            return self.homes_for(host);
+        }
+        let targets = self.targets();
+        let homes = self.choose_host_homes(host, &targets);
+        let live_slots = self.slots_by_domain(host, &targets, is_live);
+        let spare_domains = self.settings.routing.tolerated_domain_losses;
+        self.addresses_of(&homes_for_caller(&homes, &live_slots, domain, &caller.to_string(), spare_domains))
+    }
+
+    fn addresses_of(&self, homes: &[HomeCandidate]) -> Vec<SocketAddr> {
         let addresses: HashMap<IncarnationId, SocketAddr> = {
             let vms = self.entry_vms.load();
             vms.values().map(|record| (record.home_candidate().incarnation, record.caller_address)).collect()
         };
-        let homes = self.choose_host_homes(host, &self.targets());
         let listed_homes = homes.iter().take(MAX_LOOKUP_ADDRESSES);
         listed_homes.filter_map(|home| addresses.get(&home.incarnation).copied()).collect()
     }
@@ -143,6 +167,10 @@
             !unresponsive.contains(&record.name) && (is_serving || record.name != self.settings.entry.name)
         };
         let candidates = self.without_isolated(vms.values().filter(is_usable));
+        if self.settings.routing.has_domain_homes() {
+            let slots = self.slots_by_domain(host, targets, |_| true);
+            return choose_domain_homes(host, &candidates, &slots, self.settings.routing.homes_per_host);
+        }
         self.choose_homes(host, &candidates, targets)
     }
 
@@ -173,11 +201,37 @@
         behind.fold(0, |total, target| total.saturating_add(target.slots))
     }
 
+    /// Returns the number of slots of the targets that a host's routes can lead to, by failure domain.
+    fn slots_by_domain(
+        &self,
+        host: &str,
+        targets: &TargetMap,
+        is_counted: impl Fn(&TargetRecord) -> bool,
+    ) -> DomainSlots {
+        let Some(routes) = self.routes.load_full() else { return DomainSlots::new() };
+        let services = routes.table.services_of(host);
+        let mut slots = DomainSlots::new();
+        for target in targets.values().filter(|target| services.contains(&target.service)) {
+            let domain_slots = slots.entry(target.domain.clone()).or_default();
+            *domain_slots = domain_slots.saturating_add(if is_counted(target) { target.slots } else { 0 });
+        }
+        slots
+    }
+
+    /// Returns the targets of a service that this entry VM serves as one of the homes of a host, if it is one.
+    fn cell_of(&self, homes: &[HomeCandidate], targets: &[(SocketAddr, String)]) -> Option<DomainCell> {
+        let own = self.own_home_id();
+        if self.settings.routing.has_domain_homes() {
+            return domain_cell(own, homes, targets);
+        }
+        let cell = cell_targets(own, homes, targets)?;
+        Some(DomainCell { own: cell, overflow: HashSet::new(), prober_count: HOMES_PER_CELL })
+    }
+
     /// Returns the targets that this entry VM serves, by service. If this entry VM serves all targets of
     /// a service, there is no entry for the service.
     pub(super) fn own_cells(&self, targets: &TargetMap) -> HashMap<ServiceName, OwnCell> {
         let Some(routes) = self.routes.load_full() else { return HashMap::new() };
-        let own = self.own_home_id();
         let mut cells: HashMap<ServiceName, OwnCell> = HashMap::new();
         let mut counts: HashMap<ServiceName, (usize, usize)> = HashMap::new();
         for host in routes.table.hosts() {
@@ -188,23 +242,27 @@
                 let live = targets.values().filter(|target| target.service == *service && is_live(target));
                 let live_targets: Vec<(SocketAddr, String)> =
                     live.map(|target| (target.address, target.domain.clone())).collect();
-                if let Some(cell) = cell_targets(own, &homes, &live_targets) {
-                    cells.entry(service.clone()).or_default().targets.extend(cell);
+                if let Some(cell) = self.cell_of(&homes, &live_targets) {
+                    let own_cell = cells.entry(service.clone()).or_default();
+                    own_cell.targets.extend(cell.own);
+                    own_cell.overflow.extend(cell.overflow);
+                    own_cell.prober_count = own_cell.prober_count.max(cell.prober_count);
                 }
             }
         }
         for (service, cell) in &mut cells {
             (cell.host_count, cell.home_count) = counts[service];
+            cell.prober_count *= cell.host_count;
+            cell.overflow.retain(|address| !cell.targets.contains(address));
         }
         cells
     }
 
     /// Returns the age from which a target's last report is outdated, so that the target is probed. Each
-    /// target is in one cell of each host, and the homes of all these cells together must stay within
-    /// the rate of probes per target that the platform allows.
-    pub(super) fn max_report_age(&self, host_count: usize) -> Duration {
-        let prober_count = (host_count * HOMES_PER_CELL) as f64;
-        let min_age = prober_count / (PROBE_RATE_SHARE * self.bounds.probes_per_second);
+    /// target is in one cell of each host, and the `prober_count` homes of all these cells, and those whose overflow
+    /// target it is, together must stay within the rate of probes per target that the platform allows.
+    pub(super) fn max_report_age(&self, prober_count: usize) -> Duration {
+        let min_age = prober_count as f64 / (PROBE_RATE_SHARE * self.bounds.probes_per_second);
         MIN_REPORT_AGE.max(Duration::from_secs_f64(min_age))
     }
 }
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -354,10 +354,22 @@
     seeds: &str,
     bounds: &str,
     more: &str,
+) -> RunningRelay {
+    start_relay_in_domain("z", name, store, seeds, bounds, more)
+}
+
+/// Same as [`start_bounded_relay`], in a failure domain.
+pub fn start_relay_in_domain(
+    domain: &str,
+    name: &str,
+    store: SocketAddr,
+    seeds: &str,
+    bounds: &str,
+    more: &str,
 ) -> RunningRelay {
     let any_address = "127.0.0.1:0";
     let text = format!(
-        "[entry-vm]\nname = {name}\nfailure-domain = z\ncaller-address = {any_address}\nready-address = {any_address}\n\
+        "[entry-vm]\nname = {name}\nfailure-domain = {domain}\ncaller-address = {any_address}\nready-address = {any_address}\n\
          lookup-address = {any_address}\npeer-address = {any_address}\ncontrol-address = {any_address}\nseeds = {seeds}\nmetrics-address = {any_address}\n[platform]\naddress = {store}\n\
          calls-per-second = 1000\nbounds = {bounds}\n{more}"
     );
