Requests leave when all free targets at home are too slow for them

Cause: a request that would be late at every free target of its domain waits for one of them to become faster. With a third of the targets to choose from, all free ones are slow more often; the predicted wait saw only the queue, which is short then.

Change: the time by which the fastest free own target is slower than usual counts as wait.

--- a/crates/core/src/dispatch/overflow.rs
+++ b/crates/core/src/dispatch/overflow.rs
@@ -165,7 +165,8 @@
         WaitingRequest {
             slack: front.deadline.saturating_duration_since(now).saturating_sub(response_time),
             waited: now.saturating_duration_since(front.queued_at),
-            own_wait: (own_slots > 0).then(|| self.own_wait(rank, own_slots, now)),
+            own_wait: (own_slots > 0)
+                .then(|| self.own_wait(rank, own_slots, now).max(self.excess_time(rank, now))),
             transfer_bytes: self.ranks[rank].transfer.bytes(),
             is_late: rank + 1 == self.ranks.len(),
         }
@@ -182,6 +183,16 @@
         Duration::from_secs_f64(rank_state.queue.len() as f64 / rate)
     }
 
+    /// Returns the time by which a response from the fastest free own target is expected to take longer than usual. A
+    /// request that is queued although there is a free one waits because it would be late there.
+    fn excess_time(&self, rank: RankId, now: Instant) -> Duration {
+        let free = self.targets.free_lists().iter().flatten();
+        let slowdowns = free.filter_map(|key| self.targets.get(*key));
+        let slowdowns = slowdowns.map(|target| self.expected_slowdown(target, now));
+        let excess = slowdowns.min_by(f64::total_cmp).map_or(0.0, |slowdown| (slowdown - 1.0).max(0.0));
+        self.ranks[rank].usual_latency.value().mul_f64(excess)
+    }
+
     /// Picks the overflow target with the lowest expected slowdown and occupancy that may take the request and is
     /// expected to respond in time.
     fn pick_overflow(
--- a/crates/core/tests/domain_fleet/mod.rs
+++ b/crates/core/tests/domain_fleet/mod.rs
@@ -78,6 +78,8 @@
 #[derive(Debug, Default)]
 struct Target {
     domain: &'static str,
+    /// Service time relative to the usual one.
+    slowdown: f64,
     running: Vec<(Instant, Job)>,
     waiting: VecDeque<Job>,
 }
@@ -119,7 +121,10 @@
         };
         let target = |index: usize| {
             let domain = DOMAINS[index / TARGETS_PER_DOMAIN];
-            (SocketAddr::from(([10, 0, 0, index as u8 + 1], 80)), Target { domain, ..Target::default() })
+            (
+                SocketAddr::from(([10, 0, 0, index as u8 + 1], 80)),
+                Target { domain, slowdown: 1.0, ..Target::default() },
+            )
         };
         let targets: BTreeMap<SocketAddr, Target> = (0..3 * TARGETS_PER_DOMAIN).map(target).collect();
         let mut fleet = Self {
@@ -179,6 +184,12 @@
         self.assign_targets();
     }
 
+    /// Changes the speed of a domain's targets.
+    pub fn set_slowdown(&mut self, domain: &str, slowdown: f64) {
+        let members = self.targets.values_mut().filter(|target| target.domain == domain);
+        members.for_each(|target| target.slowdown = slowdown);
+    }
+
     pub fn run(&mut self, time: Duration, load: &Load) {
         let end = self.now + time;
         while self.now < end {
@@ -261,9 +272,9 @@
             }
             if self.steps.is_multiple_of(12) {
                 for (key, address) in vm.dispatcher.take_targets_to_probe(self.now) {
-                    let occupied = occupied(&self.targets[&address]);
+                    let (occupied, slowdown) = reported(&self.targets[&address]);
                     let own = vm.dispatcher.targets().get(key).map_or(0, |target| target.in_flight);
-                    let report = SharedReport { occupied, own, slowdown: 1.0 };
+                    let report = SharedReport { occupied, own, slowdown };
                     vm.dispatcher.record_report(key, report, self.now, &mut vm.actions);
                 }
             }
@@ -311,7 +322,7 @@
             let Some(job) = target.waiting.pop_front() else { return };
             let way = if self.vms[job.vm].domain == target.domain { Duration::ZERO } else { HOP * 2 };
             let service = Duration::from_millis(self.rng.random_range(SERVICE_MILLIS));
-            target.running.push((self.now + service + way, job));
+            target.running.push((self.now + service.mul_f64(target.slowdown) + way, job));
         }
     }
 
@@ -330,10 +341,10 @@
     }
 
     fn finish(&mut self, address: SocketAddr, job: Job) {
-        let occupied = occupied(&self.targets[&address]);
+        let (occupied, slowdown) = reported(&self.targets[&address]);
         let vm = &mut self.vms[job.vm];
         let own = vm.dispatcher.targets().get(job.key).map_or(0, |target| target.in_flight);
-        let report = SharedReport { occupied, own: own.saturating_sub(1), slowdown: 1.0 };
+        let report = SharedReport { occupied, own: own.saturating_sub(1), slowdown };
         vm.dispatcher.record_report(job.key, report, self.now, &mut vm.actions);
         let bytes = if job.is_upload { UPLOAD_BYTES } else { 0 };
         vm.dispatcher.record_transfer(job.request, job.key, bytes, SMALL_BYTES);
@@ -356,8 +367,9 @@
     }
 }
 
-fn occupied(target: &Target) -> u32 {
-    (target.running.len() + target.waiting.len()) as u32
+/// Returns what a target reports: the number of its requests, and its slowdown.
+fn reported(target: &Target) -> (u32, f64) {
+    ((target.running.len() + target.waiting.len()) as u32, target.slowdown)
 }
 
 fn shared_target(address: SocketAddr, domain: &str) -> SharedTarget {
--- a/crates/core/tests/domain_overflow.rs
+++ b/crates/core/tests/domain_overflow.rs
@@ -184,6 +184,24 @@
     assert!(on_time(&other) > 0.98, "others on time: {:.3}", on_time(&other));
 }
 
+/// Load: less than half of the usual one; the targets of one domain are so slow that all their responses would be late.
+/// Guards against requests that wait for a fast target at home although there are fast ones elsewhere.
+#[test]
+fn requests_leave_when_the_free_targets_at_home_are_too_slow() {
+    let load = Load::even(0.3);
+    let on_time_share = |with_overflow: bool| {
+        let mut fleet = play(8, with_overflow, load);
+        fleet.set_slowdown("a", 6.0);
+        fleet.run(millis(300), &load);
+        fleet.reset_totals();
+        fleet.run(millis(1500), &load);
+        (on_time(&fleet.totals("a")), on_time(&fleet.totals("b")))
+    };
+    let ((before, _), (after, other)) = (on_time_share(false), on_time_share(true));
+    assert!(after > before + 0.5, "on time: {before:.3} without, {after:.3} with");
+    assert!(other > 0.98, "others on time: {other:.3}");
+}
+
 /// Load: usual; a domain is evacuated, and its targets return.
 /// Guards against requests that go on leaving after the return.
 #[test]
