--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -18,6 +18,7 @@
 mod evacuated;
 mod limits;
 mod loan;
+mod overflow;
 mod shared_slots;
 mod tick;
 
@@ -26,6 +27,7 @@
 use crate::budget::AttemptBudget;
 use crate::concurrency::{ConcurrencyLimit, WorkLevels};
 use crate::document::ServiceDocument;
+use crate::domain_overflow::TransferEstimate;
 use crate::estimate::{MeanEstimate, QuantileEstimate, SizeEstimate};
 use crate::event_rate::EventRate;
 use crate::fair_share::FairShareScheduler;
@@ -34,6 +36,7 @@
 use crate::queue::RankQueue;
 use crate::reason::{RefusalReason, RetryReason};
 use crate::target::{TargetSettings, TargetSpec, TargetTable, WorkReading};
+use overflow::OverflowState;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use std::collections::HashMap;
@@ -44,6 +47,7 @@
 pub use attempt::{AttemptFailure, FailureDecision, ResponseDecision, ResponseMetadata};
 pub use cold::ColdTargetReport;
 pub use limits::DueClaim;
+pub use overflow::LeavingTotals;
 pub use shared_slots::ServiceStats;
 
 /// Bucket length of the rate at which requests of a rank are started.
@@ -142,6 +146,8 @@
     work_levels: WorkLevels,
     /// Mean size of a response body.
     response_bytes: SizeEstimate,
+    /// Mean size of a request body and its response body.
+    transfer: TransferEstimate,
     /// Mean time for which a request holds a slot.
     hold_time: MeanEstimate,
     /// Rate at which requests of the rank arrive, including those that are refused.
@@ -201,6 +207,7 @@
     is_evacuated: bool,
     /// Number of requests that found no target because cold ones are withheld, since the last report.
     withheld_count: u64,
+    overflow: OverflowState,
     rng: SmallRng,
 }
 
@@ -229,6 +236,7 @@
             max_report_age: None,
             is_evacuated: false,
             withheld_count: 0,
+            overflow: OverflowState::default(),
             rng,
             document,
             settings,
@@ -327,6 +335,7 @@
         self.ranks[rank].usual_latency = old.usual_latency;
         self.ranks[rank].work_levels = old.work_levels.clone();
         self.ranks[rank].response_bytes = old.response_bytes;
+        self.ranks[rank].transfer = old.transfer;
         self.ranks[rank].hold_time = old.hold_time;
     }
 
@@ -357,6 +366,7 @@
             usual_latency: QuantileEstimate::new(0.5, initial),
             work_levels: WorkLevels::default(),
             response_bytes: SizeEstimate::default(),
+            transfer: TransferEstimate::default(),
             hold_time: MeanEstimate::new(initial),
             arrival_rate: EventRate::new(ARRIVAL_RATE_BUCKET),
             drain_rate: EventRate::new(DRAIN_RATE_BUCKET),
--- a/crates/core/tests/concurrency.rs
+++ b/crates/core/tests/concurrency.rs
@@ -104,6 +104,7 @@
             },
             instance: format!("i{index}"),
             warm_up: Duration::ZERO,
+            cold_limit: None,
         };
         let (now, mut actions) = (Instant::now(), Vec::new());
         let targets: Vec<SharedTarget> = (0..TARGETS).map(target).collect();
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -149,6 +149,14 @@
     pub requests_withheld: AtomicU64,
     /// Evacuations of failure domains that have begun.
     pub evacuations: AtomicU64,
+    /// Requests that have left the failure domain because of the expected wait there.
+    pub left_domain_by_wait: AtomicU64,
+    /// Requests that have left the failure domain because no target in it was usable.
+    pub left_domain_without_target: AtomicU64,
+    /// Bytes of request bodies sent to targets in other failure domains.
+    pub cross_domain_request_bytes: AtomicU64,
+    /// Bytes of response bodies received from targets in other failure domains.
+    pub cross_domain_response_bytes: AtomicU64,
 }
 
 impl ProcessCounters {
@@ -195,6 +203,10 @@
             ("targets_lost", &self.targets_lost),
             ("targets_turned_warm", &self.targets_turned_warm),
             ("requests_withheld", &self.requests_withheld),
+            ("left_domain_by_wait", &self.left_domain_by_wait),
+            ("left_domain_without_target", &self.left_domain_without_target),
+            ("cross_domain_request_bytes", &self.cross_domain_request_bytes),
+            ("cross_domain_response_bytes", &self.cross_domain_response_bytes),
         ]
     }
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -46,6 +46,7 @@
 //! | [`load_probe`] | probes for targets' load reports |
 //! | `cold_targets` | log lines and counters about cold targets |
 //! | [`decision_log`] | log lines about decisions on requests |
+//! | `domain_departures` | log lines and metrics about requests that leave the failure domain |
 //! | [`http_api`] | lookups, readiness checks, metrics and replication to followers |
 
 pub mod attempt;
@@ -63,6 +64,7 @@
 pub mod crash_quarantine;
 pub mod crash_reports;
 pub mod decision_log;
+mod domain_departures;
 pub mod evacuations;
 pub mod failure_detector;
 pub mod forwarded_requests;
