Cold targets: silence counts as a loss, and targets that move are relied on

Cause: a target whose link is cut gives no error, so that it was taken for warm when it returned; and when an entry VM fails, the targets that move to others counted as lost until they had been checked, although their entries had shown them as warm for long.

Change: a target that answers no check for a second is lost. A target that joins an entry VM's table is relied on if it has been listed, outside of evacuated domains, for longer than it is cold after a start.

--- a/crates/core/src/target.rs
+++ b/crates/core/src/target.rs
@@ -188,9 +188,7 @@
             let Some(target) = self.targets.get_mut(*key) else { continue };
             if target.needs_report(age, now) {
                 target.last_probe_at = Some(now);
-                if let Some(warm_up) = &mut target.warm_up {
-                    warm_up.record_check();
-                }
+                self.record_check(*key, now);
                 probed.push(*key);
             }
         }
--- a/crates/core/src/target/cold.rs
+++ b/crates/core/src/target/cold.rs
@@ -44,8 +44,7 @@
             }
             None => {
                 let warm_up = WarmUpState::new(limit, left, state.has_joined, now);
-                let is_lost = state.has_joined && left.is_zero();
-                let change = if is_lost { WarmUpChange::Lost } else { WarmUpChange::Cold };
+                let change = if left.is_zero() { WarmUpChange::Lost } else { WarmUpChange::Cold };
                 let change = warm_up.is_cold().then_some(change);
                 state.warm_up = Some(warm_up);
                 self.note_change(key, change);
@@ -64,6 +63,11 @@
         self.change_warm_up(key, |warm_up| warm_up.record_reading(left, sent_at, now));
     }
 
+    /// Records that a target is checked.
+    pub(super) fn record_check(&mut self, key: TargetKey, now: Instant) {
+        self.change_warm_up(key, |warm_up| warm_up.record_check(now));
+    }
+
     /// Returns the changes since the last call.
     pub fn take_warm_up_changes(&mut self) -> Vec<(TargetKey, WarmUpChange)> {
         std::mem::take(&mut self.warm_up_changes)
--- a/crates/core/src/target/warm_up.rs
+++ b/crates/core/src/target/warm_up.rs
@@ -15,6 +15,8 @@
 const READING_INTERVAL: Duration = Duration::from_millis(500);
 /// Time within which a health response is expected after contact was lost.
 const READING_TIMEOUT: Duration = Duration::from_millis(200);
+/// Time without a health response, while there are checks, after which contact counts as lost.
+const SILENCE_LIMIT: Duration = Duration::from_secs(1);
 /// Part of a whole number of requests per second that is used, so that intervals are longer than a part of a second.
 const RATE_MARGIN: f64 = 0.99;
 /// Number of views of the fleet by which entry VMs may send at the same time, while it changes.
@@ -55,6 +57,9 @@
     pub duration: Duration,
     /// Minimum time between two requests of this entry VM; `None` if it sends none.
     pub interval: Option<Duration>,
+    /// Whether the target has been listed for longer than it is cold after a start, so that its entry is relied on when
+    /// it joins.
+    pub is_established: bool,
 }
 
 /// Change of a target's state.
@@ -102,13 +107,16 @@
     /// Whether a health response is wanted at once.
     is_urgent: bool,
     read_at: Option<Instant>,
+    /// Time of the first check since the last health response.
+    unanswered_since: Option<Instant>,
 }
 
 impl WarmUpState {
     /// Creates the state of a target whose entry states this time left. One that joins may have restarted since its entry
-    /// was written.
+    /// was written, unless it has been listed for a while.
     pub fn new(limit: ColdLimit, left: Duration, is_joining: bool, now: Instant) -> Self {
         let entry = (limit.started_millis, left);
+        let is_joining = is_joining && !limit.is_established;
         let phase = if !left.is_zero() {
             WarmUpPhase::Cold { since: now, until: now + left }
         } else if is_joining {
@@ -125,6 +133,7 @@
             has_sent: false,
             is_urgent: is_joining,
             read_at: None,
+            unanswered_since: None,
         }
     }
 
@@ -155,6 +164,7 @@
     /// Records a health response to a check sent at `sent_at`, with the time for which the target stays cold.
     pub fn record_reading(&mut self, left: Duration, sent_at: Instant, now: Instant) -> Option<WarmUpChange> {
         self.read_at = Some(now);
+        self.unanswered_since = None;
         if !left.is_zero() {
             return self.turn_cold(left, now);
         }
@@ -220,9 +230,13 @@
         self.is_urgent
     }
 
-    /// Records that a check is sent.
-    pub fn record_check(&mut self) {
+    /// Records that a check is sent. A target that answers none for a while has lost contact.
+    pub fn record_check(&mut self, now: Instant) -> Option<WarmUpChange> {
+        let since = *self.unanswered_since.get_or_insert(now);
+        let is_silent = now.saturating_duration_since(since) >= SILENCE_LIMIT;
+        let change = if is_silent && !self.is_cold() { self.lose(now) } else { None };
         self.is_urgent = false;
+        change
     }
 
     /// Returns the rate at which this entry VM may send while the target is cold, in requests per second, and the number
--- a/crates/core/tests/warm_up.rs
+++ b/crates/core/tests/warm_up.rs
@@ -57,9 +57,10 @@
 struct Entry {
     born: u64,
     left: Duration,
+    is_established: bool,
 }
 
-const WARM: Entry = Entry { born: 1, left: Duration::ZERO };
+const WARM: Entry = Entry { born: 1, left: Duration::ZERO, is_established: false };
 
 /// One entry VM.
 struct TestVm {
@@ -106,6 +107,7 @@
             started_millis: Some(entry.born),
             duration: WARM_UP,
             interval: self.interval,
+            is_established: entry.is_established,
         };
         let target = |(index, entry): (usize, &Entry)| SharedTarget {
             spec: TargetSpec {
@@ -225,7 +227,7 @@
         let counted = senders.min(BUDGET.max_senders());
         let interval = BUDGET.interval(counted);
         let mut now = Instant::now();
-        let cold = [Entry { born: 1, left: Duration::from_secs(20) }];
+        let cold = [Entry { born: 1, left: Duration::from_secs(20), ..WARM }];
         let mut vms: Vec<TestVm> =
             (0..2 * counted).map(|_| TestVm::new(Some(interval), &cold, now)).collect();
         run(&mut vms, &vec![3; 2 * counted], Duration::from_secs(10), &mut now);
@@ -251,7 +253,7 @@
 fn uneven_callers_do_not_exceed_the_window() {
     let mut now = Instant::now();
     let interval = Some(BUDGET.interval(2));
-    let cold = [Entry { born: 1, left: Duration::from_secs(20) }];
+    let cold = [Entry { born: 1, left: Duration::from_secs(20), ..WARM }];
     let mut vms: Vec<TestVm> = (0..2).map(|_| TestVm::new(interval, &cold, now)).collect();
     run(&mut vms, &[5, 0], Duration::from_secs(5), &mut now);
     assert!(peak(&vms, 0) as f64 <= BUDGET.per_window / 2.0);
@@ -299,7 +301,7 @@
 fn an_entry_counts_once() {
     let mut now = Instant::now();
     let mut vm = TestVm::new(Some(BUDGET.interval(2)), &[WARM, WARM], now);
-    let cold = Entry { born: 1, left: millis(500) };
+    let cold = Entry { born: 1, left: millis(500), ..WARM };
     vm.set_targets(&[cold, WARM], now);
     assert_eq!(vm.changes(), vec![(address(0), WarmUpChange::Cold)]);
     for _ in 0..60 {
@@ -308,7 +310,7 @@
         vm.tick(now);
     }
     assert_eq!(vm.changes(), vec![(address(0), WarmUpChange::Warm)]);
-    vm.set_targets(&[cold, Entry { born: 2, left: Duration::ZERO }], now);
+    vm.set_targets(&[cold, Entry { born: 2, left: Duration::ZERO, ..WARM }], now);
     assert_eq!(vm.changes(), vec![(address(1), WarmUpChange::Lost)]);
     vm.read(1, Duration::ZERO, now);
     assert_eq!(vm.changes(), vec![(address(1), WarmUpChange::Warm)]);
@@ -368,7 +370,7 @@
 #[test]
 fn requests_without_room_at_cold_targets_are_refused_at_once() {
     let mut now = Instant::now();
-    let cold = [Entry { born: 1, left: Duration::from_secs(20) }];
+    let cold = [Entry { born: 1, left: Duration::from_secs(20), ..WARM }];
     let mut vm = TestVm::new(Some(BUDGET.interval(2)), &cold, now);
     now += TICK;
     vm.tick(now);
@@ -388,7 +390,7 @@
 #[test]
 fn entry_vm_without_a_part_sends_nothing_to_cold_targets() {
     let mut now = Instant::now();
-    let cold = Entry { born: 1, left: Duration::from_secs(20) };
+    let cold = Entry { born: 1, left: Duration::from_secs(20), ..WARM };
     let mut vm = TestVm::new(None, &[cold, WARM], now);
     run(std::slice::from_mut(&mut vm), &[5], Duration::from_secs(1), &mut now);
     assert_eq!(vm.sent_to(0).count(), 0);
@@ -408,7 +410,7 @@
 #[test]
 fn retries_avoid_cold_targets_while_one_is_warm() {
     let mut now = Instant::now();
-    let cold = Entry { born: 1, left: Duration::from_secs(20) };
+    let cold = Entry { born: 1, left: Duration::from_secs(20), ..WARM };
     let mut vm = TestVm::new(Some(millis(1)), &[cold, WARM, WARM], now);
     now += TICK;
     vm.tick(now);
@@ -463,10 +465,43 @@
 #[test]
 fn without_a_policy_nothing_is_withheld() {
     let mut now = Instant::now();
-    let cold = Entry { born: 1, left: Duration::from_secs(20) };
+    let cold = Entry { born: 1, left: Duration::from_secs(20), ..WARM };
     let mut vm = TestVm::with_policy(None, false, &[cold], now);
     vm.dispatcher.record_loss(vm.key(0), now);
     run(std::slice::from_mut(&mut vm), &[2], Duration::from_secs(1), &mut now);
     assert!(vm.sent.len() >= 95, "{} of 100 requests", vm.sent.len());
     assert_eq!(vm.changes(), vec![]);
 }
+
+/// A target that moves to this entry VM, because another one has left, has been listed for long: its entry is relied on.
+#[test]
+fn established_target_that_moves_here_is_used_at_once() {
+    let mut now = Instant::now();
+    let mut vm = TestVm::new(Some(BUDGET.interval(2)), &[WARM], now);
+    run(std::slice::from_mut(&mut vm), &[1], millis(200), &mut now);
+    let established = Entry { is_established: true, ..WARM };
+    vm.set_targets(&[WARM, established, Entry { left: WARM_UP, ..established }], now);
+    assert_eq!(vm.changes(), vec![(address(2), WarmUpChange::Cold)]);
+}
+
+/// The target goes silent without an error, for example because its link is cut, and returns cold.
+#[test]
+fn target_that_answers_no_checks_for_a_second_is_lost() {
+    let mut now = Instant::now();
+    let mut vm = TestVm::new(Some(BUDGET.interval(2)), &[WARM, WARM], now);
+    let mut lost_after = None;
+    let silent_since = now;
+    while lost_after.is_none() && now < silent_since + Duration::from_secs(3) {
+        now += TICK;
+        vm.complete_all(now);
+        vm.submit(millis(1000), now);
+        for (key, _) in vm.dispatcher.take_targets_to_probe(now) {
+            if key == vm.key(1) {
+                vm.read(1, Duration::ZERO, now);
+            }
+        }
+        lost_after = vm.changes().contains(&(address(0), WarmUpChange::Lost)).then(|| now - silent_since);
+    }
+    let lost_after = lost_after.expect("it is lost");
+    assert!(lost_after >= millis(1000) && lost_after <= millis(1300), "{lost_after:?}");
+}
--- a/crates/relay/src/shared_state.rs
+++ b/crates/relay/src/shared_state.rs
@@ -493,14 +493,14 @@
         let sender_cell = cell.filter(|_| self.is_membership_settled.load(Ordering::Relaxed));
         let own = targets.values().filter(|target| target.service == service).filter(is_own);
         let mut targets_by_address: BTreeMap<SocketAddr, (u64, SharedTarget)> = BTreeMap::new();
+        let now = boot_clock::now();
         for record in own {
+            let listed_for = || self.lock_targets().listed_for(&record.instance, now);
+            let limit = policies.limit_of(record, sender_cell, listed_for);
             let started = record.started_millis.unwrap_or(0);
             // If two instances have the same address, only the one that started later can still exist.
             if targets_by_address.get(&record.address).is_none_or(|(other, _)| *other <= started) {
-                targets_by_address.insert(
-                    record.address,
-                    (started, self.make_target(record, policies.limit_of(record, sender_cell))),
-                );
+                targets_by_address.insert(record.address, (started, self.make_target(record, limit)));
             }
         }
         self.exclude_leaving(service, targets, targets_by_address.values_mut().map(|(_, target)| target));
--- a/crates/relay/src/shared_state/cold_limits.rs
+++ b/crates/relay/src/shared_state/cold_limits.rs
@@ -39,12 +39,23 @@
 
     /// Returns how this entry VM treats a target while it is cold; `None` if its service has no policy. `cell` is that of
     /// this entry VM, if it may send to cold targets at all.
-    pub(super) fn limit_of(&self, record: &TargetRecord, cell: Option<&OwnCell>) -> Option<ColdLimit> {
+    /// `listed_for` returns the time for which the target has been listed and could get requests.
+    pub(super) fn limit_of(
+        &self,
+        record: &TargetRecord,
+        cell: Option<&OwnCell>,
+        listed_for: impl FnOnce() -> Duration,
+    ) -> Option<ColdLimit> {
         let policy = self.by_service.get(&record.service)?;
         let sender_cell = cell.filter(|cell| cell.cold_targets.contains(&record.address));
         let interval: Option<Duration> =
             sender_cell.map(|cell| self.budget(policy).interval(cell.cold_sender_count));
-        Some(ColdLimit { started_millis: record.started_millis, duration: policy.duration, interval })
+        Some(ColdLimit {
+            started_millis: record.started_millis,
+            duration: policy.duration,
+            interval,
+            is_established: listed_for() > policy.duration,
+        })
     }
 
     fn budget(&self, policy: &WarmUpPolicy) -> WarmUpBudget {
--- a/crates/relay/src/shared_state/target_lists.rs
+++ b/crates/relay/src/shared_state/target_lists.rs
@@ -6,9 +6,11 @@
 use super::{EntryVmMap, TargetMap};
 use sniperelay_core::ids::{DomainName, InstanceName};
 use sniperelay_core::target::TargetLifecycle;
-use std::collections::BTreeSet;
+use sniperelay_node::boot_clock::{self, BootTime};
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 /// Listed and usable targets.
 #[derive(Debug, Default)]
@@ -19,6 +21,8 @@
     excluded: BTreeSet<InstanceName>,
     /// Evacuated failure domains.
     evacuated: BTreeSet<DomainName>,
+    /// Since when each target has been listed with its present start, and not been in an evacuated domain.
+    listed_since: BTreeMap<InstanceName, (Option<u64>, BootTime)>,
 }
 
 impl TargetLists {
@@ -30,6 +34,7 @@
     /// Replaces the listed targets.
     pub(super) fn set_listed(&mut self, targets: TargetMap, vms: &EntryVmMap, own_ports: &[u16]) {
         self.listed = targets;
+        self.update_listing_times(boot_clock::now());
         self.update_usable(vms, own_ports);
     }
 
@@ -42,12 +47,36 @@
     ) -> bool {
         let has_changed = self.evacuated != domains;
         if has_changed {
+            let returned: Vec<DomainName> = self.evacuated.difference(&domains).cloned().collect();
             self.evacuated = domains;
+            // A target may have restarted while it got no requests.
+            let has_returned = |name: &InstanceName| {
+                self.listed.get(name).is_some_and(|record| returned.contains(&record.domain))
+            };
+            self.listed_since.retain(|name, _| !has_returned(name));
+            self.update_listing_times(boot_clock::now());
             self.update_usable(vms, own_ports);
         }
         has_changed
     }
 
+    /// Returns for how long a target has been listed with its present start, and not been in an evacuated domain.
+    pub(super) fn listed_for(&self, name: &InstanceName, now: BootTime) -> Duration {
+        self.listed_since.get(name).map_or(Duration::ZERO, |(_, since)| now.saturating_sub(*since))
+    }
+
+    fn update_listing_times(&mut self, now: BootTime) {
+        let listed = &self.listed;
+        self.listed_since.retain(|name, (started, _)| {
+            listed.get(name).is_some_and(|record| record.started_millis == *started)
+        });
+        for (name, record) in listed {
+            if !self.listed_since.contains_key(name) {
+                self.listed_since.insert(name.clone(), (record.started_millis, now));
+            }
+        }
+    }
+
     /// Returns whether all targets of a service that would accept requests are in evacuated failure domains.
     pub(super) fn is_evacuated(&self, service: &str) -> bool {
         if self.evacuated.is_empty() {
