Transport of claims apart from the limits of targets

Cause: limits of client accounts need the same exchange as limits of targets: one message to the owner and its response.

Change: claim_transport has the errors, the sending and the reading; limit_claims uses it. No behaviour changes.

--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -34,6 +34,7 @@
 //! | [`caller_response`] | encoding of responses |
 //! | [`request_handler`] | handling of one request, from its route to its response |
 //! | [`attempt`] | one attempt at one target |
+//! | [`claim_transport`] | messages with claims between entry VMs |
 //! | [`limit_claims`] | exchange of shares of targets' rate limits between entry VMs |
 //! | [`unaware_vms`] | entry VMs of earlier builds, which own no limits |
 //! | [`target_checks`] | detection of a partition from all targets |
@@ -49,6 +50,7 @@
 pub mod caller_connection;
 pub mod caller_response;
 pub mod change_index;
+pub mod claim_transport;
 pub mod connection_end;
 pub mod content_coding;
 pub mod copy_offers;
--- a/crates/relay/src/limit_claims.rs
+++ b/crates/relay/src/limit_claims.rs
@@ -6,12 +6,11 @@
 //! entry VM once the last share has expired, until the owner responds or another entry VM takes its place.
 
 use crate::attempt::log_limit_change;
+use crate::claim_transport::{ClaimError, Result, encode_message, post_claims, read_message};
 use crate::decision_log::DecisionKind;
 use crate::shared_state::RelayState;
 use crate::unaware_vms::UnawareVm;
 use bytes::Bytes;
-use http::{Request, StatusCode, header};
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use serde::{Deserialize, Serialize};
 use sniperelay_core::dispatch::DueClaim;
@@ -19,50 +18,18 @@
 use sniperelay_core::limit_ledger::LimitClaim;
 use sniperelay_core::rate_limit::{LimitObservation, LimitShare, SHARE_LIFETIME};
 use sniperelay_node::dispatcher_handle::ServiceEntry;
-use sniperelay_node::traffic::body::full_body;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
-/// Result of an exchange of claims and shares.
-pub type Result<T> = std::result::Result<T, ClaimError>;
-
 /// Path of claims in the API for other entry VMs.
 pub const CLAIM_PATH: &str = "/limit-shares";
 /// Interval between two checks for claims that are due.
 const CLAIM_TICK: Duration = Duration::from_millis(50);
 /// Timeout for the response of an owner: shorter than the interval of claims.
 const CLAIM_TIMEOUT: Duration = Duration::from_millis(250);
-/// Maximum size of a message, in bytes: some hundred targets.
-const MAX_MESSAGE_BYTES: usize = 256 * 1024;
-
-/// Failure of an exchange of claims and shares.
-#[derive(Debug, thiserror::Error)]
-pub enum ClaimError {
-    /// The owner could not be reached, or its connection failed.
-    #[error("no connection to the owner: {0}")]
-    Connection(String),
-    /// The owner did not respond in time.
-    #[error("no response of the owner in time")]
-    Timeout,
-    /// The owner responded with this status.
-    #[error("the owner responded with status {0}")]
-    Status(StatusCode),
-    /// A message could not be decoded, or exceeds the size limit.
-    #[error("malformed message: {0}")]
-    Malformed(String),
-}
-
-impl ClaimError {
-    /// Returns whether the owner's build does not know claims. Builds that do know them respond to none with these
-    /// statuses.
-    fn shows_unaware_owner(&self) -> bool {
-        matches!(self, Self::Status(StatusCode::NOT_FOUND | StatusCode::SERVICE_UNAVAILABLE))
-    }
-}
-
 /// Claims of one entry VM.
 #[derive(Debug, Serialize, Deserialize)]
 struct ClaimMessage {
@@ -243,26 +210,7 @@
     claims: &[ServiceClaim],
 ) -> Result<ShareMessage> {
     let address = state.peer_address(owner).ok_or_else(|| ClaimError::Connection("not registered".into()))?;
-    let message = encode_claims(state, claims);
-    let body = serde_json::to_vec(&message).map_err(|error| ClaimError::Malformed(error.to_string()))?;
-    let mut connection = state.pool.take(address).await.map_err(connection_error)?;
-    let request = Request::post(CLAIM_PATH)
-        .header(header::HOST, address.to_string())
-        .body(full_body(Bytes::from(body)))
-        .map_err(connection_error)?;
-    let sender = connection.sender().ok_or_else(|| ClaimError::Connection("closed".into()))?;
-    let response = sender.send_request(request).await.map_err(connection_error)?;
-    let status = response.status();
-    let message = read_message(response.into_body()).await;
-    connection.return_to_pool();
-    if status != StatusCode::OK {
-        return Err(ClaimError::Status(status));
-    }
-    message
-}
-
-fn connection_error(error: impl std::fmt::Display) -> ClaimError {
-    ClaimError::Connection(error.to_string())
+    post_claims(&state.pool, address, CLAIM_PATH, &encode_claims(state, claims)).await
 }
 
 fn encode_claims(state: &RelayState, claims: &[ServiceClaim]) -> ClaimMessage {
@@ -281,13 +229,6 @@
     }
 }
 
-async fn read_message<T: serde::de::DeserializeOwned>(body: Incoming) -> Result<T> {
-    let malformed = |error: String| ClaimError::Malformed(error);
-    let body = Limited::new(body, MAX_MESSAGE_BYTES).collect().await;
-    let body = body.map_err(|error| malformed(error.to_string()))?.to_bytes();
-    serde_json::from_slice(&body).map_err(|error| malformed(error.to_string()))
-}
-
 /// Handles the claims of another entry VM and returns the encoded shares.
 ///
 /// # Errors
@@ -303,9 +244,7 @@
     }
     let now = Instant::now();
     let shares = message.claims.iter().map(|claim| grant_claim(state, message.claimant, claim, now));
-    let response = ShareMessage { shares: shares.collect() };
-    let encoded = serde_json::to_vec(&response).map_err(|error| ClaimError::Malformed(error.to_string()))?;
-    Ok(Bytes::from(encoded))
+    encode_message(&ShareMessage { shares: shares.collect() })
 }
 
 /// Grants a share to another entry VM. Returns `None` if this entry VM does not own the limit.
