Core: request limits of client accounts over the fleet, by lots from an owner

Cause: a client account's limit holds for all entry VMs together, and nothing kept it. The ledger of targets' limits does not fit: the share of an entry VM of most accounts is far below one request in a window.

--- a/crates/core/src/home.rs
+++ b/crates/core/src/home.rs
@@ -4,6 +4,7 @@
 //! the membership therefore agree without exchanging messages, and a membership change moves few
 //! assignments.
 
+use crate::account::AccountId;
 use crate::ids::{DomainName, IncarnationId};
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
@@ -176,6 +177,34 @@
     homes.iter().map(|home| home.incarnation).min_by_key(|home| hash_with_seed(&name, *home))
 }
 
+/// The entry VMs that keep the request limit of one client account.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct AccountOwners {
+    /// The owner.
+    pub owner: IncarnationId,
+    /// The entry VM that stands in for an owner that does not respond; `None` if there is no other one.
+    pub stand_in: Option<IncarnationId>,
+}
+
+impl AccountOwners {
+    /// Chooses the owner and the stand-in of an account, the first two of the candidates by hash. Returns `None` if there
+    /// are no candidates.
+    pub fn choose(account: AccountId, candidates: impl Iterator<Item = IncarnationId>) -> Option<Self> {
+        let name = account.to_le_bytes();
+        let mut first_two: [Option<(u64, IncarnationId)>; 2] = [None; 2];
+        for home in candidates {
+            let entry = Some((xxh3_64_with_seed(&name, home), home));
+            if first_two[0].is_none_or(|first| entry < Some(first)) {
+                first_two = [entry, first_two[0]];
+            } else if first_two[1].is_none_or(|second| entry < Some(second)) {
+                first_two[1] = entry;
+            }
+        }
+        let [owner, stand_in] = first_two;
+        Some(Self { owner: owner?.1, stand_in: stand_in.map(|(_, home)| home) })
+    }
+}
+
 fn sort_into_cells(homes: &[HomeCandidate]) -> Vec<HomeCandidate> {
     let mut sorted = homes.to_vec();
     sorted.sort_by(|left, right| (&left.domain, left.incarnation).cmp(&(&right.domain, right.incarnation)));
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,6 +7,9 @@
 //! | module | contents |
 //! |---|---|
 //! | [`account`] | client accounts: API keys, priority, request limit |
+//! | [`account_ledger`] | owner's part of accounts' request limits: token buckets that grant lots |
+//! | [`account_quota`] | claimant's part: lots of tokens, admission of requests |
+//! | [`account_terms`] | terms of accounts' request limits, from the tolerance that the platform states |
 //! | [`document`] | typed configuration document of a service and its verifier |
 //! | [`estimate`] | estimates of durations and sizes |
 //! | [`evacuation`] | failure domains whose targets get no requests, by order of the operator |
@@ -40,6 +43,9 @@
 //! | [`overlay`] | neighbour graph for heartbeats and gossip |
 
 pub mod account;
+pub mod account_ledger;
+pub mod account_quota;
+pub mod account_terms;
 pub mod borrow;
 pub mod budget;
 pub mod claim;
