Requests of client accounts are admitted under the limits of their accounts

Change: account_quotas admits requests after the route and the account are found, and gives tokens of requests back that did not run. account_claims exchanges lots with owners (POST /account-lots, one message in flight per owner), account_fleet has the candidates. A request forwarded by another entry VM was admitted there. Without limits in the configuration nothing is computed or sent. Counters, log lines, and the message's line in the inventory.

Measured: tests with two entry VMs over real sockets: the sum over both, use of at least 0.9 of the limit, 429 with a time to come back, a silent owner, owners of an earlier build (503, 404), requests refused with 503. rate_limits, mixed_versions and api_keys pass.

--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -113,6 +113,14 @@
     pub limit_claims: AtomicU64,
     /// Those calls that failed.
     pub limit_claims_failed: AtomicU64,
+    /// Messages to other entry VMs with claims for lots of accounts' limits.
+    pub account_claims: AtomicU64,
+    /// Those messages that failed.
+    pub account_claims_failed: AtomicU64,
+    /// Tokens of accounts' limits granted to this entry VM.
+    pub account_tokens_granted: AtomicU64,
+    /// Tokens of accounts' limits that this entry VM has sent back.
+    pub account_tokens_returned: AtomicU64,
     /// Targets that have reported in a response that they are leaving.
     pub targets_reported_leaving: AtomicU64,
     /// Crashes of targets while they ran a request, as seen by this entry VM.
@@ -138,7 +146,7 @@
 }
 
 impl ProcessCounters {
-    fn named(&self) -> [(&'static str, &AtomicU64); 34] {
+    fn named(&self) -> [(&'static str, &AtomicU64); 38] {
         [
             ("lookups", &self.lookups),
             ("probe_calls", &self.probe_calls),
@@ -163,6 +171,10 @@
             ("limited_sends", &self.limited_sends),
             ("limit_claims", &self.limit_claims),
             ("limit_claims_failed", &self.limit_claims_failed),
+            ("account_claims", &self.account_claims),
+            ("account_claims_failed", &self.account_claims_failed),
+            ("account_tokens_granted", &self.account_tokens_granted),
+            ("account_tokens_returned", &self.account_tokens_returned),
             ("targets_reported_leaving", &self.targets_reported_leaving),
             ("target_crashes", &self.target_crashes),
             ("requests_quarantined", &self.requests_quarantined),
--- a/crates/relay/src/http_api.rs
+++ b/crates/relay/src/http_api.rs
@@ -1,6 +1,8 @@
 //! HTTP API for everything but caller traffic: lookups, readiness checks, metrics and replication to
 //! followers.
 
+use crate::account_claims::{LOT_PATH, handle_lot_claims};
+use crate::claim_transport;
 use crate::content_coding::ContentCoding;
 use crate::copy_offers::{OFFER_PATH, handle_offer};
 use crate::forwarded_requests::handle_forwarded;
@@ -86,7 +88,13 @@
             return handle_forwarded(state, peer, request).await;
         }
         if request.uri().path() == CLAIM_PATH && request.method() == Method::POST {
-            return handle_limit_claims(state, request.into_body()).await;
+            return claims_response(handle_claims(state, request.into_body()).await);
+        }
+        if request.uri().path() == LOT_PATH && request.method() == Method::POST {
+            let view = state.membership_view();
+            return claims_response(
+                handle_lot_claims(&state.account_quotas, view, request.into_body()).await,
+            );
         }
     }
     let query = request.uri().query().unwrap_or("");
@@ -104,12 +112,12 @@
     }
 }
 
-/// Handles claims of other entry VMs for shares of targets' limits.
-async fn handle_limit_claims(state: &RelayState, body: Incoming) -> ApiResponse {
-    match handle_claims(state, body).await {
-        Ok(shares) => Response::new(Full::new(shares)),
+/// Returns the response to claims of another entry VM.
+fn claims_response(answer: claim_transport::Result<Bytes>) -> ApiResponse {
+    match answer {
+        Ok(answer) => Response::new(Full::new(answer)),
         Err(error) => {
-            log::info!("claims for shares of limits refused: {error}");
+            log::info!("claims for parts of limits refused: {error}");
             text_response(StatusCode::BAD_REQUEST, "claims refused")
         }
     }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -34,6 +34,9 @@
 //! | [`caller_response`] | encoding of responses |
 //! | [`request_handler`] | handling of one request, from its route to its response |
 //! | [`attempt`] | one attempt at one target |
+//! | [`account_quotas`] | request limits of client accounts: admission of requests, buckets of owned accounts |
+//! | [`account_fleet`] | entry VMs that can own accounts' limits |
+//! | [`account_claims`] | exchange of lots of accounts' limits between entry VMs |
 //! | [`claim_transport`] | messages with claims between entry VMs |
 //! | [`limit_claims`] | exchange of shares of targets' rate limits between entry VMs |
 //! | [`unaware_vms`] | entry VMs of earlier builds, which own no limits |
@@ -45,6 +48,9 @@
 //! | [`decision_log`] | log lines about decisions on requests |
 //! | [`http_api`] | lookups, readiness checks, metrics and replication to followers |
 
+pub mod account_claims;
+pub mod account_fleet;
+pub mod account_quotas;
 pub mod attempt;
 pub mod body_memory;
 pub mod caller_connection;
--- a/crates/relay/src/request_handler.rs
+++ b/crates/relay/src/request_handler.rs
@@ -10,6 +10,7 @@
 mod forward;
 mod request_route;
 
+use crate::account_quotas::{AccountQuotas, QuotaAdmission};
 use crate::attempt::{AttemptResult, OutboundRequest, TargetResponse, run_attempt};
 use crate::body_memory::StoredBody;
 use crate::caller_response::{CallerResponse, RelayRefusal};
@@ -96,6 +97,7 @@
         refuse_early(state, &head, RefusalReason::BadRequest, DEFAULT_RETRY_AFTER)
     })?;
     let timeout = caller_timeout.unwrap_or(route.spec.timeout).min(route.spec.timeout);
+    let quota_admission = admit_to_account(&state.account_quotas, &route, origin, timeout).await?;
     let outbound = OutboundRequest {
         method: head.method,
         path_and_query: head.path_and_query,
@@ -108,6 +110,7 @@
     let admission = admit_request(state, &outbound, &head.host);
     if let Admission::Quarantined { retry_after, .. } = admission {
         route.entry.rank_counters(route.ranks.on_time).count_refusal(RefusalReason::Quarantined);
+        quota_admission.into_iter().for_each(QuotaAdmission::give_back);
         return Err(RelayRefusal::not_run(RefusalReason::Quarantined, retry_after));
     }
     let times = RequestTimes {
@@ -124,9 +127,30 @@
         RequestOrigin::Peer { .. } => handler.run_here().await,
     };
     handler.log_result(&result);
+    if handler.has_not_run(&result) {
+        quota_admission.into_iter().for_each(QuotaAdmission::give_back);
+    }
     result
 }
 
+/// Admits a request under the limit of its client account. A request that another entry VM has forwarded was admitted
+/// there.
+async fn admit_to_account(
+    quotas: &AccountQuotas,
+    route: &RequestRoute,
+    origin: RequestOrigin,
+    timeout: Duration,
+) -> Result<Option<QuotaAdmission>> {
+    let Some(account) = route.account.as_ref().filter(|_| origin == RequestOrigin::Caller) else {
+        return Ok(None);
+    };
+    quotas.admit(account, timeout).await.map_err(|refusal| {
+        let reason = RefusalReason::AccountLimit;
+        route.entry.rank_counters(route.ranks.on_time).count_refusal(reason);
+        RelayRefusal::not_run(reason, refusal.retry_after)
+    })
+}
+
 /// Refuses a request before it is submitted to a service, and logs the refusal.
 fn refuse_early(
     state: &RelayState,
@@ -224,6 +248,14 @@
         }
     }
 
+    /// Returns whether the request is certain not to have run, here or at the entry VM that it was forwarded to.
+    fn has_not_run(&self, result: &Result<CallerResponse>) -> bool {
+        match result {
+            Err(refusal) => refusal.outcome == Outcome::NotRun,
+            Ok(response) => self.forwarded_to.is_some() && indicates_not_run(response.status),
+        }
+    }
+
     fn limit_attempts(&mut self, origin: RequestOrigin) {
         if let RequestOrigin::Peer { attempts_left } = origin {
             self.max_attempts = self.max_attempts.min(attempts_left);
--- a/crates/relay/src/shared_state.rs
+++ b/crates/relay/src/shared_state.rs
@@ -4,6 +4,7 @@
 mod target_lists;
 mod unrouted_services;
 
+use crate::account_quotas::AccountQuotas;
 use crate::copy_offers::CopyOffers;
 use crate::crash_quarantine::CrashQuarantine;
 use crate::decision_log::DecisionLog;
@@ -16,6 +17,7 @@
 use placement::OwnCell;
 use sniperelay_config::RelaySettings;
 use sniperelay_core::account::{AccountTable, ClientAccount};
+use sniperelay_core::account_terms::LimitTolerance;
 use sniperelay_core::dispatch::DispatchSettings;
 use sniperelay_core::document::ServiceDocument;
 use sniperelay_core::ids::{DomainName, IncarnationId, InstanceName, ServiceName};
@@ -25,7 +27,7 @@
 use sniperelay_core::pick::PickPolicy;
 use sniperelay_core::route::{RouteConfig, RouteTable, RouteVersion};
 use sniperelay_core::target::{SharedTarget, TargetLifecycle, TargetSpec};
-use sniperelay_hosted::bounds::PlatformBounds;
+use sniperelay_hosted::bounds::{AccountTolerance, PlatformBounds};
 use sniperelay_hosted::registration::{EntryVmRecord, TargetRecord};
 use sniperelay_hosted::store::ObjectStore;
 use sniperelay_node::boot_clock::{self, BootTime};
@@ -89,6 +91,8 @@
     pub isolated_vms: ArcSwap<BTreeSet<String>>,
     /// Entry VMs of builds that do not know rate limits of targets.
     pub unaware_vms: UnawareVms,
+    /// Request limits of client accounts.
+    pub account_quotas: AccountQuotas,
     /// Phase of the process.
     pub lifecycle: LifecycleView,
     /// End of the process, if it is shutting down.
@@ -169,6 +173,7 @@
             unresponsive_vms: Mutex::default(),
             isolated_vms: ArcSwap::default(),
             unaware_vms: UnawareVms::default(),
+            account_quotas: AccountQuotas::new(limit_tolerance(&bounds)),
             lifecycle,
             stop_deadline: StopDeadline::default(),
             metrics: MetricSet::new()?,
@@ -207,6 +212,7 @@
         let (calls, process) = (self.store.counters(), self.metrics.process());
         process.platform_calls.store(calls.attempted(), Ordering::Relaxed);
         process.platform_failures.store(calls.failed(), Ordering::Relaxed);
+        self.account_quotas.export_counters(process);
         let gauges = self.metrics.local_view();
         let set = |gauge: &AtomicU64, value: u64| gauge.store(value, Ordering::Relaxed);
         set(
@@ -519,6 +525,12 @@
     table
 }
 
+/// Returns how far the limits of client accounts may be exceeded.
+fn limit_tolerance(bounds: &PlatformBounds) -> LimitTolerance {
+    let AccountTolerance { window, overrun, slack } = bounds.account_tolerance;
+    LimitTolerance { window, overrun, slack }
+}
+
 /// Returns whether a target accepts new requests.
 pub fn is_live(record: &TargetRecord) -> bool {
     record.lifecycle == TargetLifecycle::Live
--- a/crates/relay/src/startup.rs
+++ b/crates/relay/src/startup.rs
@@ -2,6 +2,7 @@
 //!
 //! See [`crate::shutdown`] for what happens after the signal.
 
+use crate::account_claims::claim_account_lots;
 use crate::caller_connection::serve_callers;
 use crate::copy_offers::offer_copies;
 use crate::crash_reports::exchange_crash_reports;
@@ -143,6 +144,7 @@
     tokio::spawn(probe_targets(state.clone()));
     tokio::spawn(check_target_links(state.clone()));
     tokio::spawn(claim_limit_shares(state.clone()));
+    tokio::spawn(claim_account_lots(state.clone()));
     tokio::spawn(run_upkeep(state.clone()));
     tokio::spawn(close_idle_connections(state.clone()));
     tokio::spawn(expire_leaving_targets(state.clone()));
