--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -37,6 +37,10 @@
 //! | [`caller_response`] | encoding of responses |
 //! | [`request_handler`] | handling of one request, from its route to its response |
 //! | [`attempt`] | one attempt at one target |
+//! | [`account_quotas`] | request limits of client accounts: admission of requests, buckets of owned accounts |
+//! | [`account_fleet`] | entry VMs that can own accounts' limits |
+//! | [`account_claims`] | exchange of lots of accounts' limits between entry VMs |
+//! | [`claim_transport`] | messages with claims between entry VMs |
 //! | [`limit_claims`] | exchange of shares of targets' rate limits between entry VMs |
 //! | [`unaware_vms`] | entry VMs of earlier builds, which own no limits |
 //! | [`target_checks`] | detection of a partition from all targets |
@@ -49,11 +53,15 @@
 //! | `domain_departures` | log lines and metrics about requests that leave the failure domain |
 //! | [`http_api`] | lookups, readiness checks, metrics and replication to followers |
 
+pub mod account_claims;
+pub mod account_fleet;
+pub mod account_quotas;
 pub mod attempt;
 pub mod body_memory;
 pub mod caller_connection;
 pub mod caller_response;
 pub mod change_index;
+pub mod claim_transport;
 mod cold_targets;
 pub mod config_proof;
 pub mod connection_end;
--- a/crates/relay/src/shared_state.rs
+++ b/crates/relay/src/shared_state.rs
@@ -5,6 +5,7 @@
 mod target_lists;
 mod unrouted_services;
 
+use crate::account_quotas::AccountQuotas;
 use crate::config_proof::ConfigProof;
 use crate::connection_room::ConnectionRoom;
 use crate::copy_offers::CopyOffers;
@@ -21,6 +22,7 @@
 use placement::OwnCell;
 use sniperelay_config::RelaySettings;
 use sniperelay_core::account::{AccountTable, ClientAccount};
+use sniperelay_core::account_terms::LimitTolerance;
 use sniperelay_core::connection_table::ConnectionLimits;
 use sniperelay_core::dispatch::DispatchSettings;
 use sniperelay_core::document::ServiceDocument;
@@ -32,7 +34,7 @@
 use sniperelay_core::pick::PickPolicy;
 use sniperelay_core::route::{RouteConfig, RouteTable, RouteVersion};
 use sniperelay_core::target::{ColdLimit, SharedTarget, TargetLifecycle, TargetSpec};
-use sniperelay_hosted::bounds::PlatformBounds;
+use sniperelay_hosted::bounds::{AccountTolerance, PlatformBounds};
 use sniperelay_hosted::registration::{EntryVmRecord, TargetRecord};
 use sniperelay_hosted::routes::CONFIG_PREFIX;
 use sniperelay_hosted::store::ObjectStore;
@@ -97,6 +99,8 @@
     pub isolated_vms: ArcSwap<BTreeSet<String>>,
     /// Entry VMs of builds that do not know rate limits of targets.
     pub unaware_vms: UnawareVms,
+    /// Request limits of client accounts.
+    pub account_quotas: AccountQuotas,
     /// Phase of the process.
     pub lifecycle: LifecycleView,
     /// End of the process, if it is shutting down.
@@ -188,6 +192,7 @@
             unresponsive_vms: Mutex::default(),
             isolated_vms: ArcSwap::default(),
             unaware_vms: UnawareVms::default(),
+            account_quotas: AccountQuotas::new(limit_tolerance(&bounds)),
             lifecycle,
             stop_deadline: StopDeadline::default(),
             metrics,
@@ -236,6 +241,7 @@
         process.platform_failures.store(calls.failed(), Ordering::Relaxed);
         let services = self.services.load();
         export_leaving_totals(process, services.values().map(|entry| entry.dispatcher_handle.as_ref()));
+        self.account_quotas.export_counters(process);
         let gauges = self.metrics.local_view();
         let set = |gauge: &AtomicU64, value: u64| gauge.store(value, Ordering::Relaxed);
         set(
@@ -582,6 +588,12 @@
     table
 }
 
+/// Returns how far the limits of client accounts may be exceeded.
+fn limit_tolerance(bounds: &PlatformBounds) -> LimitTolerance {
+    let AccountTolerance { window, overrun, slack } = bounds.account_tolerance;
+    LimitTolerance { window, overrun, slack }
+}
+
 /// Returns whether a target accepts new requests.
 pub fn is_live(record: &TargetRecord) -> bool {
     record.lifecycle == TargetLifecycle::Live
