Share each rank between client accounts by their limits

Cause: a rank had one line for all requests. An account with seven times its usual load took the places in the queue and the turns of the others, and their predicted waits were those of its backlog.

Change: requests wait in a line for each account inside the rank and are served by start-time fair queueing, with the account's request limit as its weight (equal where none is stated). Within a line the first comes first; further attempts go ahead of all lines. The predicted wait, the wait for targets' limits and Retry-After are those of the account. A full queue refuses the newest request of the account with most of them relative to its weight. The order of ranks is as before, and a queue of one account, or of none, is the FIFO queue that it was; the existing tests of the core are untouched.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -33,7 +33,7 @@
 use crate::fair_share::FairShareScheduler;
 use crate::ids::{IncarnationId, QueuedKey, RankId, RequestId, TargetKey};
 use crate::pick::PickPolicy;
-use crate::queue::RankQueue;
+use crate::queue::{AccountWeights, RankQueue};
 use crate::reason::{RefusalReason, RetryReason};
 use crate::target::{TargetSettings, TargetSpec, TargetTable, WorkReading};
 use overflow::OverflowState;
@@ -171,6 +171,7 @@
 #[derive(Debug)]
 struct RequestState {
     rank: RankId,
+    account: AccountId,
     deadline: Instant,
     is_idempotent: bool,
     is_retry_forbidden: bool,
@@ -190,6 +191,7 @@
     settings: DispatchSettings,
     targets: TargetTable,
     ranks: Vec<RankState>,
+    account_weights: Arc<AccountWeights>,
     fair_shares: FairShareScheduler,
     retry_budget: AttemptBudget,
     hedge_budget: AttemptBudget,
@@ -224,6 +226,7 @@
         Self {
             targets: TargetTable::new(target_settings),
             ranks: document.ranks.iter().map(|rank| RankState::new(rank.latency)).collect(),
+            account_weights: Arc::default(),
             fair_shares: FairShareScheduler::new(document.ranks.iter().map(|rank| rank.kept_share).collect()),
             retry_budget: AttemptBudget::new(document.retry.retry_share),
             hedge_budget: AttemptBudget::new(document.retry.hedge_share),
@@ -300,6 +303,12 @@
         self.bind_queued(now, actions);
     }
 
+    /// Sets the weights by which client accounts share the service of a rank.
+    pub fn set_account_weights(&mut self, weights: Arc<AccountWeights>) {
+        self.ranks.iter_mut().for_each(|rank| rank.queue.set_weights(weights.clone()));
+        self.account_weights = weights;
+    }
+
     /// Replaces the service document. Ranks with the same name keep their queue and their estimates.
     /// The queue of a removed rank moves to the least urgent rank.
     pub fn replace_document(&mut self, document: Arc<ServiceDocument>, now: Instant) {
@@ -309,6 +318,7 @@
         let last = self.ranks.len() - 1;
         let find = |name: &String| document.ranks.iter().position(|rank| rank.name == *name);
         let mapping: Vec<RankId> = old_names.iter().map(|name| find(name).unwrap_or(last)).collect();
+        self.set_account_weights(self.account_weights.clone());
         self.queued_keys.clear();
         for (old_rank, mut rank_state) in old_ranks.into_iter().enumerate() {
             let rank = mapping[old_rank];
--- a/crates/core/src/dispatch/admit.rs
+++ b/crates/core/src/dispatch/admit.rs
@@ -1,6 +1,7 @@
 //! Admission of new requests: each is started, queued or refused.
 
 use super::{DispatchAction, NewRequest, ServiceDispatcher};
+use crate::account::AccountId;
 use crate::borrow::LOAN_DURATION;
 use crate::ids::{RankId, RequestId};
 use crate::queue::QueuedRequest;
@@ -23,8 +24,8 @@
         request.rank = request.rank.min(self.ranks.len() - 1);
         self.ranks[request.rank].arrival_rate.record(now);
         self.count_withheld();
-        if let Err(reason) = self.check_admission(&request, now) {
-            let retry_after = self.retry_after(request.rank, now);
+        if let Err(reason) = self.check_admission(&request, now, actions) {
+            let retry_after = self.retry_after(request.rank, request.account, now);
             actions.push(DispatchAction::Refuse { request: request.request, reason, retry_after });
             return;
         }
@@ -43,7 +44,12 @@
         is_queued
     }
 
-    fn check_admission(&mut self, request: &NewRequest, now: Instant) -> Result<(), RefusalReason> {
+    fn check_admission(
+        &mut self,
+        request: &NewRequest,
+        now: Instant,
+        actions: &mut Vec<DispatchAction>,
+    ) -> Result<(), RefusalReason> {
         if self.targets.is_empty() || self.is_evacuated {
             return Err(RefusalReason::NoTarget);
         }
@@ -56,30 +62,41 @@
         if self.targets.held_as_a_whole_until().is_some_and(|end| end >= request.deadline) {
             return Err(RefusalReason::DeadlineUnreachable);
         }
-        let limited_wait = self.limited_wait(request.rank, now);
+        let limited_wait = self.limited_wait(request.rank, request.account, now);
         if limited_wait
             .is_some_and(|wait| now + wait + self.min_response_time(request.rank) > request.deadline)
         {
             return Err(RefusalReason::TargetLimit);
         }
-        if self.ranks[request.rank].queue.len() >= self.document.ranks[request.rank].queue_limit {
+        let is_full = self.ranks[request.rank].queue.len() >= self.document.ranks[request.rank].queue_limit;
+        if is_full && !self.ranks[request.rank].queue.may_displace(request.account) {
             return Err(RefusalReason::QueueFull);
         }
         let reserved_time = self.reserved_response_time(request.rank);
-        let response_at = now + self.predicted_wait(request.rank, now) + reserved_time;
+        let response_at = now + self.predicted_wait(request.rank, request.account, now) + reserved_time;
         let is_paced = limited_wait.is_some() && self.targets.has_cold();
         if !is_paced && self.is_backlogged(request.rank, now) && response_at > request.deadline {
             return Err(RefusalReason::DeadlineUnreachable);
         }
+        if is_full {
+            self.displace_queued(request, now, actions);
+        }
         Ok(())
     }
 
+    /// Refuses the newest queued request of the account with most of them, so that a new one finds room.
+    fn displace_queued(&mut self, new: &NewRequest, now: Instant, actions: &mut Vec<DispatchAction>) {
+        let Some(displaced) = self.ranks[new.rank].queue.displace(new.account) else { return };
+        self.queued_keys.remove(&displaced.request);
+        self.refuse_dequeued_for(RefusalReason::QueueFull, new.rank, &displaced, now, actions);
+    }
+
     /// Returns whether requests of `rank` have waited long enough for the drain rate to be meaningful. An
     /// entry VM without slots of its own depends on loans, which come and go: its queue drains in bursts, and
     /// a loan may be on its way.
     fn is_backlogged(&self, rank: RankId, now: Instant) -> bool {
         let min_age = if self.targets.has_owned_slots() { MIN_BACKLOG_AGE } else { LOAN_DURATION };
-        let oldest = self.ranks[rank].queue.front();
+        let oldest = self.ranks[rank].queue.oldest();
         oldest.is_some_and(|queued| queued.queued_at + min_age <= now)
     }
 
@@ -90,11 +107,11 @@
         self.ranks[rank].latency_p98.value().min(limit)
     }
 
-    /// Predicts how long a new request of `rank` would wait, from the queue length and the drain
-    /// rate.
-    fn predicted_wait(&mut self, rank: RankId, now: Instant) -> Duration {
+    /// Predicts how long a new request of `account` in `rank` would wait, from the number of requests before it and the
+    /// drain rate.
+    fn predicted_wait(&mut self, rank: RankId, account: AccountId, now: Instant) -> Duration {
         let rank_state = &mut self.ranks[rank];
-        let queued_count = rank_state.queue.len();
+        let queued_count = rank_state.queue.count_before(account);
         if queued_count == 0 {
             return Duration::ZERO;
         }
@@ -107,12 +124,12 @@
     }
 
     /// Returns the delay after which a refused request is likely to be admitted.
-    pub(super) fn retry_after(&mut self, rank: RankId, now: Instant) -> Duration {
+    pub(super) fn retry_after(&mut self, rank: RankId, account: AccountId, now: Instant) -> Duration {
         let pause = self.remaining_pause(now);
-        let limited_wait = self.limited_wait(rank, now);
+        let limited_wait = self.limited_wait(rank, account, now);
         // The rate at which cold targets take requests is known, and too low to be measured in time.
         let is_paced = limited_wait.is_some() && self.targets.has_cold();
-        let predicted_wait = if is_paced { Duration::ZERO } else { self.predicted_wait(rank, now) };
+        let predicted_wait = if is_paced { Duration::ZERO } else { self.predicted_wait(rank, account, now) };
         let wait = predicted_wait.max(limited_wait.unwrap_or_default());
         wait.max(MIN_RETRY_AFTER).max(pause).max(self.evacuated_wait())
     }
@@ -125,6 +142,7 @@
 
     fn enqueue(&mut self, request: &NewRequest, now: Instant) {
         let state = super::RequestState {
+            account: request.account,
             rank: request.rank,
             deadline: request.deadline,
             is_idempotent: request.is_idempotent,
@@ -137,6 +155,7 @@
         self.requests.insert(request.request, state);
         let queued = QueuedRequest {
             request: request.request,
+            account: request.account,
             deadline: request.deadline,
             queued_at: now,
             avoid: None,
--- a/crates/core/src/dispatch/attempt.rs
+++ b/crates/core/src/dispatch/attempt.rs
@@ -272,6 +272,7 @@
         state.retry = Some(reason);
         let rank = state.rank;
         let queued = QueuedRequest {
+            account: state.account,
             request,
             deadline: state.deadline,
             queued_at: now,
--- a/crates/core/src/dispatch/bind.rs
+++ b/crates/core/src/dispatch/bind.rs
@@ -20,6 +20,7 @@
             let Some(queued) = self.ranks[rank].queue.pop_front() else { return };
             self.queued_keys.remove(&queued.request);
             if self.cannot_meet_deadline(rank, &queued, now) {
+                self.refund_account(rank, &queued);
                 self.refuse_dequeued(rank, &queued, now, actions);
                 continue;
             }
@@ -39,6 +40,13 @@
         }
     }
 
+    /// Returns to an account its turn for a request that is refused instead of started. A further attempt has not cost one.
+    pub(super) fn refund_account(&mut self, rank: RankId, queued: &QueuedRequest) {
+        if queued.avoid.is_none() {
+            self.ranks[rank].queue.refund(queued);
+        }
+    }
+
     pub(super) fn has_attempt_at(&self, queued: &QueuedRequest, target: TargetKey) -> bool {
         let state = self.requests.get(&queued.request);
         state.is_some_and(|state| state.attempts.iter().any(|attempt| attempt.target == target))
@@ -127,7 +135,7 @@
         if self.requests.get(&queued.request).is_some_and(|state| !state.attempts.is_empty()) {
             return;
         }
-        let retry_after = self.retry_after(rank, now);
+        let retry_after = self.retry_after(rank, queued.account, now);
         self.remove_if_idle(queued.request);
         actions.push(DispatchAction::Refuse { request: queued.request, reason, retry_after });
     }
--- a/crates/core/src/dispatch/limits.rs
+++ b/crates/core/src/dispatch/limits.rs
@@ -1,6 +1,7 @@
 //! Limits that targets state: claims for shares of them, and the time that requests wait for them.
 
 use super::{DispatchAction, ServiceDispatcher};
+use crate::account::AccountId;
 use crate::ids::{InstanceName, RankId, RequestId, TargetKey};
 use crate::rate_limit::{LimitChange, LimitObservation, LimitShare, RECHECK_INTERVAL};
 use std::net::SocketAddr;
@@ -116,12 +117,18 @@
         self.targets.get(key).and_then(|target| target.limit_observation()).unwrap_or(observation)
     }
 
-    /// Returns how long a new request of `rank` waits if all usable targets state limits, from the shares of
+    /// Returns how long a new request of `account` in `rank` waits if all usable targets state limits, from the shares of
     /// this entry VM and the requests ahead of it. Returns `None` if a target states no limit, or if a first
     /// share is still awaited.
-    pub(super) fn limited_wait(&mut self, rank: RankId, now: Instant) -> Option<Duration> {
+    pub(super) fn limited_wait(
+        &mut self,
+        rank: RankId,
+        account: AccountId,
+        now: Instant,
+    ) -> Option<Duration> {
         let capacity = self.targets.limited_capacity(now)?;
-        let ahead: usize = self.ranks[..=rank].iter().map(|rank| rank.queue.len()).sum();
+        let more_urgent: usize = self.ranks[..rank].iter().map(|rank| rank.queue.len()).sum();
+        let ahead = more_urgent + self.ranks[rank].queue.count_before(account);
         let missing_tokens = ahead as f64 + 1.0 - capacity.tokens;
         if missing_tokens <= 0.0 {
             return Some(Duration::ZERO);
--- a/crates/core/src/dispatch/shared_slots.rs
+++ b/crates/core/src/dispatch/shared_slots.rs
@@ -160,6 +160,7 @@
             let Some(queued) = self.ranks[rank].queue.pop_front() else { return };
             self.queued_keys.remove(&queued.request);
             if self.cannot_meet_deadline(rank, &queued, now) {
+                self.refund_account(rank, &queued);
                 self.refuse_dequeued(rank, &queued, now, actions);
                 continue;
             }
@@ -214,8 +215,9 @@
         lagging.sort_unstable();
         for (deadline, request) in lagging {
             let Some(state) = self.requests.get(&request) else { continue };
-            let rank = state.rank;
-            let queued = QueuedRequest { request, deadline, queued_at: now, avoid: None, is_hedge: false };
+            let RequestState { rank, account, .. } = *state;
+            let queued =
+                QueuedRequest { request, account, deadline, queued_at: now, avoid: None, is_hedge: false };
             let Some(target) = self.pick_shared(rank, &queued, now) else { continue };
             if !self.retry_budget.try_take_keeping_half() {
                 return;
--- a/crates/relay/src/shared_state.rs
+++ b/crates/relay/src/shared_state.rs
@@ -24,7 +24,7 @@
 use sniperelay_core::account::{AccountTable, ClientAccount};
 use sniperelay_core::account_terms::LimitTolerance;
 use sniperelay_core::connection_table::ConnectionLimits;
-use sniperelay_core::dispatch::DispatchSettings;
+use sniperelay_core::dispatch::{DispatchSettings, ServiceDispatcher};
 use sniperelay_core::document::ServiceDocument;
 use sniperelay_core::ids::{DomainName, IncarnationId, InstanceName, ServiceName};
 use sniperelay_core::key_fence::KeyFence;
@@ -32,6 +32,7 @@
 use sniperelay_core::limit_ledger::LimitLedger;
 use sniperelay_core::memory_budget::MemoryBudget;
 use sniperelay_core::pick::PickPolicy;
+use sniperelay_core::queue::AccountWeights;
 use sniperelay_core::route::{RouteConfig, RouteTable, RouteVersion};
 use sniperelay_core::target::{ColdLimit, SharedTarget, TargetLifecycle, TargetSpec};
 use sniperelay_hosted::bounds::{AccountTolerance, PlatformBounds};
@@ -309,6 +310,12 @@
         let accounts = config.accounts.as_deref().map(build_accounts);
         let version = config.version;
         self.replace_services(table.documents());
+        let weights = Arc::new(account_weights(config.accounts.as_deref().unwrap_or_default()));
+        self.for_each_service(|entry| {
+            let set_weights =
+                |dispatcher: &mut ServiceDispatcher| dispatcher.set_account_weights(weights.clone());
+            entry.dispatcher_handle.run_operation(|dispatcher, _, _| set_weights(dispatcher));
+        });
         self.routes.store(Some(Arc::new(ActiveRoutes { config, table, accounts })));
         self.assign_targets();
         self.active_version.send_replace(version);
@@ -579,6 +586,12 @@
 /// Interval between two runs of the dispatchers' periodic work.
 pub const UPKEEP_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Returns the weights by which client accounts share a rank: their request limits.
+fn account_weights(accounts: &[ClientAccount]) -> AccountWeights {
+    let limit = |account: &ClientAccount| Some((account.id(), account.limit?.per_second));
+    AccountWeights::from_limits(accounts.iter().filter_map(limit))
+}
+
 /// Builds the table of client accounts and logs its findings, which contain no API key.
 fn build_accounts(accounts: &[ClientAccount]) -> AccountTable {
     let (table, findings) = AccountTable::build(accounts);
