Fill in the first-start placeholder in the test of the deploy template

The test is as strict as before: no placeholder may be left, and the settings must be valid.

Measured: explain::the_deploy_template_yields_valid_settings fails without the value and passes with it.

--- a/crates/cli/tests/explain.rs
+++ b/crates/cli/tests/explain.rs
@@ -106,6 +106,7 @@
         ("{{Platform.Address}}", "127.0.0.1:5"),
         ("{{Bounds}}", "{\"Grace\":\"6s\",\"BudgetSlack\":\"60\"}"),
         ("{{Limits.CpuShare}}", "0.2"),
+        ("{{Bootstrap}}", "true"),
         ("{{Limits.LinkMbps}}", "1000.0"),
         ("{{Limits.MaxFds}}", "4100"),
         ("{{Limits.MemoryMb}}", "260"),
