Hosts with the same homes in each failure domain count once for probes and budgets

Cause: with homes per failure domain the hosts of a service have the same homes as a rule. Each host counted for itself, so that targets were probed half as often as the platform allows, and each home got half of its budget of further attempts.

Change: in this mode, hosts with the same homes count as one. Without the setting every host counts as before.

--- a/crates/relay/src/shared_state/placement.rs
+++ b/crates/relay/src/shared_state/placement.rs
@@ -30,7 +30,8 @@
     pub(super) overflow: HashSet<SocketAddr>,
     /// Number of homes that may probe the same target, over all hosts.
     pub(super) prober_count: usize,
-    /// Number of hosts with routes to the service. Each host has its own cells.
+    /// Number of hosts with routes to the service. Each host has its own cells. Where each failure domain has homes of
+    /// its own, hosts with the same homes count as one.
     pub(super) host_count: usize,
     /// Total number of homes of these hosts.
     pub(super) home_count: usize,
@@ -244,12 +245,19 @@
         let mut cells: HashMap<ServiceName, OwnCell> = HashMap::new();
         let mut counts: HashMap<ServiceName, (usize, usize)> = HashMap::new();
         let mut sender_counts: HashMap<ServiceName, usize> = HashMap::new();
+        let mut seen_homes: HashSet<(&ServiceName, Vec<IncarnationId>)> = HashSet::new();
         // In the same order everywhere, as the first hosts send to cold targets.
         let mut hosts: Vec<&str> = routes.table.hosts().collect();
         hosts.sort_unstable();
         for host in hosts {
             let homes = self.choose_host_homes(host, targets);
             for service in routes.table.services_of(host) {
+                // Hosts with the same homes have the same cells in each failure domain.
+                if self.settings.routing.has_domain_homes()
+                    && !seen_homes.insert((service, sorted_ids(&homes)))
+                {
+                    continue;
+                }
                 let count = counts.entry(service.clone()).or_default();
                 let may_send_to_cold = count.0 < policies.max_hosts(service);
                 *count = (count.0 + 1, count.1 + homes.len());
@@ -287,3 +295,9 @@
         MIN_REPORT_AGE.max(Duration::from_secs_f64(min_age))
     }
 }
+
+fn sorted_ids(homes: &[HomeCandidate]) -> Vec<IncarnationId> {
+    let mut ids: Vec<IncarnationId> = homes.iter().map(|home| home.incarnation).collect();
+    ids.sort_unstable();
+    ids
+}
