Requests leave while the targets at home are cold, and never for one that may be

Cause: cold targets count as usable, so that a domain whose targets return cold kept its requests waiting for them. Without usable targets at home, overflow targets were used without a report, which is the only sign that one has restarted.

Change: slots of cold targets do not count as room at home; cold overflow targets take nothing, and targets of services with a warm-up limit need a report in every case.

--- a/crates/core/src/dispatch/overflow.rs
+++ b/crates/core/src/dispatch/overflow.rs
@@ -111,7 +111,7 @@
         if self.queued_keys.is_empty() || !self.targets.has_overflow() {
             return;
         }
-        let own_slots = self.targets.usable_slots();
+        let own_slots = self.targets.own_warm_slots();
         for rank in 0..self.ranks.len() {
             while self.leave_front(rank, &costs, own_slots, now, actions) {}
         }
--- a/crates/core/src/domain_overflow.rs
+++ b/crates/core/src/domain_overflow.rs
@@ -64,7 +64,7 @@
     /// Time for which it has waited.
     pub waited: Duration,
     /// Expected wait of a request at the end of the queue for a target in the own domain; `None` if no such target is
-    /// usable.
+    /// usable, or all that are tolerate few requests after a start.
     pub own_wait: Option<Duration>,
     /// Expected number of bytes of request and response.
     pub transfer_bytes: Option<f64>,
@@ -75,7 +75,7 @@
 /// Why a request leaves the failure domain.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum LeaveReason {
-    /// No target in the own domain is usable.
+    /// No target in the own domain is usable, or all that are tolerate few requests after a start.
     NoOwnTarget,
     /// Waiting for a target in the own domain costs more than leaving.
     Wait,
@@ -130,6 +130,8 @@
     pub report_age: Option<Duration>,
     /// Whether it is slow after its start, or states a limit.
     pub is_restricted: bool,
+    /// Whether it tolerates few requests after a start, so that its state has to be known.
+    pub may_turn_cold: bool,
 }
 
 impl TakingTarget {
@@ -140,9 +142,10 @@
             LeaveReason::NoOwnTarget => self.slots,
             LeaveReason::Wait => self.slots.saturating_sub(SLOTS_LEFT_FREE).max(1),
         };
-        // Not all targets report their load. Without a usable target at home, any is better than none.
         let is_reported = self.report_age.is_some_and(|age| age <= MAX_REPORT_AGE);
-        (is_reported || reason == LeaveReason::NoOwnTarget)
+        // Not all targets report their load. Without a usable target at home, any is better than none.
+        let needs_report = reason != LeaveReason::NoOwnTarget || self.may_turn_cold;
+        (is_reported || !needs_report)
             && !self.is_restricted
             && self.own_in_flight < own_share.max(1)
             && self.own_in_flight + self.foreign_in_flight < room
--- a/crates/core/src/target/overflow.rs
+++ b/crates/core/src/target/overflow.rs
@@ -34,6 +34,12 @@
         self.targets.len() - self.targets.values().filter(|target| target.is_overflow).count()
     }
 
+    /// Returns the total number of slots that this entry VM may use at its own usable targets, except for cold ones.
+    pub fn own_warm_slots(&self) -> u32 {
+        let own = self.targets.values().filter(|target| !target.is_overflow && !target.is_cold());
+        own.filter(|target| target.is_usable()).fold(0, |total, target| total.saturating_add(target.limit()))
+    }
+
     /// Returns up to `count` usable overflow targets whose last report and last probe are both at least `age` old,
     /// those that were probed longest ago first, and marks them as probed at `now`.
     pub fn take_due_overflow_probes(&mut self, age: Duration, count: usize, now: Instant) -> Vec<TargetKey> {
@@ -54,7 +60,8 @@
             own_in_flight: target.in_flight,
             foreign_in_flight: target.foreign_in_flight,
             report_age: target.slowdown_age(now),
-            is_restricted: target.is_warming_up(now) || target.is_limited(),
+            is_restricted: target.is_warming_up(now) || target.is_cold() || target.is_limited(),
+            may_turn_cold: target.warm_up.is_some(),
         })
     }
 
--- a/crates/core/tests/domain_fleet/mod.rs
+++ b/crates/core/tests/domain_fleet/mod.rs
@@ -13,7 +13,7 @@
 use sniperelay_core::route::{
     CallerLimits, RouteConfig, RouteSpec, RouteTable, ServiceSpec, WeightedService,
 };
-use sniperelay_core::target::{SharedReport, SharedTarget, TargetLifecycle, TargetSpec};
+use sniperelay_core::target::{ColdLimit, SharedReport, SharedTarget, TargetLifecycle, TargetSpec};
 use std::collections::{BTreeMap, BTreeSet, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -32,6 +32,8 @@
 const SMALL_LATENCY: Duration = Duration::from_millis(250);
 const UPLOAD_LATENCY: Duration = Duration::from_millis(1000);
 const MAX_REPORT_AGE: Duration = Duration::from_millis(150);
+/// Time for which targets that have returned cold tolerate few requests.
+const COLD_TIME: Duration = Duration::from_secs(5);
 
 /// Load of each domain's callers, as a share of what its targets can serve.
 #[derive(Debug, Clone, Copy)]
@@ -97,6 +99,8 @@
     vms: Vec<Vm>,
     targets: BTreeMap<SocketAddr, Target>,
     listed: BTreeSet<SocketAddr>,
+    /// Listed targets that tolerate few requests, since their return.
+    cold: BTreeSet<SocketAddr>,
     totals: BTreeMap<&'static str, Totals>,
     free_samples: BTreeMap<&'static str, (u64, u64)>,
     next_request: RequestId,
@@ -133,6 +137,7 @@
             vms: (0..3 * VMS_PER_DOMAIN).map(vm).collect(),
             listed: targets.keys().copied().collect(),
             targets,
+            cold: BTreeSet::new(),
             totals: BTreeMap::new(),
             free_samples: BTreeMap::new(),
             next_request: 1,
@@ -184,6 +189,12 @@
         self.assign_targets();
     }
 
+    /// Lists a domain's targets again, as ones that tolerate one request a second each.
+    pub fn restore_targets_cold(&mut self, domain: &str) {
+        self.cold.extend(self.addresses_in(domain));
+        self.restore_targets(domain);
+    }
+
     /// Changes the speed of a domain's targets.
     pub fn set_slowdown(&mut self, domain: &str, slowdown: f64) {
         let members = self.targets.values_mut().filter(|target| target.domain == domain);
@@ -221,7 +232,9 @@
             self.listed.iter().map(|address| (*address, self.targets[address].domain.to_owned())).collect();
         let shared = |addresses: &HashSet<SocketAddr>| -> Vec<SharedTarget> {
             let members = listed.iter().filter(|(address, _)| addresses.contains(address));
-            members.map(|(address, domain)| shared_target(*address, domain)).collect()
+            members
+                .map(|(address, domain)| shared_target(*address, domain, self.cold.contains(address)))
+                .collect()
         };
         for (index, vm) in self.vms.iter_mut().enumerate() {
             let cell = domain_cell(index as u64 + 1, &homes, &listed).unwrap();
@@ -372,14 +385,25 @@
     ((target.running.len() + target.waiting.len()) as u32, target.slowdown)
 }
 
-fn shared_target(address: SocketAddr, domain: &str) -> SharedTarget {
+fn shared_target(address: SocketAddr, domain: &str, is_cold: bool) -> SharedTarget {
     let spec = TargetSpec {
         address,
         domain: domain.to_owned(),
         lifecycle: TargetLifecycle::Live,
         owned_slots: SLOTS,
     };
-    SharedTarget { spec, instance: format!("i{address}"), warm_up: Duration::ZERO, cold_limit: None }
+    let cold_limit = ColdLimit {
+        started_millis: Some(1),
+        duration: COLD_TIME,
+        interval: Some(Duration::from_secs(1)),
+        is_established: true,
+    };
+    SharedTarget {
+        spec,
+        instance: format!("i{address}"),
+        warm_up: if is_cold { COLD_TIME } else { Duration::ZERO },
+        cold_limit: is_cold.then_some(cold_limit),
+    }
 }
 
 fn config() -> RouteConfig {
--- a/crates/core/tests/domain_overflow.rs
+++ b/crates/core/tests/domain_overflow.rs
@@ -77,6 +77,7 @@
         foreign_in_flight: 0,
         report_age: Some(millis(100)),
         is_restricted: false,
+        may_turn_cold: false,
     };
     assert!(target.may_take(LeaveReason::Wait));
     assert!(TakingTarget { foreign_in_flight: 1, ..target }.may_take(LeaveReason::Wait));
@@ -102,6 +103,10 @@
         "the report is too old"
     );
     assert!(!TakingTarget { report_age: None, ..target }.may_take(LeaveReason::Wait));
+    let unreported = TakingTarget { report_age: None, ..target };
+    assert!(unreported.may_take(LeaveReason::NoOwnTarget), "any target is better than none");
+    let unknown = TakingTarget { may_turn_cold: true, ..unreported };
+    assert!(!unknown.may_take(LeaveReason::NoOwnTarget), "it may have turned cold");
     assert!(!TakingTarget { is_restricted: true, ..target }.may_take(LeaveReason::Wait), "cold or limited");
 }
 
@@ -219,6 +224,22 @@
     assert!(on_time(&totals) > 0.97, "on time: {:.3}", on_time(&totals));
 }
 
+/// Load: half of what the targets can serve; those of one domain return cold after an evacuation.
+/// Guards against requests that wait for cold targets at home, which count as usable.
+#[test]
+fn requests_leave_while_the_targets_at_home_are_cold() {
+    let load = Load::even(0.5);
+    let mut fleet = play(10, true, load);
+    fleet.remove_targets("c");
+    fleet.run(millis(500), &load);
+    fleet.restore_targets_cold("c");
+    fleet.reset_totals();
+    fleet.run(millis(1500), &load);
+    let (cold, other) = (fleet.totals("c"), fleet.totals("a"));
+    assert!(on_time(&cold) > 0.95, "on time: {:.3}", on_time(&cold));
+    assert!(on_time(&other) > 0.98, "others on time: {:.3}", on_time(&other));
+}
+
 /// Load: two thirds of the callers of one domain move to another, as when callers follow their own failover.
 #[test]
 fn callers_that_move_to_another_domain_are_served() {
