Isolated entry VMs get lots of accounts' limits

Cause: an owner accepted claims from entry VMs that can own accounts only. An entry VM that has reported isolation cannot, so that the requests that it forwards were refused with 429.

Change: a claimant has to be registered, as with claims for limits of targets.

Measured: the new test forwards ten requests of an account with room for them from an isolated entry VM: all 429 before, all 200 now. It also fails (one 200, nine 429) if the entry VM that handles a forwarded request counts it again.

--- a/crates/relay/src/account_claims.rs
+++ b/crates/relay/src/account_claims.rs
@@ -311,7 +311,8 @@
     LotGrant { tokens, pause: pause.map(Duration::from_millis) }
 }
 
-/// Handles the claims of another entry VM and returns the encoded lots.
+/// Handles the claims of another entry VM and returns the encoded lots. An entry VM that owns no accounts, for example
+/// because it is isolated, still claims lots.
 ///
 /// # Errors
 ///
@@ -319,13 +320,14 @@
 pub async fn handle_lot_claims(
     quotas: &AccountQuotas,
     view: MembershipView,
+    is_registered: impl Fn(IncarnationId) -> bool,
     body: Incoming,
 ) -> Result<Bytes> {
     let message: LotMessage = read_message(body).await?;
-    let fleet = quotas.fleet();
-    if fleet.find(message.claimant).is_none() {
+    if !is_registered(message.claimant) {
         return Err(ClaimError::Malformed("unknown claimant".into()));
     }
+    let fleet = quotas.fleet();
     for vm in message.unaware.iter().filter(|(home, _)| *home != fleet.own) {
         quotas.unaware_vms.record(*vm);
     }
--- a/crates/relay/src/http_api.rs
+++ b/crates/relay/src/http_api.rs
@@ -93,9 +93,9 @@
         }
         if request.uri().path() == LOT_PATH && request.method() == Method::POST {
             let view = state.membership_view();
-            return claims_response(
-                handle_lot_claims(&state.account_quotas, view, request.into_body()).await,
-            );
+            let is_registered = |home| state.peer_address(home).is_some();
+            let (quotas, body) = (&state.account_quotas, request.into_body());
+            return claims_response(handle_lot_claims(quotas, view, is_registered, body).await);
         }
     }
     let query = request.uri().query().unwrap_or("");
--- a/crates/relay/tests/account_limits.rs
+++ b/crates/relay/tests/account_limits.rs
@@ -3,13 +3,18 @@
 mod common;
 
 use common::limited_target::LimitedTarget;
-use common::{Caller, config, header, read_message, registration, start_bounded_relay, status};
+use common::partition::PartitionedFleet;
+use common::{
+    Caller, ScriptedAction, config, header, read_message, registration, sealed_response, start_bounded_relay,
+    status,
+};
 use serde_json::json;
 use sniperelay_core::account::account_id;
 use sniperelay_core::home::AccountOwners;
 use sniperelay_hosted::registration::encode_entry_vm;
 use sniperelay_relay::RunningRelay;
 use sniperelay_standin::platform::PlatformStandin;
+use sniperelay_standin::soak::proxy::ProxyMode;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -138,11 +143,7 @@
             tasks.push(tokio::spawn(async move {
                 let mut caller = Caller::open(address).await;
                 let sent_at = Instant::now();
-                let head = format!(
-                    "GET /read/1 HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: {vm}-{key}-{index}\r\n\
-                     X-Deadline-Ms: 1500\r\nX-Credential: {key}\r\n\r\n"
-                );
-                caller.send(&head).await;
+                caller.send(&keyed_request(key, &format!("{vm}-{key}-{index}"))).await;
                 (caller.receive().await.unwrap(), sent_at.elapsed())
             }));
             tokio::time::sleep(pause).await;
@@ -158,6 +159,13 @@
 /// Response to a readiness check, and of a build that does not know the claims.
 const NOT_READY: &str = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 12\r\n\r\nnot a reader";
 
+fn keyed_request(key: &str, id: &str) -> String {
+    format!(
+        "GET /read/1 HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: {id}\r\nX-Deadline-Ms: 1500\r\n\
+         X-Credential: {key}\r\n\r\n"
+    )
+}
+
 fn statuses(responses: &[(String, Duration)]) -> Vec<u16> {
     responses.iter().map(|(response, _)| status(response)).collect()
 }
@@ -238,3 +246,29 @@
         assert!(used >= 70, "{used} of 80 requests in 4 s");
     }
 }
+
+/// Guards against requests that are counted twice because another entry VM handles them.
+#[tokio::test]
+async fn forwarded_request_uses_one_token() {
+    let script = vec![ScriptedAction::Respond(sealed_response("ok"))];
+    let fleet = PartitionedFleet::start(2, 2, &script).await;
+    fleet.set_links(0, ProxyMode::Stall);
+    while !fleet.vms[0].relay.state().links.is_isolated() {
+        fleet.send_steadily(0, 40, Duration::from_millis(200)).await;
+    }
+    let mut keyed = config("00000002");
+    keyed["Tenants"] = json!({"post": {"ApiKeys": ["post-key"], "RatePerS": 4, "Burst": 12}});
+    for vm in 0..2 {
+        fleet.put_config(vm, &keyed).await;
+    }
+    // Until the bucket is full.
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    let address = fleet.vms[0].relay.state().own_record().caller_address;
+    let mut statuses = Vec::new();
+    for index in 0..10 {
+        let mut caller = Caller::open(address).await;
+        caller.send(&keyed_request("post-key", &format!("forwarded-{index}"))).await;
+        statuses.push(status(&caller.receive().await.unwrap()));
+    }
+    assert_eq!(statuses, [200; 10]);
+}
