Test of invalid statuses: sends requests until one has met the target in trouble

Cause: either target may be chosen first; in one run of the workspace's tests all six requests of a case met the sound one.

Change: the test goes on until a request has met the target in trouble, at least six times as before. The checks of the responses are the same.

--- a/crates/relay/tests/invalid_statuses.rs
+++ b/crates/relay/tests/invalid_statuses.rs
@@ -22,8 +22,11 @@
         let in_trouble = vec![ScriptedAction::Respond(response_with(invalid))];
         let sound = vec![ScriptedAction::Respond(sealed_response("sound"))];
         let env = TestEnv::start(vec![in_trouble, sound]).await;
-        // Some of the requests meet the target in trouble first.
-        for _ in 0..6 {
+        // Each request may meet either target first. No response of the one in trouble counts as a success, so that it is
+        // still used as long as no request has met it.
+        let mut requests = 0;
+        while env.targets[0].received().is_empty() || requests < 6 {
+            requests += 1;
             let response = env.send_request("GET", "/read/1").await;
             match status(&response) {
                 200 => assert_eq!(body(&response), "sound", "{invalid}"),
@@ -31,7 +34,6 @@
                 other => assert_eq!((other, body(&response)), (502, ""), "{invalid}: {response}"),
             }
         }
-        assert!(!env.targets[0].received().is_empty(), "{invalid}: no request met the target in trouble");
     }
 }
 
