--- a/crates/relay/tests/replication.rs
+++ b/crates/relay/tests/replication.rs
@@ -132,6 +132,19 @@
     fleet.wait_until(|state| version(state) == 9).await;
 }
 
+/// Guards against readers that take the store for unavailable for good once it has been away: they would prove nothing about
+/// the configuration any more, and refuse all requests with API keys.
+#[tokio::test]
+async fn readers_find_the_store_available_again_after_an_outage() {
+    let fleet = Fleet::start(2).await;
+    fleet.wait_until(|state| state.is_ready() && state.entry_vms.load().len() == 2).await;
+    fleet.store.control.is_down.store(true, Ordering::Relaxed);
+    fleet.wait_until(|state| state.replica.is_store_unavailable()).await;
+    fleet.store.control.is_down.store(false, Ordering::Relaxed);
+    let recover = fleet.wait_until(|state| !state.replica.is_store_unavailable());
+    tokio::time::timeout(HANG_LIMIT, recover).await.expect("a reader does not notice that the store is back");
+}
+
 #[tokio::test]
 async fn process_started_during_a_store_outage_loads_its_state_from_a_seed() {
     let fleet = Fleet::start(1).await;
