Readers prove their configuration again after an outage of the store

Cause: a reader that had found neither the store nor another reader kept taking the store for away when the store responded again, since only the response of another reader cleared that.

Change: a response of the store clears it as well.

Measured: all_entry_vms_accept_keys_again_after_an_outage_of_the_store fails before the change (no status 200 in 30 s) and passes with it; key_revocation passes (11 tests).

--- a/crates/relay/src/replication.rs
+++ b/crates/relay/src/replication.rs
@@ -491,7 +491,11 @@
         state.replica.is_reader.store(is_reader && is_settled, Ordering::Relaxed);
         let must_read = is_reader || readers.is_empty();
         state.replica.must_read_store.store(must_read, Ordering::Relaxed);
-        if must_read && (check_store(&state).await || readers.is_empty()) {
+        let is_store_responding = must_read && check_store(&state).await;
+        if is_store_responding {
+            state.replica.is_store_unavailable.store(false, Ordering::Relaxed);
+        }
+        if is_store_responding || (must_read && readers.is_empty()) {
             failures = 0;
             switch_to_direct(&state, "this entry VM is a reader, or no other reader can be followed");
             tokio::time::sleep(STORE_CHECK_INTERVAL).await;
--- a/crates/relay/tests/key_revocation.rs
+++ b/crates/relay/tests/key_revocation.rs
@@ -329,6 +329,28 @@
     assert_eq!(refused, 0, "{statuses:?}");
 }
 
+/// Guards against readers that take the store for away for ever after an outage, and do not renew their proofs.
+#[tokio::test]
+async fn all_entry_vms_accept_keys_again_after_an_outage_of_the_store() {
+    let site = Site::start_responding().await;
+    let (vms, _) = start_fleet(&site, 4).await;
+    site.store.control.is_down.store(true, Ordering::Relaxed);
+    wait_until("the outage is known", || vms.iter().all(|vm| vm.state().replica.is_store_unavailable()))
+        .await;
+    for vm in &vms {
+        vm.wait_for_status("kept", 503).await;
+    }
+    site.store.control.is_down.store(false, Ordering::Relaxed);
+    for vm in &vms {
+        vm.wait_until_accepted("kept").await;
+    }
+    // The proofs are renewed from then on.
+    tokio::time::sleep(REVOKE).await;
+    for vm in &vms {
+        assert_eq!(vm.status_of("/read/1", "kept").await, 200);
+    }
+}
+
 /// A reader of an earlier build (before this one): it serves followers and states no proof.
 async fn start_earlier_reader() -> EntryVmRecord {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
