--- a/crates/relay/src/replication.rs
+++ b/crates/relay/src/replication.rs
@@ -495,7 +495,7 @@
         if is_store_responding {
             state.replica.is_store_unavailable.store(false, Ordering::Relaxed);
         }
-        if is_store_responding || must_read && readers.is_empty() {
+        if is_store_responding || (must_read && readers.is_empty()) {
             failures = 0;
             switch_to_direct(&state, "this entry VM is a reader, or no other reader can be followed");
             tokio::time::sleep(STORE_CHECK_INTERVAL).await;
