A fleet that restarts grants lots of accounts' limits at once

Cause: an owner granted nothing until the list of entry VMs counted as settled, 1.2 s after its start and longer.

Change: where the platform does not state a first start, and the list of entry VMs shows others, owners grant as soon as that list has been read. Owners are chosen by name, so that the registrations of the processes before are enough. The bucket still starts empty and is filled at half the rate for a second.

--- a/crates/relay/src/account_claims.rs
+++ b/crates/relay/src/account_claims.rs
@@ -110,7 +110,7 @@
         let quotas = &state.account_quotas;
         for (recipient, claims) in sender.take_due_claims(quotas) {
             if recipient.home == quotas.fleet().own {
-                grant_own_lots(quotas, &recipient, &claims, state.membership_view());
+                grant_own_lots(quotas, &recipient, &claims, state.account_view());
             } else {
                 tokio::spawn(sender.clone().exchange(state.clone(), recipient, claims));
             }
--- a/crates/relay/src/http_api.rs
+++ b/crates/relay/src/http_api.rs
@@ -92,7 +92,7 @@
             return claims_response(handle_claims(state, request.into_body()).await);
         }
         if request.uri().path() == LOT_PATH && request.method() == Method::POST {
-            let view = state.membership_view();
+            let view = state.account_view();
             let is_registered = |home| state.peer_address(home).is_some();
             let (quotas, body) = (&state.account_quotas, request.into_body());
             return claims_response(handle_lot_claims(quotas, view, is_registered, body).await);
--- a/crates/relay/src/shared_state/placement.rs
+++ b/crates/relay/src/shared_state/placement.rs
@@ -136,9 +136,22 @@
 
     /// Returns how reliable the list of entry VMs is.
     pub fn membership_view(&self) -> MembershipView {
-        if !self.is_membership_settled.load(Ordering::Relaxed) {
-            return MembershipView::Unsettled;
+        if self.is_membership_settled.load(Ordering::Relaxed) {
+            self.view_by_contact()
+        } else {
+            MembershipView::Unsettled
         }
+    }
+
+    /// Returns how reliable the list of entry VMs is for the choice of the owners of accounts. Owners are chosen by name, and
+    /// a fleet that restarts finds the registrations of the processes before it.
+    pub fn account_view(&self) -> MembershipView {
+        let is_restart = !self.settings.platform.is_first_start;
+        let has_others = self.replica.start_order().has_entry_vms() && self.entry_vms.load().len() > 1;
+        if is_restart && has_others { self.view_by_contact() } else { self.membership_view() }
+    }
+
+    fn view_by_contact(&self) -> MembershipView {
         let is_current = self.replica.contact_age().is_some_and(|age| age < MAX_VIEW_AGE);
         if is_current { MembershipView::Current } else { MembershipView::Outdated }
     }
--- a/crates/relay/src/start_order.rs
+++ b/crates/relay/src/start_order.rs
@@ -27,6 +27,11 @@
         self.has_entry_vms.send_if_modified(|has_entry_vms| !std::mem::replace(has_entry_vms, true));
     }
 
+    /// Returns whether the list of entry VMs has been read.
+    pub fn has_entry_vms(&self) -> bool {
+        *self.has_entry_vms.borrow()
+    }
+
     /// Waits until the list of entry VMs has been read.
     pub async fn wait_for_entry_vms(&self) {
         wait_until_set(&self.has_entry_vms).await;
--- a/crates/relay/tests/account_limits.rs
+++ b/crates/relay/tests/account_limits.rs
@@ -272,3 +272,43 @@
     }
     assert_eq!(statuses, [200; 10]);
 }
+
+/// All processes of a fleet end and start again. Guards against requests that are refused as beyond their limits until the
+/// entry VMs have had time to register, although the registrations of the earlier processes are there.
+#[tokio::test]
+async fn entry_vm_that_restarts_grants_lots_at_once() {
+    let fleet = AccountFleet::start(50.0, 50.0).await;
+    for relay in fleet.relays {
+        relay.shutdown().await;
+    }
+    // A planned stop removes the registrations; a killed process leaves its own behind.
+    for (name, address) in [("vm0", "127.0.0.1:9"), ("vm1", "127.0.0.1:10")] {
+        let record = sniperelay_hosted::registration::EntryVmRecord {
+            name: name.to_owned(),
+            domain: "z".to_owned(),
+            caller_address: address.parse().unwrap(),
+            ready_address: address.parse().unwrap(),
+            peer_address: address.parse().unwrap(),
+            incarnation: 1,
+            capacity: 100,
+        };
+        fleet.store.put(&format!("sniperelay-entry-vms/{name}"), encode_entry_vm(&record));
+    }
+    let start = |name| start_bounded_relay(name, fleet.store.address(), "", BOUNDS, "");
+    let relays = ["vm0", "vm1"].map(start);
+    let is_served = async {
+        loop {
+            for relay in &relays {
+                let state = relay.state();
+                let mut caller = Caller::open(state.own_record().caller_address).await;
+                caller.send("GET /read/1 HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: 1\r\nX-Deadline-Ms: 1500\r\nX-Credential: post-key\r\n\r\n").await;
+                let response = caller.receive().await.expect("no response");
+                if status(&response) == 200 {
+                    return state.is_membership_settled.load(Ordering::Relaxed);
+                }
+            }
+        }
+    };
+    let was_settled = tokio::time::timeout(WINDOW, is_served).await.expect("no request is served");
+    assert!(!was_settled, "no request was served before the list of entry VMs counted as settled");
+}
