--- a/crates/core/src/key_fence.rs
+++ b/crates/core/src/key_fence.rs
@@ -67,7 +67,7 @@
     }
 }
 
-/// Returns the time after which the caller of a request may retry that was refused for want of a proof. `is_store_away` states
+/// Returns the time after which the caller of a request may retry that was refused because there is no recent proof. `is_store_away` states
 /// whether neither the store nor a reader responds.
 pub fn retry_after_outdated(is_store_away: bool) -> Duration {
     if is_store_away { OUTAGE_RETRY_AFTER } else { RETRY_AFTER }
--- a/crates/core/src/target/limits.rs
+++ b/crates/core/src/target/limits.rs
@@ -97,7 +97,7 @@
     }
 
     /// Returns the capacity of the service if all usable targets state limits or are cold; `None` if one neither does
-    /// nor is, if none is usable, or while a first share, or the first sign of life of a lost target, is awaited.
+    /// nor is, if none is usable, or while a first share, or the first health response of a lost target, is awaited.
     pub fn limited_capacity(&self, now: Instant) -> Option<LimitedCapacity> {
         if !self.has_limits() && !self.has_cold() {
             return None;
--- a/crates/relay/src/config_proof.rs
+++ b/crates/relay/src/config_proof.rs
@@ -7,7 +7,7 @@
 //!
 //! - The proof never decreases. Its age is measured by the boot clock, which counts the time in which the VM is frozen.
 //! - A reading of the configuration counts only once an object of the version that it names, or of a later one, is in force.
-//! - A proof that is handed on only becomes older: a reader states its age when the check arrived, which the follower
+//! - A proof that is passed to a follower only becomes older: a reader states its age when the check arrived, which the follower
 //!   subtracts from the earlier time at which it sent the check.
 //!
 //! Time is passed in; see [`sniperelay_node::boot_clock`].
