Owners grant lots at once after a start only where their own earlier registration is listed

Change: the list of entry VMs counts as that of a fleet that was at work before only if it contains the registration of an earlier process of the same name; otherwise nothing is granted until the list is settled, as before.

--- a/crates/relay/src/own_registration.rs
+++ b/crates/relay/src/own_registration.rs
@@ -35,6 +35,11 @@
         !found.is_own && !found.is_restored && found.version > written
     }
 
+    /// Returns whether a registration is that of an earlier process, which ended without removing it.
+    pub fn is_predecessor(&self, found: Option<FoundRegistration>) -> bool {
+        self.written_version.is_none() && found.is_some_and(|found| !found.is_own)
+    }
+
     /// Records that this process has registered.
     pub fn record_written(&mut self, version: u64) {
         self.written_version = Some(version);
--- a/crates/relay/src/shared_state/placement.rs
+++ b/crates/relay/src/shared_state/placement.rs
@@ -146,9 +146,11 @@
     /// Returns how reliable the list of entry VMs is for the choice of the owners of accounts. Owners are chosen by name, and
     /// a fleet that restarts finds the registrations of the processes before it.
     pub fn account_view(&self) -> MembershipView {
-        let is_restart = !self.settings.platform.is_first_start;
-        let has_others = self.replica.start_order().has_entry_vms() && self.entry_vms.load().len() > 1;
-        if is_restart && has_others { self.view_by_contact() } else { self.membership_view() }
+        if self.replica.start_order().has_predecessor() {
+            self.view_by_contact()
+        } else {
+            self.membership_view()
+        }
     }
 
     fn view_by_contact(&self) -> MembershipView {
--- a/crates/relay/src/start_order.rs
+++ b/crates/relay/src/start_order.rs
@@ -6,6 +6,7 @@
 //!
 //! Invariant: the other first reads begin at the latest after the limits of [`crate::replication::choose_first_source`].
 
+use std::sync::atomic::{AtomicBool, Ordering};
 use tokio::sync::watch;
 
 /// Progress of the start of a process.
@@ -13,11 +14,16 @@
 pub struct StartOrder {
     has_entry_vms: watch::Sender<bool>,
     has_source: watch::Sender<bool>,
+    has_predecessor: AtomicBool,
 }
 
 impl Default for StartOrder {
     fn default() -> Self {
-        Self { has_entry_vms: watch::Sender::new(false), has_source: watch::Sender::new(false) }
+        Self {
+            has_entry_vms: watch::Sender::new(false),
+            has_source: watch::Sender::new(false),
+            has_predecessor: AtomicBool::new(false),
+        }
     }
 }
 
@@ -27,9 +33,15 @@
         self.has_entry_vms.send_if_modified(|has_entry_vms| !std::mem::replace(has_entry_vms, true));
     }
 
-    /// Returns whether the list of entry VMs has been read.
-    pub fn has_entry_vms(&self) -> bool {
-        *self.has_entry_vms.borrow()
+    /// Records that the list of entry VMs contains the registration of an earlier process of this entry VM.
+    pub fn record_predecessor(&self) {
+        self.has_predecessor.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns whether the list of entry VMs contains the registration of an earlier process of this entry VM. It is then one
+    /// of a fleet that has been at work before, and not one to which entry VMs are still being added.
+    pub fn has_predecessor(&self) -> bool {
+        self.has_predecessor.load(Ordering::Relaxed)
     }
 
     /// Waits until the list of entry VMs has been read.
--- a/crates/relay/src/store_sync.rs
+++ b/crates/relay/src/store_sync.rs
@@ -802,6 +802,9 @@
             apply_entry_vm(&mut vms, change);
         }
         let found = watcher.find_registration(&vms);
+        if registration.is_predecessor(found) {
+            state.replica.start_order().record_predecessor();
+        }
         if state.lifecycle.phase() != LifecyclePhase::Serving {
             vms.remove(&state.settings.entry.name);
         } else if watcher.progress.has_list() && registration.is_due(found) {
--- a/crates/relay/tests/own_registration.rs
+++ b/crates/relay/tests/own_registration.rs
@@ -54,3 +54,15 @@
     let restored = Some(FoundRegistration { version: 1 << 40 | 3, is_own: false, is_restored: true });
     assert!(registration.is_due(restored) && !registration.is_replaced(restored));
 }
+
+/// Guards against a fleet that is just starting, and knows a part of itself, being taken for one that was at work before.
+#[test]
+fn only_an_earlier_registration_of_the_own_name_shows_a_predecessor() {
+    let found = |is_own| Some(FoundRegistration { version: 5, is_own, is_restored: false });
+    let mut registration = OwnRegistration::default();
+    assert!(!registration.is_predecessor(None), "others have registered, but not this entry VM");
+    assert!(!registration.is_predecessor(found(true)));
+    assert!(registration.is_predecessor(found(false)));
+    registration.record_written(4);
+    assert!(!registration.is_predecessor(found(false)), "a successor");
+}
