Review, case 7: a key that was taken away is accepted after the store has returned from an older copy

CONFIG (StrictRevoke). An entry VM that starts after the return of the store takes the older configuration for the present one: 14 requests with the key ran 6.9 to 7.5 s after the acknowledgement of the version without it.

--- a/review/standins-2/src/cases.rs
+++ b/review/standins-2/src/cases.rs
@@ -21,6 +21,7 @@
         "cut-owner" => cut_owner(record, has_trouble),
         "lost-forwards" => lost_forwards(record, has_trouble),
         "silent-crashes" => silent_crashes(record, has_trouble),
+        "revoked-key" => revoked_key(record, has_trouble),
         "frozen-peer" => frozen_peer(record, has_trouble),
         _ => Err(format!("there is no case {case}")),
     }
@@ -171,15 +172,93 @@
     Ok(broken.join("; "))
 }
 
+/// `Revoke` of the users' pages.
+const REVOKE: Duration = Duration::from_secs(5);
+/// Time after the return of the store at which the operator and the targets write again.
+const REWRITE_DELAY: Duration = Duration::from_secs(2);
+
+/// A key is taken away; the store returns from a copy that is older than that, and an entry VM that has been stopped as planned
+/// starts then.
+fn revoked_key(record: &Arc<Record>, has_trouble: bool) -> Outcome {
+    let mut before = config(&["board"]);
+    before["Tenants"]["tenant0"] = json!({"ApiKeys": ["kept-key", "revoked-key"]});
+    let mut after = before.clone();
+    after["Version"] = json!("00000002");
+    after["Tenants"]["tenant0"]["ApiKeys"] = json!(["kept-key"]);
+    let mut options = options(&["a", "b", "c"]);
+    options.bounds["StrictRevoke"] = json!(true);
+    options.bounds["Revoke"] = json!("5000ms");
+    let mut fleet = Fleet::start(record.clone(), start_targets(8, 4, 20), &before, &options)?;
+    let load = Load::new();
+    for vm in 0..3 {
+        for key in ["kept", "revoked"] {
+            let stream =
+                Stream { key: Some(format!("{key}-key")), name: format!("{key}-{vm}"), ..reads(vm, 20) };
+            load.start(&fleet, stream);
+        }
+    }
+    std::thread::sleep(Duration::from_secs(2));
+    fleet.vms[0].signal("TERM");
+    record.line(&format!("{} gets SIGTERM", fleet.vms[0].name));
+    std::thread::sleep(Duration::from_millis(600));
+    let copy = fleet.store.copy();
+    std::thread::sleep(Duration::from_millis(400));
+    let revision = fleet.store.put("config/main", after.clone());
+    let revoked_at = Instant::now();
+    record.line(&format!("version 2, without the key revoked-key, is acknowledged at revision {revision}"));
+    sleep_until(revoked_at + Duration::from_secs(3));
+    if has_trouble {
+        record.line("the store is away");
+        fleet.vms.iter().for_each(|vm| vm.view.is_cut.store(true, Ordering::Relaxed));
+    }
+    sleep_until(revoked_at + Duration::from_millis(5500));
+    if has_trouble {
+        fleet.store.return_from(&copy);
+        fleet.vms.iter().for_each(|vm| vm.view.is_cut.store(false, Ordering::Relaxed));
+        record.line("the store is back, from a copy of before version 2");
+    }
+    // The process has ended within `Grace` and is started again.
+    sleep_until(revoked_at + Duration::from_millis(5600));
+    fleet.vms[0].kill();
+    fleet.vms[0].spawn();
+    record.line(&format!("{} starts again", fleet.vms[0].name));
+    sleep_until(revoked_at + Duration::from_millis(5500) + REWRITE_DELAY);
+    if has_trouble {
+        fleet.store.put("config/main", after);
+        for target in &fleet.targets {
+            fleet.store.put(&target.key(), target.entry("ready"));
+        }
+        record.line("the operator and the targets have written again");
+    }
+    std::thread::sleep(Duration::from_secs(3));
+    let sent = load.finish(&fleet);
+    fleet.record_arrivals();
+    let ran: BTreeSet<String> = fleet.runs().into_iter().map(|arrival| arrival.id).collect();
+    let late = sent.iter().filter(|one| one.id.starts_with("revoked") && one.at > revoked_at + REVOKE);
+    let late: Vec<&Sent> = late.filter(|one| ran.contains(&one.id)).collect();
+    let Some(last) = late.last() else { return Ok(String::new()) };
+    let after = last.at.duration_since(revoked_at).as_secs_f64();
+    let text = format!(
+        "{} requests with the revoked key ran that were sent later than Revoke; the last one {after:.2} s after its acknowledgement",
+        late.len()
+    );
+    println!("{text}");
+    Ok(text)
+}
+
+fn sleep_until(time: Instant) {
+    std::thread::sleep(time.saturating_duration_since(Instant::now()));
+}
+
 /// A route with `MaxAttempts` 1. One entry VM is partitioned from all targets, and another one that takes its requests is
 /// killed.
 fn lost_forwards(record: &Arc<Record>, has_trouble: bool) -> Outcome {
     let mut config = config(&["board"]);
     config["Routes"]["read-board"]["MaxAttempts"] = json!(1);
     let options = FleetOptions { has_links: true, ..options(&["zone-a", "zone-b", "zone-c"]) };
-    let mut fleet = Fleet::start(record.clone(), start_targets(8, 4, 300), &config, &options)?;
+    let mut fleet = Fleet::start(record.clone(), start_targets(16, 4, 300), &config, &options)?;
     let load = Load::new();
-    load.start(&fleet, reads(0, 60));
+    load.start(&fleet, reads(0, 100));
     std::thread::sleep(Duration::from_secs(3));
     if has_trouble {
         record.line(&format!("{} is partitioned from all targets: connections hang", fleet.vms[0].name));
--- a/review/standins-2/src/store.rs
+++ b/review/standins-2/src/store.rs
@@ -19,9 +19,20 @@
     spec: Value,
 }
 
+/// All objects at one revision.
+#[derive(Debug, Clone)]
+pub struct StoreCopy {
+    rev: u64,
+    objects: BTreeMap<String, Object>,
+}
+
 #[derive(Debug, Default)]
 struct Contents {
+    /// Number of times that the store has returned from an older copy.
+    era: u64,
     rev: u64,
+    /// Revision before which the history is gone.
+    first_rev: u64,
     objects: BTreeMap<String, Object>,
     /// Revision, key and object of each change; a deletion has no spec.
     changes: Vec<(u64, String, Option<Object>)>,
@@ -56,6 +67,24 @@
         self.changed.notify_all();
     }
 
+    /// Returns a copy of all objects.
+    pub fn copy(&self) -> StoreCopy {
+        let contents = self.contents.lock().unwrap();
+        StoreCopy { rev: contents.rev, objects: contents.objects.clone() }
+    }
+
+    /// Returns from an older copy: what was written since is gone, and its revisions are given out again.
+    pub fn return_from(&self, copy: &StoreCopy) {
+        let mut contents = self.contents.lock().unwrap();
+        contents.era += 1;
+        contents.rev = copy.rev;
+        contents.first_rev = copy.rev;
+        contents.objects = copy.objects.clone();
+        contents.changes.clear();
+        drop(contents);
+        self.changed.notify_all();
+    }
+
     pub fn keys(&self, prefix: &str) -> Vec<String> {
         let contents = self.contents.lock().unwrap();
         contents.objects.keys().filter(|key| key.starts_with(prefix)).cloned().collect()
@@ -96,7 +125,7 @@
         let target = message.word(1);
         let (path, query) = target.split_once('?').unwrap_or((target, ""));
         let Some(rest) = path.strip_prefix("/api/objects/") else {
-            return answer("400 Bad Request", &json!({}));
+            return self.contents.lock().unwrap().answer("400 Bad Request", &json!({}));
         };
         let field = |name: &str| {
             query
@@ -114,8 +143,8 @@
             ("GET", Some((kind, _))) => {
                 let contents = self.contents.lock().unwrap();
                 match contents.objects.get(rest) {
-                    Some(object) => answer("200 OK", &encode(kind, rest, object, view)),
-                    None => answer("404 Not Found", &json!({})),
+                    Some(object) => contents.answer("200 OK", &encode(kind, rest, object, view)),
+                    None => contents.answer("404 Not Found", &json!({})),
                 }
             }
             ("POST", None) => {
@@ -128,7 +157,7 @@
                 self.write(kind, rest, body["Metadata"]["Rev"].as_u64(), Some(body["Spec"].clone()), view)
             }
             ("DELETE", Some((kind, _))) => self.write(kind, rest, number("Rev"), None, view),
-            _ => answer("400 Bad Request", &json!({})),
+            _ => self.contents.lock().unwrap().answer("400 Bad Request", &json!({})),
         }
     }
 
@@ -141,14 +170,19 @@
             .iter()
             .filter(|(key, _)| key.starts_with(&prefix) && (after.is_none() || **key > from));
         let items: Vec<Value> = all.map(|(key, object)| encode(kind, key, object, view)).collect();
-        answer("200 OK", &json!({"items": items, "HasMore": false, "StoreRevision": contents.rev}))
+        contents.answer("200 OK", &json!({"items": items, "HasMore": false, "StoreRevision": contents.rev}))
     }
 
     fn watch(&self, kind: &str, since: u64, wait_ms: u64, view: &View) -> Vec<u8> {
         let prefix = format!("{kind}/");
         let deadline = Instant::now() + Duration::from_millis(wait_ms.min(30_000));
         let mut contents = self.contents.lock().unwrap();
+        let era = contents.era;
         loop {
+            // Such a revision does not exist, or its history is gone.
+            if contents.era != era || since > contents.rev || since < contents.first_rev {
+                return contents.answer("410 Gone", &json!({}));
+            }
             let new =
                 contents.changes.iter().filter(|(rev, key, _)| *rev > since && key.starts_with(&prefix));
             let events: Vec<Value> = new
@@ -162,7 +196,7 @@
                 .collect();
             let left = deadline.saturating_duration_since(Instant::now());
             if !events.is_empty() || left.is_zero() || view.is_cut.load(Ordering::Relaxed) {
-                return answer("200 OK", &json!({"events": events, "StoreRevision": contents.rev}));
+                return contents.answer("200 OK", &json!({"events": events, "StoreRevision": contents.rev}));
             }
             contents = self.changed.wait_timeout(contents, left.min(Duration::from_millis(100))).unwrap().0;
         }
@@ -179,12 +213,12 @@
         let mut contents = self.contents.lock().unwrap();
         let present = contents.objects.get(key).cloned();
         if present.is_none() && expected != Some(0) {
-            return answer("404 Not Found", &json!({}));
+            return contents.answer("404 Not Found", &json!({}));
         }
         if let Some(object) = &present
             && expected.is_some_and(|expected| expected != object.rev)
         {
-            return answer("409 Conflict", &encode(kind, key, object, view));
+            return contents.answer("409 Conflict", &encode(kind, key, object, view));
         }
         let object = match (&spec, &present) {
             (Some(spec), Some(object)) if *spec == object.spec => object.clone(),
@@ -197,13 +231,18 @@
                 }
             }
         };
-        drop(contents);
         self.changed.notify_all();
-        answer("200 OK", &encode(kind, key, &object, view))
+        contents.answer("200 OK", &encode(kind, key, &object, view))
     }
 }
 
 impl Contents {
+    /// Encodes an answer, which states the era.
+    fn answer(&self, status: &str, body: &Value) -> Vec<u8> {
+        let headers = [("Content-Type", "application/json".to_owned()), ("Store-Era", self.era.to_string())];
+        response(status, &headers, body.to_string().as_bytes())
+    }
+
     fn write(&mut self, key: &str, spec: Option<Value>) -> u64 {
         self.rev += 1;
         let created = self.objects.get(key).map_or(self.rev, |object| object.created);
@@ -224,11 +263,6 @@
     }
 }
 
-fn answer(status: &str, body: &Value) -> Vec<u8> {
-    let headers = [("Content-Type", "application/json".to_owned()), ("Store-Era", "0".to_owned())];
-    response(status, &headers, body.to_string().as_bytes())
-}
-
 fn encode(kind: &str, key: &str, object: &Object, view: &View) -> Value {
     let name = key.split_once('/').map_or(key, |(_, name)| name);
     let mut spec = object.spec.clone();
