--- a/review/standins-2/src/cases.rs
+++ b/review/standins-2/src/cases.rs
@@ -20,7 +20,8 @@
         "limited-partition" => limited_partition(record, has_trouble),
         "cut-owner" => cut_owner(record, has_trouble),
         "lost-forwards" => lost_forwards(record, has_trouble),
-        "silent-crashes" => silent_crashes(record, has_trouble),
+        "silent-crashes" => crashes(record, has_trouble, 8, true),
+        "few-targets" => crashes(record, has_trouble, 2, false),
         "revoked-key" => revoked_key(record, has_trouble),
         "frozen-peer" => frozen_peer(record, has_trouble),
         _ => Err(format!("there is no case {case}")),
@@ -291,12 +292,13 @@
     Ok(if beyond.len() > 3 { text } else { String::new() })
 }
 
-/// A request under which targets crash and fall silent. It comes again and again, at all entry VMs.
-fn silent_crashes(record: &Arc<Record>, has_trouble: bool) -> Outcome {
+/// A request under which targets crash: they fall silent, or their connections end. It comes again and again, at all entry VMs.
+fn crashes(record: &Arc<Record>, has_trouble: bool, target_count: usize, is_silent: bool) -> Outcome {
     let options = options(&["zone-a", "zone-b", "zone-c"]);
-    let fleet = Fleet::start(record.clone(), start_targets(8, 4, 60), &config(&["board"]), &options)?;
+    let fleet =
+        Fleet::start(record.clone(), start_targets(target_count, 4, 60), &config(&["board"]), &options)?;
     for target in &fleet.targets {
-        target.behaviour.is_silent.store(true, Ordering::Relaxed);
+        target.behaviour.is_silent.store(is_silent, Ordering::Relaxed);
         target.behaviour.down_ms.store(3000, Ordering::Relaxed);
         *target.behaviour.poison.lock().unwrap() = has_trouble.then(|| "poison".to_owned());
     }
