--- a/review/standins-2/src/fleet.rs
+++ b/review/standins-2/src/fleet.rs
@@ -66,6 +66,13 @@
 }
 
 impl EntryVm {
+    /// Starts the process again. The settings then no longer state the first start of the whole system.
+    pub fn restart(&mut self) {
+        let text = std::fs::read_to_string(&self.settings).unwrap();
+        std::fs::write(&self.settings, text.replace("first-start = true", "first-start = false")).unwrap();
+        self.spawn();
+    }
+
     /// Starts the process with the command of the deploy file.
     pub fn spawn(&mut self) {
         let log = File::options().create(true).append(true).open(&self.log).unwrap();
--- a/review/standins-2/src/store.rs
+++ b/review/standins-2/src/store.rs
@@ -54,8 +54,14 @@
 }
 
 impl Store {
+    /// Writes an object, as the operator and the targets do. One that stays the same is no change.
     pub fn put(&self, key: &str, spec: Value) -> u64 {
         let mut contents = self.contents.lock().unwrap();
+        if let Some(object) = contents.objects.get(key)
+            && object.spec == spec
+        {
+            return object.rev;
+        }
         let rev = contents.write(key, Some(spec));
         drop(contents);
         self.changed.notify_all();
