--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -7,7 +7,7 @@
 [ -x "$program" ] && [ -x target/release/sniperelay ] || { echo "not built"; exit 2; }
 STARTED=$(mktemp)
 export STARTED
-timeout 110 "$program" lost-forwards "$folder/record.txt"
+timeout 110 "$program" limited-partition "$folder/record.txt"
 code=$?
 if [ "$code" -gt 2 ]; then
   # The stand-ins were ended before they could end the entry VMs.
