--- a/review/standins-3/src/lib.rs
+++ b/review/standins-3/src/lib.rs
@@ -61,6 +61,7 @@
         let folder = PathBuf::from(std::env::args().nth(1).expect("the folder of the case"));
         let temporary = std::env::temp_dir().join(format!("sniperelay-review-{}", std::process::id()));
         std::fs::create_dir_all(&temporary).unwrap();
+        end_with_processes(temporary.clone());
         let has_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
         Self { folder, temporary, has_trouble, record: Record::default() }
     }
@@ -82,14 +83,31 @@
 
     fn write_and_exit(&self, code: i32) -> ! {
         std::fs::write(self.folder.join("record.txt"), self.record.text()).unwrap();
-        if std::env::var("KEEP").is_err() {
-            drop(std::fs::remove_dir_all(&self.temporary));
-        }
+        drop(std::fs::remove_dir_all(&self.temporary));
         vm::kill_all();
         std::process::exit(code)
     }
 }
 
+/// Longest time that a case may take.
+const TIME_LIMIT: Duration = Duration::from_secs(110);
+
+/// Ends the program with code 2, and all processes with it, when it panics or takes too long.
+fn end_with_processes(temporary: PathBuf) {
+    let end = move |reason: &str| {
+        eprintln!("the case could not run: {reason}");
+        vm::kill_all();
+        drop(std::fs::remove_dir_all(&temporary));
+        std::process::exit(2)
+    };
+    let end_late = end.clone();
+    std::panic::set_hook(Box::new(move |panic| end(&panic.to_string())));
+    std::thread::spawn(move || {
+        std::thread::sleep(TIME_LIMIT);
+        end_late("it took too long")
+    });
+}
+
 /// An HTTP message whose body has a length.
 #[derive(Debug, Clone, Default)]
 pub struct Message {
--- a/review/standins-3/src/vm.rs
+++ b/review/standins-3/src/vm.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::process::{Command, Stdio};
-use std::sync::Mutex;
+use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 /// Bounds of the users' pages for a small deployment.
@@ -13,9 +13,13 @@
 
 static PROCESSES: Mutex<Vec<std::process::Child>> = Mutex::new(Vec::new());
 
+fn lock_processes() -> MutexGuard<'static, Vec<std::process::Child>> {
+    PROCESSES.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// Kills all processes that were started here.
 pub fn kill_all() {
-    for mut process in PROCESSES.lock().unwrap().drain(..) {
+    for mut process in lock_processes().drain(..) {
         drop(process.kill());
         drop(process.wait());
     }
@@ -83,7 +87,7 @@
             .spawn()
             .expect("target/release/sniperelay");
         let process = child.id();
-        PROCESSES.lock().unwrap().push(child);
+        lock_processes().push(child);
         Self { name: name.to_owned(), zone: zone.to_owned(), callers, ready, directory, addresses, process }
     }
 
